--- /dev/null
+++ b/basalthoist/__init__.py
@@ -0,0 +1,1 @@
+"""basalthoist: a reverse proxy that spreads exchanges over HTTP servers by measured latency profiles."""
--- /dev/null
+++ b/basalthoist/decisions/host.py
@@ -0,0 +1,51 @@
+"""What the decision module and whatever runs it say to each other. Times are whole tenths of a millisecond."""
+
+from enum import IntEnum
+from typing import NamedTuple, Protocol
+
+
+class Outcome(IntEnum):
+    COMPLETED = 0
+    ERROR = 1  # the backend answered with an error; it may have run
+    REJECTED = 2  # turned away unseen
+    TIMED_OUT = 3
+    CONNECT_FAILED = 4
+    RESET = 5
+    CANCELLED = 6
+    NOT_SENT = 7
+
+
+NEVER_RAN = frozenset((Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))
+
+
+class Listed(NamedTuple):
+    """One backend as the list of backends shows it."""
+
+    name: str
+    location: int
+    kind: int
+    pod: int
+    state: str  # healthy, draining or gone
+    weight: float
+    started: int | None  # clock time of its last start, None when long ago
+
+
+class Load(NamedTuple):
+    """What a backend reports of itself; None where it reports no such figure."""
+
+    inflight: float | None
+    queue: float | None
+    util: float | None
+
+
+class Host(Protocol):
+    """The few things that decisions can make happen. Exchange ids are those that `Node` was handed."""
+
+    def send(self, xchg: int, backend: str, timeout: int) -> None: ...
+    def shed(self, xchg: int, retry_after: int) -> None: ...
+    def fail(self, xchg: int) -> None: ...
+    def cancel(self, xchg: int, try_no: int) -> None: ...
+    def probe(self, backend: str) -> None: ...
+    def subscribe(self) -> None: ...
+    def wake(self, after: int, tag: str) -> None: ...
+    def log(self, line: str) -> None: ...
--- /dev/null
+++ b/basalthoist/decisions/policy.py
@@ -0,0 +1,643 @@
+"""Every decision of basalthoist.
+
+How to call it: make one `Node(host, seed, settings, now)` for each process start, then call the `on_...` method for
+each thing that happens, with the clock. The node acts by calling its host; the host's interface, outcomes and listed
+backends are in host.py. `settings` is a plain map such as {"routes.0.value": 3.0}. Times are tenths of a millisecond.
+"""
+
+from bisect import insort
+from collections import deque
+from heapq import heappop, heappush
+from math import log
+
+from .host import NEVER_RAN, Host, Listed, Load, Outcome
+
+SECOND = 10_000
+WINDOW = 2 * SECOND  # profile points come from windows of this length, or longer where samples are few
+WINDOW_MOST = 8 * SECOND
+SAMPLES = 4
+POINTS = 6
+POINT_LIFE = 30 * SECOND
+SPREAD = 4.0
+FLOOR_SHARE = 0.2  # of an even share
+PRIOR = 3.0  # samples' worth of the fleet's mean that every measured mean is blended with
+EJECT = 6.0
+TRIAL = 3.0
+
+
+class Lcg:
+    def __init__(self, seed: int) -> None:
+        self.state = seed & (2**64 - 1)
+
+    def uniform(self) -> float:
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (2**64 - 1)
+        return (self.state >> 33) / 2**31
+
+
+class Backend:
+    """One backend as this node knows it: how it is listed, its profile, its health, what is out to it."""
+
+    def __init__(self, listed: Listed, now: int) -> None:
+        self.name = listed.name
+        self.credit = self.share = 0.0
+        self.out: list[UpstreamTry] = []
+        self.backoff = 2 * SECOND
+        self.learn(listed)
+        self.forget(now)
+
+    def learn(self, listed: Listed) -> None:
+        self.location, self.kind, self.pod, self.weight = listed.location, listed.kind, listed.pod, listed.weight
+        self.started, self.usable = listed.started, listed.state == "healthy"
+
+    def forget(self, now: int) -> None:
+        """A new or restarted process: nothing measured before holds for it."""
+        self.points: list[list[float]] = []  # [rate, response time, samples, when]
+        self.window_from, self.sent, self.count, self.total = now, 0, 0, 0.0
+        self.slot_time, self.slots = 0.0, 0.0  # response time over exchanges held, to foretell the next one
+        self.doubt, self.out_until = 0.0, 0  # the sequential test's sum, and when an ejected one may be tried again
+        self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0
+        self.last_answer = now
+        self.recent: deque[int] = deque()
+        self.stage = 0  # of stepwise profiling: 0 is none, 1 and 2 are its two held rates
+        self.held_rate = 0.0
+        self.rate = 0.0  # usual rate from this node
+
+    def close_window(self, now: int, limit: float) -> bool:
+        span = now - self.window_from
+        if span < WINDOW or (self.count < SAMPLES and span < WINDOW_MOST):
+            return False
+        rate = self.sent / span * SECOND
+        self.rate += (rate - self.rate) * (0.3 if self.rate else 1.0)
+        if self.count:
+            mean = min(self.total / self.count, limit)
+            near = [p for p in self.points if abs(p[0] - rate) <= 0.25 * max(p[0], rate)]
+            if near:
+                # The old mean at this rate counts for less the older it is.
+                near = near[0]
+                kept = min(near[2], 8.0) * 0.5 ** ((now - near[3]) / (4 * SECOND))
+                near[0] = (near[0] * kept + rate * self.count) / (kept + self.count)
+                near[1] = (near[1] * kept + mean * self.count) / (kept + self.count)
+                near[2:] = [kept + self.count, now]
+            else:
+                self.points.append([rate, mean, float(self.count), now])
+        self.points = sorted(p for p in self.points if now - p[3] < POINT_LIFE)
+        while len(self.points) > POINTS:
+            self.points.remove(min(self.points, key=lambda p: p[3]))
+        self.window_from, self.sent, self.count, self.total = now, 0, 0, 0.0
+        return True
+
+    def curve(self, mean_rate: float, mean_time: float, cores: float, now: int) -> None:
+        """The profile as a non-decreasing line, its points blended with the fleet's mean by their samples."""
+        blended: list[list[float]] = []
+        for rate, time, samples, when in self.points or [[mean_rate, mean_time, PRIOR, now]]:
+            samples *= 0.5 ** ((now - when) / (10 * SECOND))
+            blended.append([max(rate, 0.01), (time * samples + mean_time * PRIOR) / (samples + PRIOR), samples + PRIOR])
+            while len(blended) > 1 and blended[-2][1] > blended[-1][1]:
+                (r0, t0, n0), (r1, t1, n1) = blended[-2:]
+                blended[-2:] = [[(r0 * n0 + r1 * n1) / (n0 + n1), (t0 * n0 + t1 * n1) / (n0 + n1), n0 + n1]]
+        rate, time, _ = blended[0]
+        self.line = [(0.0, time / (1 + rate * time / SECOND / cores))] + [(r, t) for r, t, _ in blended]
+
+    def rate_at(self, time: float) -> float:
+        line = self.line
+        if time <= line[0][1]:
+            return 0.0
+        for (r0, t0), (r1, t1) in zip(line, line[1:], strict=False):
+            if time <= t1:
+                return r0 + (r1 - r0) * (time - t0) / (t1 - t0) if t1 > t0 else r1
+        rate, top = line[-1]
+        slope = max((top - line[0][1]) / rate, (top - t0) / (rate - r0) if rate > r0 else 0.0, 1e-6)
+        return rate + (time - top) / slope
+
+    def judge(self, failed: bool, usual: float, weight: float = 1.0) -> None:
+        """Sequential test: does it fail as the fleet usually does, or at least half of the time?"""
+        usual = min(max(1.5 * usual, 0.02), 0.4)
+        step = log(0.6 / usual) if failed else log(0.4 / (1 - usual))
+        self.doubt = min(max(self.doubt + weight * step, 0.0), EJECT + 2)
+
+
+class UpstreamTry:
+    __slots__ = ("xchg", "backend", "sent_at", "ahead", "outcome")
+
+    def __init__(self, xchg: "Exchange", backend: Backend, now: int, ahead: float) -> None:
+        self.xchg, self.backend, self.sent_at, self.ahead = xchg, backend, now, ahead
+        self.outcome: Outcome | None = None  # None while it is out
+
+    def may_have_run(self) -> bool:
+        return self.outcome not in NEVER_RAN
+
+
+class Exchange:
+    __slots__ = ("id", "route", "customer", "surplus", "arrived", "deadline", "aim_at", "tries", "held", "over",
+                 "asked", "streaming", "order")  # fmt: skip
+
+    def __init__(self, ident: int, route: "Route", now: int, deadline: int, aim_at: int, surplus: bool) -> None:
+        self.id, self.route, self.arrived, self.deadline, self.aim_at = ident, route, now, deadline, aim_at
+        self.surplus, self.held, self.over, self.asked, self.streaming = surplus, False, False, 0, False
+        self.tries: list[UpstreamTry] = []
+        self.order = (surplus, -route.value, now, ident)
+
+    def __lt__(self, other: "Exchange") -> bool:
+        return self.order < other.order
+
+
+class Route:
+    def __init__(self, settings: dict, number: int) -> None:
+        def get(name, default):
+            return settings.get(f"routes.{number}.{name}", default)
+
+        self.semantics, self.group = get("semantics", "non-retriable"), get("group", "pod")
+        self.timeout = get("overall_timeout", 10 * SECOND)
+        self.objective = get("latency_objective", 0) or int(0.8 * self.timeout)
+        self.window, self.value, self.overdue = get("dedup_window", 0), get("value", 1.0), get("overdue_value", 0.0)
+        self.usual_grace = 0
+
+
+class Customer:
+    """A customer's share at this node, as a bucket that fills at the share's rate."""
+
+    def __init__(self, quota: float, nodes: int) -> None:
+        self.rate = quota / nodes
+        self.tokens, self.at, self.seen, self.usage = self.rate * 2.0, None, 0, 0.0
+
+    def within(self, now: int, skew: float) -> bool:
+        rate = self.rate * skew
+        if self.at is not None:
+            self.tokens = min(self.tokens + (now - self.at) * rate / SECOND, max(2.0 * rate, 1.0))
+        self.at, self.seen = now, self.seen + 1
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class Node:
+    def __init__(self, host: Host, seed: int, settings: dict, now: int) -> None:
+        self.host, self.settings, self.chance = host, settings, Lcg(seed)
+        get = settings.get
+        self.nodes, self.location = max(get("nodes", 1), 1), get("location", 0)
+        self.routes = [Route(settings, i) for i in range(get("routes.count", 1))]
+        self.customers = [Customer(get(f"customers.{i}.quota_per_s", 0.0), self.nodes)
+                          for i in range(get("customers.count", 0))]  # fmt: skip
+        self.skew = 1.0
+        self.objective = min(r.objective for r in self.routes)
+        self.top_value = max(r.value for r in self.routes)
+        self.tries_most = get("policy_limits.max_upstream_tries", 1)
+        self.parallel = get("policy_limits.parallel_tries", False)
+        self.crossing = get("prices.cross_zone", 0.0)
+        # Asking backends before a send pays where they report their load and a probe costs little.
+        reports = get("feedback.how", "off") != "off" and "inflight" in get("feedback.fields", ())
+        price = max(get("prices.probe", 0.0), 1e-6)
+        self.asks = min(int(0.01 / price), 4) if reports and get("policy_limits.probes", False) else 0
+        self.backends: dict[str, Backend] = {}
+        self.exchanges: dict[int, Exchange] = {}
+        self.held: list[Exchange] = []
+        self.due: list = []
+        self.due_seq, self.woken_for = 0, 0
+        self.failing = 0.02  # share of the fleet's tries that fail
+        self.mean_time = self.objective / 3.0
+        self.slot = self.objective / 4.0
+        self.demand, self.arrivals, self.worth = 0.0, 0, 1.0
+        self.equal_time = float(self.objective)
+        self.sheds, self.shedding = 0, False
+        self.list_failures, self.ask_again, self.subscribed = 0, None, False
+        self.probe_trip = 10.0
+        self.ticks = 0
+        if get("discovery", "pushed") == "on_request":
+            self.ask_again = now
+            host.subscribe()
+        host.wake(SECOND, "tick")
+
+    # ---- rules: the only places where a send or a shed is allowed
+
+    def may_try(self, xchg: Exchange, backend: Backend, now: int) -> bool:
+        tries = xchg.tries
+        if xchg.over or xchg.streaming or now >= xchg.deadline or len(tries) >= self.tries_most or not backend.usable:
+            return False
+        if not tries:
+            return True
+        if not self.parallel and any(t.outcome is None for t in tries):
+            return False
+        ran = [t for t in tries if t.may_have_run()]
+        if not ran or xchg.route.semantics == "retriable":
+            return True
+        if xchg.route.semantics != "deduped" or now + 10 >= ran[0].sent_at + xchg.route.window:
+            return False
+        group, first = xchg.route.group, ran[0].backend
+        return (group == "all" or (group == "location" and backend.location == first.location)
+                or (group == "pod" and backend.pod == first.pod))  # fmt: skip
+
+    def may_shed(self, xchg: Exchange) -> bool:
+        route = xchg.route
+        if route.semantics == "retriable" or (route.semantics == "deduped" and route.group == "all"):
+            return True
+        return not any(t.may_have_run() for t in xchg.tries)
+
+    def cold_allows(self, backend: Backend, now: int) -> bool:
+        """A cold backend's budget of sends for this node, over any window in which it could fall over."""
+        age = self.age(backend, now)
+        warm = self.settings.get("rules.warm_within", 0)
+        if age >= warm:
+            return True
+        window = self.settings.get("rules.overload_for", SECOND)
+        while backend.recent and backend.recent[0] < now - window:
+            backend.recent.popleft()
+        start = self.settings.get("rules.cold_from", 0.1)
+        capacity = start + (1 - start) * age / warm
+        budget = 0.5 * self.settings.get("rules.fall_multiple", 1.0) * capacity * self.usual(backend.kind, now)
+        return len(backend.recent) < max(1.0, budget * window / SECOND)
+
+    def age(self, backend: Backend, now: int) -> int:
+        return now - backend.started if backend.started is not None else 10**9
+
+    def usual(self, kind: int, now: int) -> float:
+        warm = self.settings.get("rules.warm_within", 0)
+        known = [b for b in self.backends.values() if b.usable and b.rate and self.age(b, now) >= 2 * warm]
+        known = [b.rate for b in known if b.kind == kind] or [b.rate for b in known]
+        return sum(known) / len(known) if known else self.demand / max(len(self.backends), 1)
+
+    # ---- what happens
+
+    def on_exchange(self, now: int, ident: int, route_no: int, customer_no: int, key: str | None, grace: int,
+                    hint: int | None, again: bool) -> None:  # fmt: skip
+        route = self.routes[route_no]
+        aim_at = now + route.objective
+        if not again:
+            route.usual_grace = max(route.usual_grace, grace)
+            self.arrivals += 1
+        elif grace < route.usual_grace:
+            aim_at -= route.timeout - grace  # the client's earlier tries have used up part of its objective
+        surplus = False
+        if customer_no < len(self.customers) and not again:
+            surplus = not self.customers[customer_no].within(now, self.skew)
+        xchg = Exchange(ident, route, now, now + grace, aim_at, surplus)
+        self.exchanges[ident] = xchg
+        self.at(xchg.deadline - self.settings.get("tick", 10), self.give_up, xchg)
+        self.place(now, xchg)
+
+    def on_try_ended(self, now: int, ident: int, try_no: int, outcome: Outcome, elapsed: int, over: bool,
+                     load: Load | None) -> None:  # fmt: skip
+        xchg = self.exchanges.get(ident)
+        if xchg is None or try_no >= len(xchg.tries):
+            return
+        upstream = xchg.tries[try_no]
+        backend, upstream.outcome = upstream.backend, outcome
+        if upstream in backend.out:
+            backend.out.remove(upstream)
+        self.measure(now, upstream, outcome, elapsed)
+        if load is not None and load.inflight is not None:
+            backend.held, backend.held_at = load.inflight, now
+        if over:
+            self.finish(xchg)
+        elif not xchg.over and not any(t.outcome is None for t in xchg.tries):
+            if outcome == Outcome.CANCELLED or now >= xchg.aim_at:
+                self.give_up(now, xchg)
+            else:
+                self.place(now, xchg)
+        self.forget(xchg)
+        self.drain(now)
+
+    def on_probe_ended(self, now: int, name: str, outcome: Outcome, elapsed: int, load: Load | None) -> None:
+        backend = self.backends.get(name)
+        if backend is None:
+            return
+        backend.probe_at = 0
+        if outcome == Outcome.COMPLETED and load is not None and load.inflight is not None:
+            backend.held, backend.held_at = load.inflight, now
+            self.probe_trip += (elapsed - self.probe_trip) * 0.05
+        self.drain(now)
+
+    def on_exchange_gone(self, now: int, ident: int) -> None:
+        xchg = self.exchanges.get(ident)
+        if xchg is not None:
+            self.call_off(xchg)
+            self.finish(xchg)
+            self.forget(xchg)
+
+    def on_answer_started(self, now: int, ident: int, try_no: int) -> None:
+        if ident in self.exchanges:
+            self.exchanges[ident].streaming = True
+
+    def on_list_failed(self, now: int) -> None:
+        self.list_failures += 1
+        self.ask_again = now + int(SECOND * min(2**self.list_failures, 8) * (0.5 + self.chance.uniform()))
+
+    def on_list(self, now: int, entries: list[Listed], whole: bool) -> None:
+        self.list_failures, self.ask_again = 0, None
+        named = set()
+        for listed in entries:
+            named.add(listed.name)
+            backend = self.backends.get(listed.name)
+            if backend is None:
+                backend = self.backends[listed.name] = Backend(listed, now)
+                backend.credit = self.chance.uniform()
+            else:
+                restarted = listed.started is not None and listed.started != backend.started
+                backend.learn(listed)
+                if restarted:
+                    backend.forget(now)
+            if self.age(backend, now) < self.settings.get("rules.warm_within", 0) and not backend.stage:
+                backend.stage, backend.held_rate = 1, 0.0
+        for backend in self.backends.values():
+            if whole and backend.name not in named:
+                backend.usable = False
+        self.solve(now)
+
+    def on_wake(self, now: int, tag: str) -> None:
+        if tag == "tick":
+            self.host.wake(SECOND, "tick")
+            self.tick(now)
+            return
+        self.woken_for = 0
+        while self.due and self.due[0][0] <= now:
+            _, _, act, what = heappop(self.due)
+            act(now, what)
+        self.arm(now)
+
+    def at(self, when: int, act, what) -> None:
+        self.due_seq += 1
+        heappush(self.due, (when, self.due_seq, act, what))
+
+    def arm(self, now: int) -> None:
+        if self.due and (not self.woken_for or self.due[0][0] < self.woken_for):
+            self.woken_for = max(self.due[0][0], now + 1)
+            self.host.wake(self.woken_for - now, "due")
+
+    # ---- admission and holding
+
+    def place(self, now: int, xchg: Exchange) -> None:
+        """Send it, or hold it for a short while until some backend has room for it in time."""
+        if not xchg.held:
+            xchg.held = True
+            insort(self.held, xchg)
+            patience = 0.05 if xchg.surplus else 0.3
+            self.at(min(now + int(patience * xchg.route.objective), xchg.aim_at), self.tire, xchg)
+            if self.asks and not xchg.asked:
+                xchg.asked = now
+                self.ask(now, xchg)
+                self.at(now + int(3 * self.probe_trip) + 10, self.settle, xchg)
+        self.try_send(now, xchg)
+        self.arm(now)
+
+    def ask(self, now: int, xchg: Exchange) -> None:
+        for backend in self.turns(now, xchg)[: self.asks]:
+            if not backend.probe_at and now - backend.held_at > 20:
+                backend.probe_at = now
+                self.host.probe(backend.name)
+
+    def settle(self, now: int, xchg: Exchange) -> None:
+        if xchg.held:
+            xchg.asked = -1
+            self.try_send(now, xchg)
+
+    def tire(self, now: int, xchg: Exchange) -> None:
+        if xchg.held:
+            self.give_up(now, xchg)
+
+    def drain(self, now: int) -> None:
+        missed = 0
+        for xchg in list(self.held):
+            if xchg.held and not self.try_send(now, xchg):
+                missed += 1
+                if missed > 3:
+                    break
+        self.arm(now)
+
+    def try_send(self, now: int, xchg: Exchange) -> bool:
+        backend = self.pick(now, xchg)
+        if backend is None:
+            return False
+        self.unhold(xchg)
+        upstream = UpstreamTry(xchg, backend, now, self.ahead(backend, now))
+        xchg.tries.append(upstream)
+        backend.out.append(upstream)
+        backend.sent += 1
+        backend.held += 1
+        backend.recent.append(now)
+        self.host.send(xchg.id, backend.name, xchg.deadline - now)
+        self.at(now + min(int(4 * self.mean_time), self.objective), self.check_overdue, upstream)
+        return True
+
+    def check_overdue(self, now: int, upstream: UpstreamTry) -> None:
+        # Guards against a backend that takes work and answers nothing: silence since the send is a failure.
+        backend = upstream.backend
+        if upstream.outcome is None and backend.last_answer < upstream.sent_at:
+            backend.count += 1
+            backend.total += upstream.xchg.route.timeout
+            self.verdict(now, backend, True)
+
+    def unhold(self, xchg: Exchange) -> None:
+        if xchg.held:
+            xchg.held = False
+            self.held.remove(xchg)
+
+    def give_up(self, now: int, xchg: Exchange) -> None:
+        if xchg.over or xchg.streaming:
+            return
+        if self.may_shed(xchg):
+            self.sheds += 1
+            advice = self.settings.get("policy_limits.max_retry_after", 0) // 2
+            self.host.shed(xchg.id, advice if self.settings.get("policy_limits.retry_after") else 0)
+        else:
+            self.host.fail(xchg.id)
+        self.call_off(xchg)
+        self.finish(xchg)
+        self.forget(xchg)
+
+    def call_off(self, xchg: Exchange) -> None:
+        if self.settings.get("policy_limits.cancel") and not xchg.streaming:
+            for number, upstream in enumerate(xchg.tries):
+                if upstream.outcome is None:
+                    self.host.cancel(xchg.id, number)
+
+    def finish(self, xchg: Exchange) -> None:
+        xchg.over = True
+        self.unhold(xchg)
+
+    def forget(self, xchg: Exchange) -> None:
+        if xchg.over and not any(t.outcome is None for t in xchg.tries):
+            self.exchanges.pop(xchg.id, None)
+
+    # ---- solve
+
+    def tick(self, now: int) -> None:
+        self.ticks += 1
+        if self.ask_again is not None and now >= self.ask_again and self.list_failures:
+            self.ask_again = now + 20 * SECOND
+            self.host.subscribe()
+        self.demand += (self.arrivals - self.demand) * (0.2 if self.demand else 1.0)
+        self.arrivals = 0
+        limit = 4.0 * self.mean_time
+        for backend in list(self.backends.values()):
+            if backend.close_window(now, limit if not backend.doubt else self.objective * 4.0):
+                self.step(now, backend)
+            backend.slot_time *= 0.95
+            backend.slots *= 0.95
+            if not backend.usable and not backend.out and now - backend.window_from > 60 * SECOND:
+                del self.backends[backend.name]
+        self.weigh_customers()
+        self.solve(now)
+        if (self.sheds > 0.05 * max(self.demand, 1.0)) != self.shedding:
+            self.shedding = not self.shedding
+            self.host.log(f"shedding {'on' if self.shedding else 'off'}: {self.sheds} shed in 1 s of"
+                          f" {self.demand:.0f}/s, equal time {self.equal_time / 10:.0f} ms")  # fmt: skip
+        self.sheds = 0
+        self.drain(now)
+
+    def weigh_customers(self) -> None:
+        """A node whose every customer looks over its share just gets more of the traffic than others."""
+        for customer in self.customers:
+            customer.usage += (customer.seen - customer.usage) * 0.1
+            customer.seen = 0
+        ratios = sorted(c.usage / c.rate for c in self.customers if c.rate > 0)
+        if ratios and self.ticks > 5:
+            self.skew = min(max(ratios[len(ratios) // 2], 1.0), 2.0)
+
+    def solve(self, now: int) -> None:
+        """Rates of equal response time that sum to the demand, by bisection; floor shares for the rest."""
+        ready = [b for b in self.backends.values() if b.usable and now >= b.out_until]
+        if not ready:
+            return
+        demand = max(self.demand, 0.1)
+        measured = [p for b in ready for p in b.points]
+        samples = sum(p[2] for p in measured)
+        if samples:
+            self.mean_time = sum(p[1] * p[2] for p in measured) / samples
+        slots = sum(b.slots for b in ready)
+        self.slot = (sum(b.slot_time for b in ready) + self.objective / 4.0) / (slots + 1.0)
+        fixed = [b for b in ready if b.stage]
+        solved = [b for b in ready if not b.stage]
+        fastest = max((b.rate for b in solved), default=0.0) or demand / len(ready)
+        for backend in fixed:
+            backend.share = backend.held_rate = backend.held_rate or fastest / SPREAD
+        left = max(demand - sum(b.share for b in fixed), 0.2 * demand)
+        if sum(1 for b in solved if b.points) < 2:
+            whole = sum(b.weight for b in solved) or 1.0
+            for backend in solved:
+                backend.share = left * (backend.weight or 1.0) / whole
+            return
+        for backend in solved:
+            backend.curve(demand / len(ready), self.mean_time, 1.0 / self.nodes, now)
+        low, high = 0.0, 100.0 * self.objective
+        for _ in range(24):
+            middle = (low + high) / 2
+            if sum(b.rate_at(middle - self.cost(b)) for b in solved) < left:
+                low = middle
+            else:
+                high = middle
+        self.equal_time = high
+        even = left / len(solved)
+        for backend in solved:
+            rate = max(backend.rate_at(high - self.cost(backend)), FLOOR_SHARE * even)
+            backend.share += (rate - backend.share) * (0.5 if backend.share else 1.0)
+
+    def cost(self, backend: Backend) -> float:
+        """What crossing locations costs, as response time, so that the solve weighs it."""
+        return 2.0 * self.crossing * self.objective if backend.location != self.location else 0.0
+
+    # ---- rotation
+
+    def turns(self, now: int, xchg: Exchange) -> list[Backend]:
+        """Backends this exchange may go to now, in the order of the smooth weighted rotation."""
+        tried = {t.backend for t in xchg.tries}
+        fit = [b for b in self.backends.values()
+               if b.usable and now >= b.out_until and self.may_try(xchg, b, now) and self.cold_allows(b, now)
+               and not (b.doubt > TRIAL and b.out)]  # fmt: skip
+        fit = [b for b in fit if b not in tried] or fit
+        if xchg.surplus and self.crossing > self.settings.get("surplus_value", 0.0):
+            fit = [b for b in fit if b.location == self.location]
+        fit.sort(key=lambda b: -(b.credit + b.share))
+        return fit
+
+    def ahead(self, backend: Backend, now: int) -> float:
+        if self.asks and now - backend.held_at <= 200:
+            return max(backend.held - 1.0 if backend.held < 1.0 else backend.held, 0.0)
+        return float(len(backend.out))
+
+    def expected(self, backend: Backend, now: int) -> float:
+        slot = (backend.slot_time + PRIOR * self.slot) / (backend.slots + PRIOR)
+        time = slot * (self.ahead(backend, now) + 1.0)
+        if backend.out and backend.last_answer < backend.out[0].sent_at:
+            time = max(time, slot + now - backend.out[0].sent_at)
+        return time
+
+    def pick(self, now: int, xchg: Exchange) -> Backend | None:
+        fit = self.turns(now, xchg)
+        left = xchg.aim_at - now
+        share = 0.35 if xchg.surplus else 0.6 + 0.3 * xchg.route.value / self.top_value
+        bound = share * left if left > 0 else 0.3 * xchg.route.objective
+        mean = sum(len(b.out) for b in fit) / len(fit) if fit else 0.0
+        most = max(2.0, 2.0 * mean)
+        asking = self.asks and xchg.asked > 0
+        best, best_time = None, bound
+        for backend in fit:
+            if len(backend.out) > most:
+                continue
+            if asking and now - backend.held_at > 20:
+                continue
+            time = self.expected(backend, now)
+            if time + self.cost(backend) <= min(self.equal_time, bound):
+                best = backend
+                break
+            if not asking and time < best_time:
+                best, best_time = backend, time
+        if best is not None:
+            whole = 0.0
+            for backend in fit:
+                backend.credit += backend.share
+                whole += backend.share
+            best.credit -= whole
+        return best
+
+    # ---- newcomers
+
+    def step(self, now: int, backend: Backend) -> None:
+        """Stepwise profiling: a first low rate, a second near 0.8 of the objective, then the solve."""
+        if not backend.stage or not backend.points:
+            return
+        rate, time = backend.points[-1][:2]
+        if backend.stage == 2:
+            backend.stage = 0
+            self.host.log(f"profiled {backend.name}: {rate:.1f}/s at {time / 10:.0f} ms")
+            return
+        cores = 1.0 / self.nodes
+        service = time / (1 + rate * time / SECOND / cores)
+        target = 0.8 * self.objective
+        if service < target:
+            aim = cores * (target - service) / (target * service) * SECOND
+            fastest = max((b.rate for b in self.backends.values() if not b.stage), default=aim)
+            backend.stage, backend.held_rate = 2, min(aim, fastest)
+
+    # ---- list keeping and health
+
+    def measure(self, now: int, upstream: UpstreamTry, outcome: Outcome, elapsed: int) -> None:
+        backend = upstream.backend
+        if outcome == Outcome.COMPLETED:
+            backend.last_answer = now
+            backend.count += 1
+            backend.total += elapsed
+            backend.slot_time = backend.slot_time * 0.9 + elapsed
+            backend.slots = backend.slots * 0.9 + upstream.ahead + 1.0
+            self.verdict(now, backend, False)
+        elif outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET):
+            # Guards against a backend that fails fast and would draw traffic by its short times.
+            backend.count += 1
+            backend.total += upstream.xchg.route.timeout
+            self.verdict(now, backend, True)
+        elif outcome == Outcome.REJECTED:
+            backend.held, backend.held_at = max(backend.held, 4.0), now
+
+    def verdict(self, now: int, backend: Backend, failed: bool) -> None:
+        self.failing += ((1.0 if failed else 0.0) - self.failing) * 0.02
+        backend.judge(failed, self.failing)
+        live = [b for b in self.backends.values() if b.usable]
+        out = sum(1 for b in live if now < b.out_until)
+        if backend.doubt >= EJECT and now >= backend.out_until and out < len(live) // 2:
+            backend.out_until = now + int(backend.backoff * (0.75 + 0.5 * self.chance.uniform()))
+            backend.backoff = min(backend.backoff * 3 // 2, 8 * SECOND)
+            backend.doubt = EJECT - 1.0
+            self.host.log(f"out {backend.name}: {len(backend.out)} unanswered, fleet fails"
+                          f" {self.failing:.0%}, back in {(backend.out_until - now) / SECOND:.1f} s")  # fmt: skip
+        elif not failed and backend.doubt == 0.0 and backend.backoff > 2 * SECOND:
+            backend.backoff = 2 * SECOND
+            self.host.log(f"trusted again {backend.name}")
--- /dev/null
+++ b/basalthoist/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""The decision module behind the bench's wire."""
--- /dev/null
+++ b/basalthoist/simulator/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from .adapter import main
+
+sys.exit(main())
--- /dev/null
+++ b/basalthoist/simulator/adapter.py
@@ -0,0 +1,190 @@
+"""Wire events become calls on one `Node` an instance; what the node asks of its host becomes wire lines."""
+
+import sys
+
+from basalthoist.decisions.host import Load, Outcome
+from basalthoist.decisions.policy import Node
+
+from .codec import Reader, WireError
+
+OUTCOMES = {
+    "0": Outcome.COMPLETED, "255": Outcome.ERROR, "254": Outcome.REJECTED, "253": Outcome.TIMED_OUT,
+    "252": Outcome.CONNECT_FAILED, "251": Outcome.RESET, "250": Outcome.CANCELLED, "249": Outcome.NOT_SENT,
+}  # fmt: skip
+WORDS = {"idempotent": "retriable", "deduplicated": "deduped", "at_most_once": "non-retriable", "cell": "pod",
+         "zone": "location"}  # fmt: skip
+KEYS = {"accounts": "customers", "siblings": "nodes", "zones": "locations", "zone": "location"}
+FIELDS = {"rif": "inflight", "q": "queue", "busy": "util"}
+TIMES = frozenset(
+    "latency_objective overall_timeout dedup_window connect_timeout keepalive max_retry_after ask_within"
+    " drain_grace grace_to_answer overload_for warm_within tick".split()
+)
+
+
+def tenths(micros: int) -> int:
+    """Microseconds to tenths of a millisecond, early rather than late, and never from something to nothing."""
+    return max(1, micros // 100) if micros > 0 else 0
+
+
+def clock_tenths(micros: int) -> int:
+    return micros // 100
+
+
+def value_of(text: str):
+    if text in ("true", "false"):
+        return text == "true"
+    for kind in (int, float):
+        try:
+            return kind(text)
+        except ValueError:
+            pass
+    return text
+
+
+def plain_map(pairs: list[str]) -> dict:
+    """The settings in our words and units. Keys unknown here pass through as they are."""
+    found = {}
+    for pair in pairs:
+        path, _, text = pair.partition("=")
+        parts = path.split(".")
+        parts[0] = KEYS.get(parts[0], parts[0])
+        if parts[-1] == "fields":
+            value = [FIELDS.get(f, f) for f in text.split(",") if f and f != "-"]
+        else:
+            value = value_of(text)
+            if isinstance(value, str):
+                value = WORDS.get(value, value) if parts[-1] in ("semantics", "group") else value
+            elif parts[-1] in TIMES:
+                value = tenths(int(value))
+        found[".".join(parts)] = value
+    return found
+
+
+class Instance:
+    """The host of one node, and the door through which its events come."""
+
+    def __init__(self, who: str, out: list[str], salt: int, settings: dict, now: int) -> None:
+        self.prefix = "\t" + who
+        self.out = out
+        self.fields = settings.get("feedback.fields", [])
+        self.node = Node(self, salt, settings, now)
+
+    def send(self, xchg: int, backend: str, timeout: int) -> None:
+        self.out.append(f"PASS_ON{self.prefix}\t{xchg}\t{backend}\t{timeout * 100}\n")
+
+    def shed(self, xchg: int, retry_after: int) -> None:
+        self.out.append(f"OVERLOAD_REPLY{self.prefix}\t{xchg}\t{retry_after * 100}\n")
+
+    def fail(self, xchg: int) -> None:
+        self.out.append(f"FINISH_ERROR{self.prefix}\t{xchg}\n")
+
+    def cancel(self, xchg: int, try_no: int) -> None:
+        self.out.append(f"ABANDON{self.prefix}\t{xchg}\t{try_no}\n")
+
+    def probe(self, backend: str) -> None:
+        self.out.append(f"POLL{self.prefix}\t{backend}\n")
+
+    def subscribe(self) -> None:
+        self.out.append(f"OBSERVE{self.prefix}\t1\n")
+
+    def wake(self, after: int, tag: str) -> None:
+        self.out.append(f"NOTIFY_ME{self.prefix}\t{after * 100}\t{tag}\n")
+
+    def log(self, line: str) -> None:
+        self.out.append(f"JOURNAL_LINE{self.prefix}\t{line}\n")
+
+    def load(self, row: str) -> Load | None:
+        if row == "-" or not row:
+            return None
+        values = dict(zip(self.fields, (None if v in ("", "-") else float(v) for v in row.split(",")), strict=False))
+        return Load(values.get("inflight"), values.get("queue"), values.get("util"))
+
+    def take(self, now: int, parts: list[str], lists: dict) -> None:
+        name, node = parts[0], self.node
+        if name == "QUERY":
+            _, _, txn, route, customer, key, grace, hint, flags = parts
+            given = 0 if flags == "-" else int(flags)
+            node.on_exchange(now, int(txn), int(route), 0 if customer == "-" else int(customer),
+                             None if key == "-" else key, tenths(int(grace)),
+                             tenths(int(hint)) if hint != "-" and given & 1 else None,
+                             bool(given & 2))  # fmt: skip
+        elif name == "ATTEMPT_END":
+            _, _, txn, copy, _, outcome, rtt, over, row = parts
+            node.on_try_ended(now, int(txn), int(copy), OUTCOMES[outcome], tenths(int(rtt)), over == "1",
+                              self.load(row))  # fmt: skip
+        elif name == "PROBED":
+            _, _, backend, outcome, rtt, row = parts
+            node.on_probe_ended(now, backend, OUTCOMES[outcome], tenths(int(rtt)), self.load(row))
+        elif name == "ALARM":
+            node.on_wake(now, parts[2])
+        elif name == "ABORTED":
+            node.on_exchange_gone(now, int(parts[2]))
+        elif name == "TOPOLOGY":
+            if parts[2] == "FAILED":
+                node.on_list_failed(now)
+            else:
+                node.on_list(now, lists.get(parts[4], []), parts[2] != "INCREMENTAL")
+        elif name == "UNDER_WAY":
+            node.on_answer_started(now, int(parts[2]), int(parts[3]))
+
+
+def serve(source, sink) -> None:
+    reader, instances, lists = Reader(source), {}, {}
+    while (frame := reader.frame()) is not None:
+        clock, batch = frame
+        now, out = clock_tenths(clock), []
+        for parts in reader.events():
+            if parts[0] == "CATALOG":
+                lists[parts[1]] = reader.backends(parts[2], clock_tenths)
+                continue
+            who, mark = parts[1], len(out)
+            if not who.isdigit():
+                reader.bad("an instance number", who)
+            try:
+                if parts[0] == "START":
+                    instances[who] = Instance(who, out, int(parts[2]), plain_map(parts[3:]), now)
+                elif parts[0] == "CRASH_NOW":
+                    instances.pop(who, None)
+                elif who in instances:
+                    instances[who].out = out
+                    instances[who].take(now, parts, lists)
+            except (ValueError, KeyError) as wrong:
+                if broke_in_module(wrong):
+                    out[mark:] = [f"PANIC\t{who}\t{describe(wrong)}\n"]
+                else:
+                    reader.bad(f"well-formed values for {parts[0]} ({wrong})", "\t".join(parts))
+            except Exception as wrong:
+                out[mark:] = [f"PANIC\t{who}\t{describe(wrong)}\n"]
+        sink.write("".join(out) + f"OK\t{batch}\n")
+        sink.flush()
+
+
+def origin(wrong: BaseException):
+    step = wrong.__traceback__
+    while step.tb_next is not None:
+        step = step.tb_next
+    return step
+
+
+def broke_in_module(wrong: BaseException) -> bool:
+    """Whether it was the decisions that raised it, not the reading of a value here."""
+    return origin(wrong).tb_frame.f_globals.get("__name__", "").startswith("basalthoist.decisions")
+
+
+def describe(wrong: BaseException) -> str:
+    step = origin(wrong)
+    where = f"{step.tb_frame.f_code.co_name}:{step.tb_lineno}"
+    return f"{type(wrong).__name__}: {wrong} at {where}".replace("\n", " ")[:200]
+
+
+def main() -> int:
+    sys.stdin.reconfigure(encoding="utf-8", newline="\n")
+    sys.stdout.reconfigure(encoding="utf-8", newline="\n")
+    try:
+        serve(sys.stdin, sys.stdout)
+    except WireError as wrong:
+        print(wrong, file=sys.stderr)
+        return 2
+    except (BrokenPipeError, KeyboardInterrupt):
+        return 1
+    return 0
--- /dev/null
+++ b/basalthoist/simulator/codec.py
@@ -0,0 +1,84 @@
+"""Lines of the bench's wire, in and out. Nothing here knows what an exchange is."""
+
+from collections.abc import Iterator
+from typing import NoReturn, TextIO
+
+from basalthoist.decisions.host import Listed
+
+BACKEND_STATES = {"healthy": "healthy", "cordoned": "draining", "deregistered": "gone"}
+# Event name: how many values follow it. None: at least two, the rest being settings.
+EVENT_VALUES = {
+    "START": None, "TOPOLOGY": 4, "QUERY": 8, "MESSAGE": 3, "ABORTED": 2, "UNDER_WAY": 5, "CRASH_NOW": 1,
+    "ATTEMPT_END": 8, "PROBED": 5, "ALARM": 2, "CATALOG": 2,
+}  # fmt: skip
+
+
+class WireError(Exception):
+    """Input that is not in the form agreed; its text names batch, line and what was expected."""
+
+
+class Reader:
+    """Reads batches: `frame()` gives the clock and number of the next, `events()` its events, split."""
+
+    def __init__(self, source: TextIO) -> None:
+        self.source = source
+        self.line_no = 0
+        self.batch: str = "none"
+
+    def bad(self, expected: str, line: str) -> NoReturn:
+        shown = line.rstrip("\n")[:80]
+        raise WireError(f"batch {self.batch}, line {self.line_no}: expected {expected}, got {shown!r}")
+
+    def number(self, text: str, what: str) -> int:
+        try:
+            return int(text)
+        except ValueError:
+            self.bad(f"a whole number for {what}", text)
+
+    def frame(self) -> tuple[int, str] | None:
+        for line in self.source:
+            self.line_no += 1
+            if line == "\n":
+                continue
+            parts = line.rstrip("\n").split("\t")
+            if parts[0] != "FRAME" or len(parts) != 3:
+                self.bad("FRAME, clock and number", line)
+            clock = self.number(parts[1], "the clock")
+            self.batch = str(self.number(parts[2], "the batch"))
+            return clock, self.batch
+        return None
+
+    def events(self) -> Iterator[list[str]]:
+        for line in self.source:
+            self.line_no += 1
+            if line == "YOUR_TURN\n" or line == "YOUR_TURN":
+                return
+            if line == "\n":
+                continue
+            parts = line.rstrip("\n").split("\t")
+            if parts[0] not in EVENT_VALUES:
+                self.bad("an event or YOUR_TURN", line)
+            count = EVENT_VALUES[parts[0]]
+            if len(parts) < 3 if count is None else len(parts) != count + 1:
+                self.bad(f"{'at least 2' if count is None else count} values for {parts[0]}", line)
+            yield parts
+        self.bad("YOUR_TURN before the end of input", "")
+
+    def backends(self, count: str, to_tenths) -> list[Listed]:
+        entries = []
+        for _ in range(self.number(count, "the number of entries")):
+            line = self.source.readline()
+            self.line_no += 1
+            parts = line.rstrip("\n").split("\t")
+            if parts[0] != "BACKEND" or len(parts) != 8:
+                self.bad("a BACKEND line with 7 values", line)
+            if parts[5] not in BACKEND_STATES:
+                self.bad("healthy, cordoned or deregistered", parts[5])
+            location, kind, pod = (0 if p == "-" else self.number(p, "location, kind, pod") for p in parts[2:5])
+            try:
+                weight = 1.0 if parts[6] == "-" else float(parts[6])
+            except ValueError:
+                self.bad("a number for the share", parts[6])
+            started = None if parts[7] in ("-", "0") else to_tenths(self.number(parts[7], "the start time"))
+            entries.append(Listed(parts[1], location, kind, pod, BACKEND_STATES[parts[5]], weight, started))
+        return entries
--- /dev/null
+++ b/tests/test_codec.py
@@ -0,0 +1,71 @@
+import io
+
+import pytest
+
+from basalthoist.simulator import adapter
+from basalthoist.simulator.codec import WireError
+
+START = (
+    "START\t{who}\t5\tsiblings=1\troutes.count=1\troutes.0.semantics=idempotent\troutes.0.value=1.0"
+    "\troutes.0.latency_objective=330000\troutes.0.overall_timeout=820000\tunheard.of=x\ttick=1000\n"
+)
+LIST = "CATALOG\t0\t1\nBACKEND\t{b}\t0\t0\t0\thealthy\t1\t-\n"
+
+
+def serve(text):
+    out = io.StringIO()
+    adapter.serve(io.StringIO(text), out)
+    return out.getvalue()
+
+
+def test_empty_batch_and_end_of_input():
+    assert serve("FRAME\t8412250\t1\nYOUR_TURN\n\n") == "OK\t1\n"
+
+
+@pytest.mark.parametrize(("micros", "expected"), [(0, 0), (-5, 0), (1, 1), (99, 1), (100, 1), (199, 1), (250, 2)])
+def test_durations_end_early_and_never_vanish(micros, expected):
+    assert adapter.tenths(micros) == expected
+
+
+def test_a_list_number_is_resolved_where_it_stands():
+    text = "FRAME\t1000000\t1\n"
+    for who, backend in ((1, "x:1"), (2, "y:1")):  # the same CATALOG number twice in one batch
+        text += START.format(who=who) + LIST.format(b=backend) + f"TOPOLOGY\t{who}\tSAVED\t1\t0\n"
+    text += "QUERY\t1\t11\t0\t-\t-\t820000\t-\t0\nQUERY\t2\t12\t0\t-\t-\t820000\t-\t0\nYOUR_TURN\n"
+    reply = serve(text)
+    assert "PASS_ON\t1\t11\tx:1\t" in reply
+    assert "PASS_ON\t2\t12\ty:1\t" in reply
+
+
+@pytest.mark.parametrize("code", ["0", "255", "254", "253", "252", "251", "250", "249"])
+def test_every_outcome_is_taken_and_events_of_unknown_ids_ignored(code):
+    text = "FRAME\t1000000\t1\n" + START.format(who=0) + LIST.format(b="x:1") + "TOPOLOGY\t0\tSAVED\t1\t0\n"
+    text += "QUERY\t0\t7\t0\t-\t-\t820000\t-\t0\nYOUR_TURN\nFRAME\t1050000\t2\n"
+    text += f"ATTEMPT_END\t0\t7\t0\tx:1\t{code}\t50000\t{int(code == '0')}\t-\n"
+    text += "ABORTED\t0\t7\nATTEMPT_END\t0\t99\t0\tx:1\t0\t5\t1\t-\nYOUR_TURN\n"
+    reply = serve(text)
+    assert reply.endswith("OK\t2\n")
+    assert "PANIC" not in reply
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("HELLO\n", "batch none, line 1: expected FRAME"),
+        ("FRAME\tx\t1\n", "whole number for the clock"),
+        ("FRAME\t1\t4\nNOVELTY\t1\n", "batch 4, line 2: expected an event"),
+        ("FRAME\t1\t4\nALARM\t1\n", "expected 2 values for ALARM"),
+        ("FRAME\t1\t4\nCATALOG\t0\t1\nYOUR_TURN\n", "expected a BACKEND line"),
+        ("FRAME\t1\t4\n", "batch 4, line 1: expected YOUR_TURN"),
+        ("FRAME\t1\t4\n" + START.format(who=0) + "QUERY\t0\tz\t0\t0\t-\t1\t-\t0\nYOUR_TURN\n", "values for QUERY"),
+    ],
+)
+def test_bad_input_is_named(text, expected):
+    with pytest.raises(WireError, match=expected):
+        serve(text)
+
+
+def test_an_exception_in_the_module_is_reported_for_its_instance(monkeypatch):
+    monkeypatch.setattr(adapter.Node, "on_wake", lambda *_: 1 / 0)
+    text = "FRAME\t1000000\t1\n" + START.format(who=3) + "ALARM\t3\ttick\nYOUR_TURN\n"
+    assert "PANIC\t3\tZeroDivisionError" in serve(text)
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,81 @@
+import pytest
+from helpers import SECOND, listed, node
+
+from basalthoist.decisions.host import Outcome
+
+NOW = 100 * SECOND
+TWO_PODS = [listed("a", pod=0), listed("b", pod=0), listed("c", pod=1)]
+
+
+def begin(made, ident=1):
+    made.on_exchange(NOW, ident, 0, 0, None, 8000, None, False)
+
+
+@pytest.mark.parametrize(
+    ("semantics", "group", "outcome", "answers"),
+    [
+        ("retriable", "pod", Outcome.ERROR, {"send"}),
+        ("retriable", "pod", Outcome.REJECTED, {"send"}),
+        ("non-retriable", "pod", Outcome.REJECTED, {"send"}),
+        ("non-retriable", "pod", Outcome.CONNECT_FAILED, {"send"}),
+        ("non-retriable", "pod", Outcome.ERROR, {"fail"}),
+        ("non-retriable", "pod", Outcome.RESET, {"fail"}),
+        ("deduped", "pod", Outcome.RESET, {"send"}),
+        ("deduped", "all", Outcome.RESET, {"send"}),
+    ],
+)
+def test_what_follows_a_failed_try(semantics, group, outcome, answers):
+    made, host = node(TWO_PODS, semantics=semantics, routes__0__group=group)
+    begin(made)
+    first = host.take("send")[0][2]
+    for step in range(1, 40):  # time enough for what is held to be sent or given up
+        if step == 1:
+            made.on_try_ended(NOW + 50, 1, 0, outcome, 50, False, None)
+        made.on_wake(NOW + 50 + step * 200, "due")
+        calls = host.take("send", "shed", "fail")
+        if calls:
+            break
+    assert {calls[0][0]} == answers
+    if semantics == "deduped" and group == "pod" and calls[0][0] == "send":
+        pods = {"a": 0, "b": 0, "c": 1}
+        assert pods[calls[0][2]] == pods[first]
+
+
+@pytest.mark.parametrize("semantics", ["retriable", "non-retriable", "deduped"])
+def test_answered_once_before_the_timeout(semantics):
+    made, host = node(TWO_PODS, semantics=semantics)
+    begin(made)
+    host.take()
+    made.on_wake(NOW + 7990, "due")
+    answers = host.take("shed", "fail")
+    assert [a[0] for a in answers] == ["shed" if semantics == "retriable" else "fail"]
+    made.on_try_ended(NOW + 7995, 1, 0, Outcome.ERROR, 7995, False, None)
+    made.on_exchange_gone(NOW + 8000, 1)
+    assert host.take("send", "shed", "fail") == []
+
+
+@pytest.mark.parametrize("state", ["draining", "gone"])
+def test_nothing_new_to_a_backend_told_to_drain(state):
+    made, host = node([listed("a"), listed("b")])
+    made.on_list(NOW, [listed("a", state=state)], False)
+    for ident in range(4):
+        begin(made, ident)
+    assert {c[2] for c in host.take("send")} == {"b"}
+
+
+def test_absence_from_a_complete_list_is_being_told():
+    made, host = node([listed("a"), listed("b")])
+    made.on_list(NOW, [listed("b")], True)
+    begin(made)
+    assert host.take("send")[0][2] == "b"
+
+
+def test_a_cold_backend_gets_a_budget_that_counts_what_it_turns_away():
+    made, host = node([listed("a", started=NOW - 100)])
+    sent = 0
+    for ident in range(30):
+        begin(made, ident)
+        for call in host.take("send"):
+            sent += 1
+            made.on_try_ended(NOW + 5, call[1], 0, Outcome.REJECTED, 5, False, None)
+    assert 1 <= sent <= 3
