Count client retries of surplus as surplus; leave rejecting backends alone; fewer timers

Cause 1: a shed exchange of a customer over its share came back as a client retry and passed as in share. Cause 2: a hung backend that is full rejects at once, and nothing kept the next exchange away from it.

--- a/basalthoist/decisions/host.py
+++ b/basalthoist/decisions/host.py
@@ -1,4 +1,4 @@
-"""What the decision module and whatever runs it say to each other. Times are whole tenths of a millisecond."""
+"""What the decision module and whatever runs it say to each other. Times: whole tenths of a millisecond."""
 
 from enum import IntEnum
 from typing import NamedTuple, Protocol
--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -1,8 +1,9 @@
 """Every decision of basalthoist.
 
-How to call it: make one `Node(host, seed, settings, now)` for each process start, then call the `on_...` method for
-each thing that happens, with the clock. The node acts by calling its host; the host's interface, outcomes and listed
-backends are in host.py. `settings` is a plain map such as {"routes.0.value": 3.0}. Times are tenths of a millisecond.
+How to call it: make one `Node(host, seed, settings, now)` for each process start, then call the `on_...`
+method for each thing that happens, with the clock. The node acts by calling its host; the host's interface
+and the types they share are in host.py. `settings` is a plain map such as {"routes.0.value": 3.0}. Times are
+whole tenths of a millisecond.
 """
 
 from bisect import insort
@@ -46,15 +47,16 @@
         self.forget(now)
 
     def learn(self, listed: Listed) -> None:
-        self.location, self.kind, self.pod, self.weight = listed.location, listed.kind, listed.pod, listed.weight
-        self.started, self.usable = listed.started, listed.state == "healthy"
+        self.location, self.kind, self.pod = listed.location, listed.kind, listed.pod
+        self.weight, self.started, self.usable = listed.weight, listed.started, listed.state == "healthy"
 
     def forget(self, now: int) -> None:
         """A new or restarted process: nothing measured before holds for it."""
         self.points: list[list[float]] = []  # [rate, response time, samples, when]
         self.window_from, self.sent, self.count, self.total = now, 0, 0, 0.0
-        self.slot_time, self.slots = 0.0, 0.0  # response time over exchanges held, to foretell the next one
-        self.doubt, self.out_until = 0.0, 0  # the sequential test's sum, and when an ejected one may be tried again
+        self.slot_time, self.slots = 0.0, 0.0  # response times, and exchanges held during them
+        self.doubt, self.out_until = 0.0, 0  # the sequential test's sum; until when it is ejected
+        self.full_until, self.full_wait = 0, 0
         self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0
         self.last_answer = now
         self.recent: deque[int] = deque()
@@ -91,10 +93,12 @@
         blended: list[list[float]] = []
         for rate, time, samples, when in self.points or [[mean_rate, mean_time, PRIOR, now]]:
             samples *= 0.5 ** ((now - when) / (10 * SECOND))
-            blended.append([max(rate, 0.01), (time * samples + mean_time * PRIOR) / (samples + PRIOR), samples + PRIOR])
+            both = samples + PRIOR
+            blended.append([max(rate, 0.01), (time * samples + mean_time * PRIOR) / both, both])
             while len(blended) > 1 and blended[-2][1] > blended[-1][1]:
                 (r0, t0, n0), (r1, t1, n1) = blended[-2:]
-                blended[-2:] = [[(r0 * n0 + r1 * n1) / (n0 + n1), (t0 * n0 + t1 * n1) / (n0 + n1), n0 + n1]]
+                both = n0 + n1
+                blended[-2:] = [[(r0 * n0 + r1 * n1) / both, (t0 * n0 + t1 * n1) / both, both]]
         rate, time, _ = blended[0]
         self.line = [(0.0, time / (1 + rate * time / SECOND / cores))] + [(r, t) for r, t, _ in blended]
 
@@ -128,11 +132,8 @@
 
 
 class Exchange:
-    __slots__ = ("id", "route", "customer", "surplus", "arrived", "deadline", "aim_at", "tries", "held", "over",
-                 "asked", "streaming", "order")  # fmt: skip
-
-    def __init__(self, ident: int, route: "Route", now: int, deadline: int, aim_at: int, surplus: bool) -> None:
-        self.id, self.route, self.arrived, self.deadline, self.aim_at = ident, route, now, deadline, aim_at
+    def __init__(self, ident: int, route: "Route", now: int, deadline: int, aim_at: int, surplus: bool):
+        self.id, self.route, self.deadline, self.aim_at = ident, route, deadline, aim_at
         self.surplus, self.held, self.over, self.asked, self.streaming = surplus, False, False, 0, False
         self.tries: list[UpstreamTry] = []
         self.order = (surplus, -route.value, now, ident)
@@ -149,7 +150,7 @@
         self.semantics, self.group = get("semantics", "non-retriable"), get("group", "pod")
         self.timeout = get("overall_timeout", 10 * SECOND)
         self.objective = get("latency_objective", 0) or int(0.8 * self.timeout)
-        self.window, self.value, self.overdue = get("dedup_window", 0), get("value", 1.0), get("overdue_value", 0.0)
+        self.window, self.value = get("dedup_window", 0), get("value", 1.0)
         self.usual_grace = 0
 
 
@@ -160,15 +161,18 @@
         self.rate = quota / nodes
         self.tokens, self.at, self.seen, self.usage = self.rate * 2.0, None, 0, 0.0
 
-    def within(self, now: int, skew: float) -> bool:
+    def within(self, now: int, skew: float, again: bool) -> bool:
         rate = self.rate * skew
         if self.at is not None:
             self.tokens = min(self.tokens + (now - self.at) * rate / SECOND, max(2.0 * rate, 1.0))
-        self.at, self.seen = now, self.seen + 1
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
+        self.at = now
+        if again:
+            # Guards against shed surplus that comes back as a client's retry and passes for traffic in share.
+            return self.tokens >= 1.0
+        self.seen += 1
+        fits = self.tokens >= 1.0
+        self.tokens -= 1.0 if fits else 0.0
+        return fits
 
 
 class Node:
@@ -212,7 +216,9 @@
 
     def may_try(self, xchg: Exchange, backend: Backend, now: int) -> bool:
         tries = xchg.tries
-        if xchg.over or xchg.streaming or now >= xchg.deadline or len(tries) >= self.tries_most or not backend.usable:
+        if xchg.over or xchg.streaming or now >= xchg.deadline or not backend.usable:
+            return False
+        if len(tries) >= self.tries_most:
             return False
         if not tries:
             return True
@@ -244,7 +250,8 @@
             backend.recent.popleft()
         start = self.settings.get("rules.cold_from", 0.1)
         capacity = start + (1 - start) * age / warm
-        budget = 0.5 * self.settings.get("rules.fall_multiple", 1.0) * capacity * self.usual(backend.kind, now)
+        multiple = self.settings.get("rules.fall_multiple", 1.0)
+        budget = 0.5 * multiple * capacity * self.usual(backend.kind, now)
         return len(backend.recent) < max(1.0, budget * window / SECOND)
 
     def age(self, backend: Backend, now: int) -> int:
@@ -268,8 +275,8 @@
         elif grace < route.usual_grace:
             aim_at -= route.timeout - grace  # the client's earlier tries have used up part of its objective
         surplus = False
-        if customer_no < len(self.customers) and not again:
-            surplus = not self.customers[customer_no].within(now, self.skew)
+        if customer_no < len(self.customers):
+            surplus = not self.customers[customer_no].within(now, self.skew, again)
         xchg = Exchange(ident, route, now, now + grace, aim_at, surplus)
         self.exchanges[ident] = xchg
         self.at(xchg.deadline - self.settings.get("tick", 10), self.give_up, xchg)
@@ -348,7 +355,8 @@
             self.host.wake(SECOND, "tick")
             self.tick(now)
             return
-        self.woken_for = 0
+        if now >= self.woken_for:
+            self.woken_for = 0
         while self.due and self.due[0][0] <= now:
             _, _, act, what = heappop(self.due)
             act(now, what)
@@ -541,8 +549,8 @@
         """Backends this exchange may go to now, in the order of the smooth weighted rotation."""
         tried = {t.backend for t in xchg.tries}
         fit = [b for b in self.backends.values()
-               if b.usable and now >= b.out_until and self.may_try(xchg, b, now) and self.cold_allows(b, now)
-               and not (b.doubt > TRIAL and b.out)]  # fmt: skip
+               if now >= max(b.out_until, b.full_until) and not (b.doubt > TRIAL and b.out)
+               and self.may_try(xchg, b, now) and self.cold_allows(b, now)]  # fmt: skip
         fit = [b for b in fit if b not in tried] or fit
         if xchg.surplus and self.crossing > self.settings.get("surplus_value", 0.0):
             fit = [b for b in fit if b.location == self.location]
@@ -614,6 +622,7 @@
         backend = upstream.backend
         if outcome == Outcome.COMPLETED:
             backend.last_answer = now
+            backend.full_wait = 0
             backend.count += 1
             backend.total += elapsed
             backend.slot_time = backend.slot_time * 0.9 + elapsed
@@ -625,7 +634,9 @@
             backend.total += upstream.xchg.route.timeout
             self.verdict(now, backend, True)
         elif outcome == Outcome.REJECTED:
-            backend.held, backend.held_at = max(backend.held, 4.0), now
+            # Guards against asking again and again where a hung backend is full and turns all away unseen.
+            backend.full_wait = min(max(2 * backend.full_wait, int(self.slot)), 2 * SECOND)
+            backend.full_until = now + backend.full_wait
 
     def verdict(self, now: int, backend: Backend, failed: bool) -> None:
         self.failing += ((1.0 if failed else 0.0) - self.failing) * 0.02
@@ -636,8 +647,9 @@
             backend.out_until = now + int(backend.backoff * (0.75 + 0.5 * self.chance.uniform()))
             backend.backoff = min(backend.backoff * 3 // 2, 8 * SECOND)
             backend.doubt = EJECT - 1.0
+            away = (backend.out_until - now) / SECOND
             self.host.log(f"out {backend.name}: {len(backend.out)} unanswered, fleet fails"
-                          f" {self.failing:.0%}, back in {(backend.out_until - now) / SECOND:.1f} s")  # fmt: skip
+                          f" {self.failing:.0%}, back in {away:.1f} s")  # fmt: skip
         elif not failed and backend.doubt == 0.0 and backend.backoff > 2 * SECOND:
             backend.backoff = 2 * SECOND
             self.host.log(f"trusted again {backend.name}")
--- a/basalthoist/simulator/adapter.py
+++ b/basalthoist/simulator/adapter.py
@@ -22,7 +22,7 @@
 
 
 def tenths(micros: int) -> int:
-    """Microseconds to tenths of a millisecond, early rather than late, and never from something to nothing."""
+    """Microseconds to tenths of a millisecond: early rather than late, never from something to nothing."""
     return max(1, micros // 100) if micros > 0 else 0
 
 
@@ -96,7 +96,8 @@
     def load(self, row: str) -> Load | None:
         if row == "-" or not row:
             return None
-        values = dict(zip(self.fields, (None if v in ("", "-") else float(v) for v in row.split(",")), strict=False))
+        figures = (None if v in ("", "-") else float(v) for v in row.split(","))
+        values = dict(zip(self.fields, figures, strict=False))
         return Load(values.get("inflight"), values.get("queue"), values.get("util"))
 
     def take(self, now: int, parts: list[str], lists: dict) -> None:
--- a/basalthoist/simulator/codec.py
+++ b/basalthoist/simulator/codec.py
@@ -74,7 +74,7 @@
                 self.bad("a BACKEND line with 7 values", line)
             if parts[5] not in BACKEND_STATES:
                 self.bad("healthy, cordoned or deregistered", parts[5])
-            location, kind, pod = (0 if p == "-" else self.number(p, "location, kind, pod") for p in parts[2:5])
+            location, kind, pod = (0 if p == "-" else self.number(p, "an index") for p in parts[2:5])
             try:
                 weight = 1.0 if parts[6] == "-" else float(parts[6])
             except ValueError:
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -39,7 +39,8 @@
 
 @pytest.mark.parametrize("code", ["0", "255", "254", "253", "252", "251", "250", "249"])
 def test_every_outcome_is_taken_and_events_of_unknown_ids_ignored(code):
-    text = "FRAME\t1000000\t1\n" + START.format(who=0) + LIST.format(b="x:1") + "TOPOLOGY\t0\tSAVED\t1\t0\n"
+    text = "FRAME\t1000000\t1\n" + START.format(who=0) + LIST.format(b="x:1")
+    text += "TOPOLOGY\t0\tSAVED\t1\t0\n"
     text += "QUERY\t0\t7\t0\t-\t-\t820000\t-\t0\nYOUR_TURN\nFRAME\t1050000\t2\n"
     text += f"ATTEMPT_END\t0\t7\t0\tx:1\t{code}\t50000\t{int(code == '0')}\t-\n"
     text += "ABORTED\t0\t7\nATTEMPT_END\t0\t99\t0\tx:1\t0\t5\t1\t-\nYOUR_TURN\n"
@@ -57,7 +58,7 @@
         ("FRAME\t1\t4\nALARM\t1\n", "expected 2 values for ALARM"),
         ("FRAME\t1\t4\nCATALOG\t0\t1\nYOUR_TURN\n", "expected a BACKEND line"),
         ("FRAME\t1\t4\n", "batch 4, line 1: expected YOUR_TURN"),
-        ("FRAME\t1\t4\n" + START.format(who=0) + "QUERY\t0\tz\t0\t0\t-\t1\t-\t0\nYOUR_TURN\n", "values for QUERY"),
+        (f"FRAME\t1\t4\n{START.format(who=0)}QUERY\t0\tz\t0\t0\t-\t1\t-\t0\nYOUR_TURN\n", "values for QUERY"),
     ],
 )
 def test_bad_input_is_named(text, expected):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -79,3 +79,25 @@
             sent += 1
             made.on_try_ended(NOW + 5, call[1], 0, Outcome.REJECTED, 5, False, None)
     assert 1 <= sent <= 3
+
+
+def test_a_retry_of_shed_surplus_is_still_surplus():
+    made, _ = node([listed("a")], customers__count=1, **{"customers__0__quota_per_s": 1.0})
+    marks = []
+    for ident, again in enumerate((False, False, False, True)):
+        made.on_exchange(NOW, ident, 0, 0, None, 8000, None, again)
+        marks.append(made.exchanges[ident].surplus if ident in made.exchanges else None)
+    assert marks[-1] is not False
+
+
+def test_a_backend_that_keeps_rejecting_is_left_alone():
+    made, host = node([listed("a"), listed("b")])
+    waits = []
+    for step in range(5):
+        backend = made.backends["a"]
+        begin(made, step)
+        upstream = made.exchanges[step].tries[0]
+        upstream.backend = backend
+        made.measure(NOW, upstream, Outcome.REJECTED, 5)
+        waits.append(backend.full_until - NOW)
+    assert waits == sorted(waits) and waits[-1] > 4 * waits[0]
