--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -60,6 +60,7 @@
         self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0
         self.last_answer = now
         self.recent: deque[int] = deque()
+        self.warm_at = 0
         self.stage = 0  # of stepwise profiling: 0 is none, 1 and 2 are its two held rates
         self.held_rate = 0.0
         self.rate = 0.0  # usual rate from this node
@@ -113,11 +114,13 @@
         slope = max((top - line[0][1]) / rate, (top - t0) / (rate - r0) if rate > r0 else 0.0, 1e-6)
         return rate + (time - top) / slope
 
-    def judge(self, failed: bool, usual: float, weight: float = 1.0) -> None:
-        """Sequential test: does it fail as the fleet usually does, or at least half of the time?"""
-        usual = min(max(1.5 * usual, 0.02), 0.4)
-        step = log(0.6 / usual) if failed else log(0.4 / (1 - usual))
-        self.doubt = min(max(self.doubt + weight * step, 0.0), EJECT + 2)
+    def judge(self, failed: bool, usual: float) -> None:
+        """Sequential test: does it fail as the fleet usually does, or far more often?"""
+        # Guards against ejecting the fleet when all fail together: what counts as usual rises with them.
+        usual = min(max(1.5 * usual, 0.02), 0.9)
+        sick = max(0.6, (1 + usual) / 2)
+        step = log(sick / usual) if failed else log((1 - sick) / (1 - usual))
+        self.doubt = min(max(self.doubt + step, 0.0), EJECT + 2)
 
 
 class UpstreamTry:
@@ -134,7 +137,8 @@
 class Exchange:
     def __init__(self, ident: int, route: "Route", now: int, deadline: int, aim_at: int, surplus: bool):
         self.id, self.route, self.deadline, self.aim_at = ident, route, deadline, aim_at
-        self.surplus, self.held, self.over, self.asked, self.streaming = surplus, False, False, 0, False
+        self.surplus, self.held, self.over, self.streaming = surplus, False, False, False
+        self.asked, self.settled = 0, False
         self.tries: list[UpstreamTry] = []
         self.order = (surplus, -route.value, now, ident)
 
@@ -194,6 +198,8 @@
         price = max(get("prices.probe", 0.0), 1e-6)
         self.asks = min(int(0.01 / price), 4) if reports and get("policy_limits.probes", False) else 0
         self.backends: dict[str, Backend] = {}
+        self.usable: list[Backend] = []
+        self.probes_out, self.heard_at = 0, -SECOND
         self.exchanges: dict[int, Exchange] = {}
         self.held: list[Exchange] = []
         self.due: list = []
@@ -241,27 +247,30 @@
 
     def cold_allows(self, backend: Backend, now: int) -> bool:
         """A cold backend's budget of sends for this node, over any window in which it could fall over."""
-        age = self.age(backend, now)
-        warm = self.settings.get("rules.warm_within", 0)
-        if age >= warm:
+        if now >= backend.warm_at:
             return True
+        warm = self.settings.get("rules.warm_within", 0)
+        age = warm - (backend.warm_at - now)
         window = self.settings.get("rules.overload_for", SECOND)
         while backend.recent and backend.recent[0] < now - window:
             backend.recent.popleft()
         start = self.settings.get("rules.cold_from", 0.1)
         capacity = start + (1 - start) * age / warm
         multiple = self.settings.get("rules.fall_multiple", 1.0)
-        budget = 0.5 * multiple * capacity * self.usual(backend.kind, now)
+        budget = 0.5 * multiple * capacity * self.usual.get(backend.kind, self.usual_any)
         return len(backend.recent) < max(1.0, budget * window / SECOND)
 
-    def age(self, backend: Backend, now: int) -> int:
-        return now - backend.started if backend.started is not None else 10**9
-
-    def usual(self, kind: int, now: int) -> float:
+    def note_usable(self, now: int) -> None:
+        """The backends that may get work, and what long warm ones of each kind usually get from this node."""
         warm = self.settings.get("rules.warm_within", 0)
-        known = [b for b in self.backends.values() if b.usable and b.rate and self.age(b, now) >= 2 * warm]
-        known = [b.rate for b in known if b.kind == kind] or [b.rate for b in known]
-        return sum(known) / len(known) if known else self.demand / max(len(self.backends), 1)
+        self.usable = [b for b in self.backends.values() if b.usable]
+        rates: dict[int, list[float]] = {}
+        for backend in self.usable:
+            backend.warm_at = 0 if backend.started is None else backend.started + warm
+            if backend.rate and now >= backend.warm_at + warm:
+                rates.setdefault(backend.kind, []).append(backend.rate)
+        self.usual = {kind: sum(found) / len(found) for kind, found in rates.items()}
+        self.usual_any = min(self.usual.values(), default=self.demand / max(len(self.usable), 1))
 
     # ---- what happens
 
@@ -305,14 +314,17 @@
         self.drain(now)
 
     def on_probe_ended(self, now: int, name: str, outcome: Outcome, elapsed: int, load: Load | None) -> None:
+        self.probes_out -= 1
         backend = self.backends.get(name)
         if backend is None:
             return
         backend.probe_at = 0
         if outcome == Outcome.COMPLETED and load is not None and load.inflight is not None:
             backend.held, backend.held_at = load.inflight, now
+            self.heard_at = now
             self.probe_trip += (elapsed - self.probe_trip) * 0.05
-        self.drain(now)
+        if self.probes_out <= 0:
+            self.drain(now)
 
     def on_exchange_gone(self, now: int, ident: int) -> None:
         xchg = self.exchanges.get(ident)
@@ -343,11 +355,13 @@
                 backend.learn(listed)
                 if restarted:
                     backend.forget(now)
-            if self.age(backend, now) < self.settings.get("rules.warm_within", 0) and not backend.stage:
-                backend.stage, backend.held_rate = 1, 0.0
         for backend in self.backends.values():
             if whole and backend.name not in named:
                 backend.usable = False
+        self.note_usable(now)
+        for backend in self.usable:
+            if now < backend.warm_at and not backend.stage and not backend.points:
+                backend.stage, backend.held_rate = 1, 0.0
         self.solve(now)
 
     def on_wake(self, now: int, tag: str) -> None:
@@ -381,7 +395,7 @@
             patience = 0.05 if xchg.surplus else 0.3
             self.at(min(now + int(patience * xchg.route.objective), xchg.aim_at), self.tire, xchg)
             if self.asks and not xchg.asked:
-                xchg.asked = now
+                xchg.asked = 1
                 self.ask(now, xchg)
                 self.at(now + int(3 * self.probe_trip) + 10, self.settle, xchg)
         self.try_send(now, xchg)
@@ -391,12 +405,18 @@
         for backend in self.turns(now, xchg)[: self.asks]:
             if not backend.probe_at and now - backend.held_at > 20:
                 backend.probe_at = now
+                self.probes_out += 1
                 self.host.probe(backend.name)
 
     def settle(self, now: int, xchg: Exchange) -> None:
-        if xchg.held:
-            xchg.asked = -1
-            self.try_send(now, xchg)
+        """The backends asked have answered or will not: choose by what is known, or ask others in a while."""
+        if not xchg.held:
+            return
+        xchg.settled = True
+        if not self.try_send(now, xchg) and xchg.asked < 4:
+            xchg.asked += 1
+            self.ask(now, xchg)
+            self.at(now + int(self.slot / 4) + 10, self.settle, xchg)
 
     def tire(self, now: int, xchg: Exchange) -> None:
         if xchg.held:
@@ -407,13 +427,13 @@
         for xchg in list(self.held):
             if xchg.held and not self.try_send(now, xchg):
                 missed += 1
-                if missed > 3:
+                if missed > 2:
                     break
         self.arm(now)
 
     def try_send(self, now: int, xchg: Exchange) -> bool:
         backend = self.pick(now, xchg)
-        if backend is None:
+        if backend is None or not self.may_try(xchg, backend, now):
             return False
         self.unhold(xchg)
         upstream = UpstreamTry(xchg, backend, now, self.ahead(backend, now))
@@ -479,11 +499,12 @@
         for backend in list(self.backends.values()):
             if backend.close_window(now, limit if not backend.doubt else self.objective * 4.0):
                 self.step(now, backend)
-            backend.slot_time *= 0.95
-            backend.slots *= 0.95
+            backend.slot_time *= 0.85
+            backend.slots *= 0.85
             if not backend.usable and not backend.out and now - backend.window_from > 60 * SECOND:
                 del self.backends[backend.name]
         self.weigh_customers()
+        self.note_usable(now)
         self.solve(now)
         if (self.sheds > 0.05 * max(self.demand, 1.0)) != self.shedding:
             self.shedding = not self.shedding
@@ -503,7 +524,7 @@
 
     def solve(self, now: int) -> None:
         """Rates of equal response time that sum to the demand, by bisection; floor shares for the rest."""
-        ready = [b for b in self.backends.values() if b.usable and now >= b.out_until]
+        ready = [b for b in self.usable if now >= b.out_until]
         if not ready:
             return
         demand = max(self.demand, 0.1)
@@ -547,20 +568,24 @@
 
     def turns(self, now: int, xchg: Exchange) -> list[Backend]:
         """Backends this exchange may go to now, in the order of the smooth weighted rotation."""
-        tried = {t.backend for t in xchg.tries}
-        fit = [b for b in self.backends.values()
-               if now >= max(b.out_until, b.full_until) and not (b.doubt > TRIAL and b.out)
-               and self.may_try(xchg, b, now) and self.cold_allows(b, now)]  # fmt: skip
-        fit = [b for b in fit if b not in tried] or fit
+        fit = [b for b in self.usable
+               if now >= b.out_until and now >= b.full_until and not (b.doubt > TRIAL and b.out)
+               and (now >= b.warm_at or self.cold_allows(b, now))]  # fmt: skip
+        if xchg.tries:
+            tried = [t.backend for t in xchg.tries]
+            fit = [b for b in fit if self.may_try(xchg, b, now)]
+            fit = [b for b in fit if b not in tried] or fit
         if xchg.surplus and self.crossing > self.settings.get("surplus_value", 0.0):
             fit = [b for b in fit if b.location == self.location]
         fit.sort(key=lambda b: -(b.credit + b.share))
         return fit
 
     def ahead(self, backend: Backend, now: int) -> float:
-        if self.asks and now - backend.held_at <= 200:
-            return max(backend.held - 1.0 if backend.held < 1.0 else backend.held, 0.0)
-        return float(len(backend.out))
+        out = float(len(backend.out))
+        if not self.asks:
+            return out
+        # Guards against taking one last heard of as crowded for empty: it drains no faster than it works.
+        return max(out, backend.held - (now - backend.held_at) / self.slot)
 
     def expected(self, backend: Backend, now: int) -> float:
         slot = (backend.slot_time + PRIOR * self.slot) / (backend.slots + PRIOR)
@@ -576,13 +601,19 @@
         bound = share * left if left > 0 else 0.3 * xchg.route.objective
         mean = sum(len(b.out) for b in fit) / len(fit) if fit else 0.0
         most = max(2.0, 2.0 * mean)
-        asking = self.asks and xchg.asked > 0
+        asking = self.asks and not xchg.settled
+        # Guards against filling backends that are crowded but were last heard of idle: only fresh reports count,
+        # unless no backend answers probes.
+        heard = self.asks and now - self.heard_at < SECOND
+        stale = 20 if asking else self.slot / 2 if heard else float("inf")
         best, best_time = None, bound
         for backend in fit:
             if len(backend.out) > most:
                 continue
-            if asking and now - backend.held_at > 20:
+            if now - backend.held_at > stale:
                 continue
+            if backend.probe_at and now - backend.probe_at > 3 * self.probe_trip:
+                continue  # guards against one that stands still: it does not even answer a probe
             time = self.expected(backend, now)
             if time + self.cost(backend) <= min(self.equal_time, bound):
                 best = backend
@@ -641,9 +672,8 @@
     def verdict(self, now: int, backend: Backend, failed: bool) -> None:
         self.failing += ((1.0 if failed else 0.0) - self.failing) * 0.02
         backend.judge(failed, self.failing)
-        live = [b for b in self.backends.values() if b.usable]
-        out = sum(1 for b in live if now < b.out_until)
-        if backend.doubt >= EJECT and now >= backend.out_until and out < len(live) // 2:
+        if (backend.doubt >= EJECT and now >= backend.out_until
+                and sum(1 for b in self.usable if now < b.out_until) < len(self.usable) // 2):  # fmt: skip
             backend.out_until = now + int(backend.backoff * (0.75 + 0.5 * self.chance.uniform()))
             backend.backoff = min(backend.backoff * 3 // 2, 8 * SECOND)
             backend.doubt = EJECT - 1.0
