--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -60,7 +60,7 @@
         self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0
         self.last_answer = now
         self.recent: deque[int] = deque()
-        self.warm_at = 0
+        self.warm_at, self.budget = 0, 1.0
         self.stage = 0  # of stepwise profiling: 0 is none, 1 and 2 are its two held rates
         self.held_rate = 0.0
         self.rate = 0.0  # usual rate from this node
@@ -247,30 +247,28 @@
 
     def cold_allows(self, backend: Backend, now: int) -> bool:
         """A cold backend's budget of sends for this node, over any window in which it could fall over."""
-        if now >= backend.warm_at:
-            return True
-        warm = self.settings.get("rules.warm_within", 0)
-        age = warm - (backend.warm_at - now)
-        window = self.settings.get("rules.overload_for", SECOND)
-        while backend.recent and backend.recent[0] < now - window:
+        while backend.recent and backend.recent[0] < now - self.settings.get("rules.overload_for", SECOND):
             backend.recent.popleft()
-        start = self.settings.get("rules.cold_from", 0.1)
-        capacity = start + (1 - start) * age / warm
-        multiple = self.settings.get("rules.fall_multiple", 1.0)
-        budget = 0.5 * multiple * capacity * self.usual.get(backend.kind, self.usual_any)
-        return len(backend.recent) < max(1.0, budget * window / SECOND)
+        return len(backend.recent) < backend.budget
 
     def note_usable(self, now: int) -> None:
         """The backends that may get work, and what long warm ones of each kind usually get from this node."""
-        warm = self.settings.get("rules.warm_within", 0)
+        get = self.settings.get
+        warm = get("rules.warm_within", 0)
         self.usable = [b for b in self.backends.values() if b.usable]
         rates: dict[int, list[float]] = {}
         for backend in self.usable:
             backend.warm_at = 0 if backend.started is None else backend.started + warm
             if backend.rate and now >= backend.warm_at + warm:
                 rates.setdefault(backend.kind, []).append(backend.rate)
-        self.usual = {kind: sum(found) / len(found) for kind, found in rates.items()}
-        self.usual_any = min(self.usual.values(), default=self.demand / max(len(self.usable), 1))
+        usual = {kind: sum(found) / len(found) for kind, found in rates.items()}
+        least = min(usual.values(), default=self.demand / max(len(self.usable), 1))
+        push = 0.5 * get("rules.fall_multiple", 1.0) * get("rules.overload_for", SECOND) / SECOND
+        start = get("rules.cold_from", 0.1)
+        for backend in self.usable:
+            if now < backend.warm_at:
+                capacity = 1 - (1 - start) * (backend.warm_at - now) / warm
+                backend.budget = max(1.0, push * capacity * usual.get(backend.kind, least))
 
     # ---- what happens
 
@@ -441,7 +439,8 @@
         backend.out.append(upstream)
         backend.sent += 1
         backend.held += 1
-        backend.recent.append(now)
+        if now < backend.warm_at:
+            backend.recent.append(now)
         self.host.send(xchg.id, backend.name, xchg.deadline - now)
         self.at(now + min(int(4 * self.mean_time), self.objective), self.check_overdue, upstream)
         return True
