--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -209,7 +209,7 @@
         self.slot = self.objective / 4.0
         self.demand, self.arrivals, self.worth = 0.0, 0, 1.0
         self.equal_time = float(self.objective)
-        self.sheds, self.shedding = 0, False
+        self.sheds, self.sheds_in_share, self.pressure, self.shedding = 0, 0, 0.0, False
         self.list_failures, self.ask_again, self.subscribed = 0, None, False
         self.probe_trip = 10.0
         self.ticks = 0
@@ -463,6 +463,7 @@
             return
         if self.may_shed(xchg):
             self.sheds += 1
+            self.sheds_in_share += not xchg.surplus and now < xchg.aim_at
             advice = self.settings.get("policy_limits.max_retry_after", 0) // 2
             self.host.shed(xchg.id, advice if self.settings.get("policy_limits.retry_after") else 0)
         else:
@@ -509,7 +510,8 @@
             self.shedding = not self.shedding
             self.host.log(f"shedding {'on' if self.shedding else 'off'}: {self.sheds} shed in 1 s of"
                           f" {self.demand:.0f}/s, equal time {self.equal_time / 10:.0f} ms")  # fmt: skip
-        self.sheds = 0
+        self.pressure = 0.7 * self.pressure + 0.3 * min(self.sheds_in_share / max(self.demand, 1.0), 1.0)
+        self.sheds = self.sheds_in_share = 0
         self.drain(now)
 
     def weigh_customers(self) -> None:
@@ -556,7 +558,8 @@
         self.equal_time = high
         even = left / len(solved)
         for backend in solved:
-            rate = max(backend.rate_at(high - self.cost(backend)), FLOOR_SHARE * even)
+            cost = self.cost(backend)
+            rate = max(backend.rate_at(high - cost), FLOOR_SHARE * even / (1 + 4 * cost / self.mean_time))
             backend.share += (rate - backend.share) * (0.5 if backend.share else 1.0)
 
     def cost(self, backend: Backend) -> float:
@@ -596,16 +599,17 @@
     def pick(self, now: int, xchg: Exchange) -> Backend | None:
         fit = self.turns(now, xchg)
         left = xchg.aim_at - now
-        share = 0.35 if xchg.surplus else 0.6 + 0.3 * xchg.route.value / self.top_value
-        bound = share * left if left > 0 else 0.3 * xchg.route.objective
+        # Guards against surplus taking the room of what is within its share once some of that is shed.
+        share = 0.35 - 2 * self.pressure if xchg.surplus else 0.6 + 0.3 * xchg.route.value / self.top_value
+        bound = share * left if left > 0 else (0.3 - 2 * self.pressure) * xchg.route.objective
         mean = sum(len(b.out) for b in fit) / len(fit) if fit else 0.0
         most = max(2.0, 2.0 * mean)
         asking = self.asks and not xchg.settled
-        # Guards against filling backends that are crowded but were last heard of idle: only fresh reports count,
-        # unless no backend answers probes.
+        # Guards against filling backends that are crowded but were last heard of idle: only fresh reports
+        # count, unless no backend answers probes.
         heard = self.asks and now - self.heard_at < SECOND
         stale = 20 if asking else self.slot / 2 if heard else float("inf")
-        best, best_time = None, bound
+        best, best_time = None, float("inf")
         for backend in fit:
             if len(backend.out) > most:
                 continue
@@ -614,11 +618,12 @@
             if backend.probe_at and now - backend.probe_at > 3 * self.probe_trip:
                 continue  # guards against one that stands still: it does not even answer a probe
             time = self.expected(backend, now)
-            if time + self.cost(backend) <= min(self.equal_time, bound):
+            cost = self.cost(backend)
+            if time <= min(max(self.equal_time - cost, 1.5 * self.slot), bound):
                 best = backend
                 break
-            if not asking and time < best_time:
-                best, best_time = backend, time
+            if not asking and time <= bound and time + cost < best_time:
+                best, best_time = backend, time + cost
         if best is not None:
             whole = 0.0
             for backend in fit:
