--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -209,7 +209,7 @@
         self.slot = self.objective / 4.0
         self.demand, self.arrivals, self.worth = 0.0, 0, 1.0
         self.equal_time = float(self.objective)
-        self.sheds, self.sheds_in_share, self.pressure, self.shedding = 0, 0, 0.0, False
+        self.sheds, self.shedding = 0, False
         self.list_failures, self.ask_again, self.subscribed = 0, None, False
         self.probe_trip = 10.0
         self.ticks = 0
@@ -463,7 +463,6 @@
             return
         if self.may_shed(xchg):
             self.sheds += 1
-            self.sheds_in_share += not xchg.surplus and now < xchg.aim_at
             advice = self.settings.get("policy_limits.max_retry_after", 0) // 2
             self.host.shed(xchg.id, advice if self.settings.get("policy_limits.retry_after") else 0)
         else:
@@ -510,8 +509,7 @@
             self.shedding = not self.shedding
             self.host.log(f"shedding {'on' if self.shedding else 'off'}: {self.sheds} shed in 1 s of"
                           f" {self.demand:.0f}/s, equal time {self.equal_time / 10:.0f} ms")  # fmt: skip
-        self.pressure = 0.7 * self.pressure + 0.3 * min(self.sheds_in_share / max(self.demand, 1.0), 1.0)
-        self.sheds = self.sheds_in_share = 0
+        self.sheds = 0
         self.drain(now)
 
     def weigh_customers(self) -> None:
@@ -599,9 +597,8 @@
     def pick(self, now: int, xchg: Exchange) -> Backend | None:
         fit = self.turns(now, xchg)
         left = xchg.aim_at - now
-        # Guards against surplus taking the room of what is within its share once some of that is shed.
-        share = 0.35 - 2 * self.pressure if xchg.surplus else 0.6 + 0.3 * xchg.route.value / self.top_value
-        bound = share * left if left > 0 else (0.3 - 2 * self.pressure) * xchg.route.objective
+        share = 0.35 if xchg.surplus else 0.6 + 0.3 * xchg.route.value / self.top_value
+        bound = share * left if left > 0 else 0.3 * xchg.route.objective
         mean = sum(len(b.out) for b in fit) / len(fit) if fit else 0.0
         most = max(2.0, 2.0 * mean)
         asking = self.asks and not xchg.settled
