--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -9,21 +9,18 @@
 from bisect import insort
 from collections import deque
 from heapq import heappop, heappush
-from math import log
+from math import inf, log
 
 from .host import NEVER_RAN, Host, Listed, Load, Outcome
 
 SECOND = 10_000
-WINDOW = 2 * SECOND  # profile points come from windows of this length, or longer where samples are few
-WINDOW_MOST = 8 * SECOND
-SAMPLES = 4
-POINTS = 6
-POINT_LIFE = 30 * SECOND
+WINDOW, WINDOW_MOST = 2 * SECOND, 8 * SECOND  # a profile window is lengthened until it holds SAMPLES
+SAMPLES, POINTS, POINT_LIFE = 4, 6, 30 * SECOND
 SPREAD = 4.0
 FLOOR_SHARE = 0.2  # of an even share
 PRIOR = 3.0  # samples' worth of the fleet's mean that every measured mean is blended with
-EJECT = 6.0
-TRIAL = 3.0
+EJECT, TRIAL = 6.0, 3.0  # sums of the sequential test: over the first out, over the second one try at a time
+AWAY, AWAY_MOST = 2 * SECOND, 8 * SECOND
 
 
 class Lcg:
@@ -39,10 +36,8 @@
     """One backend as this node knows it: how it is listed, its profile, its health, what is out to it."""
 
     def __init__(self, listed: Listed, now: int) -> None:
-        self.name = listed.name
-        self.credit = self.share = 0.0
+        self.name, self.credit, self.share, self.away = listed.name, 0.0, 0.0, AWAY
         self.out: list[UpstreamTry] = []
-        self.backoff = 2 * SECOND
         self.learn(listed)
         self.forget(now)
 
@@ -56,13 +51,11 @@
         self.window_from, self.sent, self.count, self.total = now, 0, 0, 0.0
         self.slot_time, self.slots = 0.0, 0.0  # response times, and exchanges held during them
         self.doubt, self.out_until = 0.0, 0  # the sequential test's sum; until when it is ejected
-        self.full_until, self.full_wait = 0, 0
-        self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0
-        self.last_answer = now
-        self.recent: deque[int] = deque()
+        self.full_until, self.full_wait, self.last_answer = 0, 0, now
+        self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0  # as it reports itself
         self.warm_at, self.budget = 0, 1.0
-        self.stage = 0  # of stepwise profiling: 0 is none, 1 and 2 are its two held rates
-        self.held_rate = 0.0
+        self.recent: deque[int] = deque()  # sends while cold
+        self.stage, self.held_rate = 0, 0.0  # of stepwise profiling: 0 is none, 1 and 2 are its held rates
         self.rate = 0.0  # usual rate from this node
 
     def close_window(self, now: int, limit: float) -> bool:
@@ -74,32 +67,31 @@
         if self.count:
             mean = min(self.total / self.count, limit)
             near = [p for p in self.points if abs(p[0] - rate) <= 0.25 * max(p[0], rate)]
-            if near:
-                # The old mean at this rate counts for less the older it is.
-                near = near[0]
-                kept = min(near[2], 8.0) * 0.5 ** ((now - near[3]) / (4 * SECOND))
-                near[0] = (near[0] * kept + rate * self.count) / (kept + self.count)
-                near[1] = (near[1] * kept + mean * self.count) / (kept + self.count)
-                near[2:] = [kept + self.count, now]
-            else:
-                self.points.append([rate, mean, float(self.count), now])
+            kept = 0.0
+            if near:  # the old mean at this rate counts for less the older it is
+                was_rate, was, samples, when = near[0]
+                kept = min(samples, 8.0) * 0.5 ** ((now - when) / (4 * SECOND))
+                rate = (was_rate * kept + rate * self.count) / (kept + self.count)
+                mean = (was * kept + mean * self.count) / (kept + self.count)
+                self.points.remove(near[0])
+            self.points.append([rate, mean, kept + self.count, now])
         self.points = sorted(p for p in self.points if now - p[3] < POINT_LIFE)
-        while len(self.points) > POINTS:
+        if len(self.points) > POINTS:
             self.points.remove(min(self.points, key=lambda p: p[3]))
         self.window_from, self.sent, self.count, self.total = now, 0, 0, 0.0
         return True
 
     def curve(self, mean_rate: float, mean_time: float, cores: float, now: int) -> None:
         """The profile as a non-decreasing line, its points blended with the fleet's mean by their samples."""
-        blended: list[list[float]] = []
-        for rate, time, samples, when in self.points or [[mean_rate, mean_time, PRIOR, now]]:
+        blended: list[tuple[float, float, float]] = []
+        for rate, time, samples, when in self.points or [(mean_rate, mean_time, PRIOR, now)]:
             samples *= 0.5 ** ((now - when) / (10 * SECOND))
             both = samples + PRIOR
-            blended.append([max(rate, 0.01), (time * samples + mean_time * PRIOR) / both, both])
+            blended.append((max(rate, 0.01), (time * samples + mean_time * PRIOR) / both, both))
             while len(blended) > 1 and blended[-2][1] > blended[-1][1]:
                 (r0, t0, n0), (r1, t1, n1) = blended[-2:]
                 both = n0 + n1
-                blended[-2:] = [[(r0 * n0 + r1 * n1) / both, (t0 * n0 + t1 * n1) / both, both]]
+                blended[-2:] = [((r0 * n0 + r1 * n1) / both, (t0 * n0 + t1 * n1) / both, both)]
         rate, time, _ = blended[0]
         self.line = [(0.0, time / (1 + rate * time / SECOND / cores))] + [(r, t) for r, t, _ in blended]
 
@@ -123,39 +115,15 @@
         self.doubt = min(max(self.doubt + step, 0.0), EJECT + 2)
 
 
-class UpstreamTry:
-    __slots__ = ("xchg", "backend", "sent_at", "ahead", "outcome")
-
-    def __init__(self, xchg: "Exchange", backend: Backend, now: int, ahead: float) -> None:
-        self.xchg, self.backend, self.sent_at, self.ahead = xchg, backend, now, ahead
-        self.outcome: Outcome | None = None  # None while it is out
-
-    def may_have_run(self) -> bool:
-        return self.outcome not in NEVER_RAN
-
-
-class Exchange:
-    def __init__(self, ident: int, route: "Route", now: int, deadline: int, aim_at: int, surplus: bool):
-        self.id, self.route, self.deadline, self.aim_at = ident, route, deadline, aim_at
-        self.surplus, self.held, self.over, self.streaming = surplus, False, False, False
-        self.asked, self.settled = 0, False
-        self.tries: list[UpstreamTry] = []
-        self.order = (surplus, -route.value, now, ident)
-
-    def __lt__(self, other: "Exchange") -> bool:
-        return self.order < other.order
-
-
 class Route:
     def __init__(self, settings: dict, number: int) -> None:
         def get(name, default):
             return settings.get(f"routes.{number}.{name}", default)
 
         self.semantics, self.group = get("semantics", "non-retriable"), get("group", "pod")
-        self.timeout = get("overall_timeout", 10 * SECOND)
-        self.objective = get("latency_objective", 0) or int(0.8 * self.timeout)
         self.window, self.value = get("dedup_window", 0), get("value", 1.0)
-        self.usual_grace = 0
+        self.timeout, self.usual_grace = get("overall_timeout", 10 * SECOND), 0
+        self.objective = get("latency_objective", 0) or int(0.8 * self.timeout)
 
 
 class Customer:
@@ -163,87 +131,96 @@
 
     def __init__(self, quota: float, nodes: int) -> None:
         self.rate = quota / nodes
-        self.tokens, self.at, self.seen, self.usage = self.rate * 2.0, None, 0, 0.0
+        self.tokens, self.at, self.seen, self.usage = self.rate * 2.0, 0, 0, 0.0
 
     def within(self, now: int, skew: float, again: bool) -> bool:
         rate = self.rate * skew
-        if self.at is not None:
+        if self.at:
             self.tokens = min(self.tokens + (now - self.at) * rate / SECOND, max(2.0 * rate, 1.0))
         self.at = now
-        if again:
-            # Guards against shed surplus that comes back as a client's retry and passes for traffic in share.
-            return self.tokens >= 1.0
-        self.seen += 1
         fits = self.tokens >= 1.0
-        self.tokens -= 1.0 if fits else 0.0
+        # Guards against shed surplus that comes back as a client's retry and passes for traffic in share.
+        if not again:
+            self.seen += 1
+            self.tokens -= fits
         return fits
 
 
+class Exchange:
+    def __init__(self, ident: int, route: Route, now: int, deadline: int, aim_at: int, surplus: bool) -> None:
+        self.id, self.route, self.deadline, self.aim_at = ident, route, deadline, aim_at
+        self.surplus, self.held, self.over, self.streaming = surplus, False, False, False
+        self.asked, self.settled = 0, False
+        self.tries: list[UpstreamTry] = []
+        self.order = (surplus, -route.value, now, ident)
+
+    def __lt__(self, other: "Exchange") -> bool:
+        return self.order < other.order
+
+
+class UpstreamTry:
+    def __init__(self, xchg: Exchange, backend: Backend, now: int, ahead: float) -> None:
+        self.xchg, self.backend, self.sent_at, self.ahead = xchg, backend, now, ahead
+        self.outcome: Outcome | None = None  # None while it is out
+
+
 class Node:
     def __init__(self, host: Host, seed: int, settings: dict, now: int) -> None:
         self.host, self.settings, self.chance = host, settings, Lcg(seed)
         get = settings.get
         self.nodes, self.location = max(get("nodes", 1), 1), get("location", 0)
         self.routes = [Route(settings, i) for i in range(get("routes.count", 1))]
-        self.customers = [Customer(get(f"customers.{i}.quota_per_s", 0.0), self.nodes)
-                          for i in range(get("customers.count", 0))]  # fmt: skip
-        self.skew = 1.0
+        quotas = [get(f"customers.{i}.quota_per_s", 0.0) for i in range(get("customers.count", 0))]
+        self.customers, self.skew = [Customer(quota, self.nodes) for quota in quotas], 1.0
         self.objective = min(r.objective for r in self.routes)
         self.top_value = max(r.value for r in self.routes)
-        self.tries_most = get("policy_limits.max_upstream_tries", 1)
-        self.parallel = get("policy_limits.parallel_tries", False)
         self.crossing = get("prices.cross_zone", 0.0)
         # Asking backends before a send pays where they report their load and a probe costs little.
         reports = get("feedback.how", "off") != "off" and "inflight" in get("feedback.fields", ())
-        price = max(get("prices.probe", 0.0), 1e-6)
-        self.asks = min(int(0.01 / price), 4) if reports and get("policy_limits.probes", False) else 0
+        asks = min(int(0.01 / max(get("prices.probe", 0.0), 1e-6)), 4)
+        self.asks = asks if reports and get("policy_limits.probes", False) else 0
+        self.probes_out, self.probe_trip, self.heard_at = 0, 10.0, -SECOND
         self.backends: dict[str, Backend] = {}
         self.usable: list[Backend] = []
-        self.probes_out, self.heard_at = 0, -SECOND
         self.exchanges: dict[int, Exchange] = {}
         self.held: list[Exchange] = []
         self.due: list = []
-        self.due_seq, self.woken_for = 0, 0
+        self.due_seq, self.woken_for, self.ticks = 0, 0, 0
         self.failing = 0.02  # share of the fleet's tries that fail
-        self.mean_time = self.objective / 3.0
-        self.slot = self.objective / 4.0
-        self.demand, self.arrivals, self.worth = 0.0, 0, 1.0
-        self.equal_time = float(self.objective)
+        self.mean_time, self.slot = self.objective / 3.0, self.objective / 4.0
+        self.demand, self.arrivals, self.equal_time = 0.0, 0, float(self.objective)
         self.sheds, self.shedding = 0, False
-        self.list_failures, self.ask_again, self.subscribed = 0, None, False
-        self.probe_trip = 10.0
-        self.ticks = 0
+        self.list_failures, self.ask_again = 0, 0
         if get("discovery", "pushed") == "on_request":
-            self.ask_again = now
             host.subscribe()
         host.wake(SECOND, "tick")
 
     # ---- rules: the only places where a send or a shed is allowed
 
     def may_try(self, xchg: Exchange, backend: Backend, now: int) -> bool:
-        tries = xchg.tries
+        tries, route = xchg.tries, xchg.route
         if xchg.over or xchg.streaming or now >= xchg.deadline or not backend.usable:
             return False
-        if len(tries) >= self.tries_most:
-            return False
         if not tries:
             return True
-        if not self.parallel and any(t.outcome is None for t in tries):
+        if len(tries) >= self.settings.get("policy_limits.max_upstream_tries", 1):
             return False
-        ran = [t for t in tries if t.may_have_run()]
-        if not ran or xchg.route.semantics == "retriable":
+        if any(t.outcome is None for t in tries) and not self.settings.get("policy_limits.parallel_tries"):
+            return False
+        ran = [t for t in tries if t.outcome not in NEVER_RAN]
+        if not ran or route.semantics == "retriable":
             return True
-        if xchg.route.semantics != "deduped" or now + 10 >= ran[0].sent_at + xchg.route.window:
+        if route.semantics != "deduped" or now + 10 >= ran[0].sent_at + route.window:
             return False
-        group, first = xchg.route.group, ran[0].backend
-        return (group == "all" or (group == "location" and backend.location == first.location)
-                or (group == "pod" and backend.pod == first.pod))  # fmt: skip
+        first = ran[0].backend
+        same = {"all": True, "location": backend.location == first.location, "pod": backend.pod == first.pod}
+        return same.get(route.group, False)
 
     def may_shed(self, xchg: Exchange) -> bool:
         route = xchg.route
         if route.semantics == "retriable" or (route.semantics == "deduped" and route.group == "all"):
             return True
-        return not any(t.may_have_run() for t in xchg.tries)
+        return all(t.outcome in NEVER_RAN for t in xchg.tries)
 
     def cold_allows(self, backend: Backend, now: int) -> bool:
         """A cold backend's budget of sends for this node, over any window in which it could fall over."""
@@ -252,9 +229,10 @@
         return len(backend.recent) < backend.budget
 
     def note_usable(self, now: int) -> None:
-        """The backends that may get work, and what long warm ones of each kind usually get from this node."""
+        """The backends that may get work; cold ones' budgets, from what warm ones of their kind usually get."""
         get = self.settings.get
-        warm = get("rules.warm_within", 0)
+        warm, start = get("rules.warm_within", 0), get("rules.cold_from", 0.1)
+        push = 0.5 * get("rules.fall_multiple", 1.0) * get("rules.overload_for", SECOND) / SECOND
         self.usable = [b for b in self.backends.values() if b.usable]
         rates: dict[int, list[float]] = {}
         for backend in self.usable:
@@ -263,8 +241,6 @@
                 rates.setdefault(backend.kind, []).append(backend.rate)
         usual = {kind: sum(found) / len(found) for kind, found in rates.items()}
         least = min(usual.values(), default=self.demand / max(len(self.usable), 1))
-        push = 0.5 * get("rules.fall_multiple", 1.0) * get("rules.overload_for", SECOND) / SECOND
-        start = get("rules.cold_from", 0.1)
         for backend in self.usable:
             if now < backend.warm_at:
                 capacity = 1 - (1 - start) * (backend.warm_at - now) / warm
@@ -281,11 +257,9 @@
             self.arrivals += 1
         elif grace < route.usual_grace:
             aim_at -= route.timeout - grace  # the client's earlier tries have used up part of its objective
-        surplus = False
-        if customer_no < len(self.customers):
-            surplus = not self.customers[customer_no].within(now, self.skew, again)
-        xchg = Exchange(ident, route, now, now + grace, aim_at, surplus)
-        self.exchanges[ident] = xchg
+        known = customer_no < len(self.customers)
+        surplus = known and not self.customers[customer_no].within(now, self.skew, again)
+        xchg = self.exchanges[ident] = Exchange(ident, route, now, now + grace, aim_at, surplus)
         self.at(xchg.deadline - self.settings.get("tick", 10), self.give_up, xchg)
         self.place(now, xchg)
 
@@ -318,8 +292,7 @@
             return
         backend.probe_at = 0
         if outcome == Outcome.COMPLETED and load is not None and load.inflight is not None:
-            backend.held, backend.held_at = load.inflight, now
-            self.heard_at = now
+            backend.held, backend.held_at, self.heard_at = load.inflight, now, now
             self.probe_trip += (elapsed - self.probe_trip) * 0.05
         if self.probes_out <= 0:
             self.drain(now)
@@ -340,7 +313,7 @@
         self.ask_again = now + int(SECOND * min(2**self.list_failures, 8) * (0.5 + self.chance.uniform()))
 
     def on_list(self, now: int, entries: list[Listed], whole: bool) -> None:
-        self.list_failures, self.ask_again = 0, None
+        self.list_failures = 0
         named = set()
         for listed in entries:
             named.add(listed.name)
@@ -354,8 +327,7 @@
                 if restarted:
                     backend.forget(now)
         for backend in self.backends.values():
-            if whole and backend.name not in named:
-                backend.usable = False
+            backend.usable = backend.usable and (not whole or backend.name in named)
         self.note_usable(now)
         for backend in self.usable:
             if now < backend.warm_at and not backend.stage and not backend.points:
@@ -383,8 +355,41 @@
             self.woken_for = max(self.due[0][0], now + 1)
             self.host.wake(self.woken_for - now, "due")
 
+    def tick(self, now: int) -> None:
+        self.ticks += 1
+        if self.list_failures and now >= self.ask_again:
+            self.ask_again = now + 20 * SECOND
+            self.host.subscribe()
+        self.demand += (self.arrivals - self.demand) * (0.2 if self.demand else 1.0)
+        self.arrivals = 0
+        for backend in list(self.backends.values()):
+            if backend.close_window(now, 4.0 * (self.objective if backend.doubt else self.mean_time)):
+                self.step(backend)
+            backend.slot_time *= 0.85
+            backend.slots *= 0.85
+            if not backend.usable and not backend.out and now - backend.window_from > 60 * SECOND:
+                del self.backends[backend.name]
+        self.weigh_customers()
+        self.note_usable(now)
+        self.solve(now)
+        if (self.sheds > 0.05 * max(self.demand, 1.0)) != self.shedding:
+            self.shedding = not self.shedding
+            self.host.log(f"shedding {'on' if self.shedding else 'off'}: {self.sheds} shed in 1 s of"
+                          f" {self.demand:.0f}/s, equal time {self.equal_time / 10:.0f} ms")  # fmt: skip
+        self.sheds = 0
+        self.drain(now)
+
     # ---- admission and holding
 
+    def weigh_customers(self) -> None:
+        """A node whose every customer looks over its share just gets more of the traffic than others."""
+        for customer in self.customers:
+            customer.usage += (customer.seen - customer.usage) * 0.1
+            customer.seen = 0
+        ratios = sorted(c.usage / c.rate for c in self.customers if c.rate > 0)
+        if ratios and self.ticks > 5:
+            self.skew = min(max(ratios[len(ratios) // 2], 1.0), 2.0)
+
     def place(self, now: int, xchg: Exchange) -> None:
         """Send it, or hold it for a short while until some backend has room for it in time."""
         if not xchg.held:
@@ -393,13 +398,13 @@
             patience = 0.05 if xchg.surplus else 0.3
             self.at(min(now + int(patience * xchg.route.objective), xchg.aim_at), self.tire, xchg)
             if self.asks and not xchg.asked:
-                xchg.asked = 1
                 self.ask(now, xchg)
                 self.at(now + int(3 * self.probe_trip) + 10, self.settle, xchg)
         self.try_send(now, xchg)
         self.arm(now)
 
     def ask(self, now: int, xchg: Exchange) -> None:
+        xchg.asked += 1
         for backend in self.turns(now, xchg)[: self.asks]:
             if not backend.probe_at and now - backend.held_at > 20:
                 backend.probe_at = now
@@ -412,7 +417,6 @@
             return
         xchg.settled = True
         if not self.try_send(now, xchg) and xchg.asked < 4:
-            xchg.asked += 1
             self.ask(now, xchg)
             self.at(now + int(self.slot / 4) + 10, self.settle, xchg)
 
@@ -423,10 +427,8 @@
     def drain(self, now: int) -> None:
         missed = 0
         for xchg in list(self.held):
-            if xchg.held and not self.try_send(now, xchg):
+            if missed < 3 and xchg.held and not self.try_send(now, xchg):
                 missed += 1
-                if missed > 2:
-                    break
         self.arm(now)
 
     def try_send(self, now: int, xchg: Exchange) -> bool:
@@ -445,14 +447,6 @@
         self.at(now + min(int(4 * self.mean_time), self.objective), self.check_overdue, upstream)
         return True
 
-    def check_overdue(self, now: int, upstream: UpstreamTry) -> None:
-        # Guards against a backend that takes work and answers nothing: silence since the send is a failure.
-        backend = upstream.backend
-        if upstream.outcome is None and backend.last_answer < upstream.sent_at:
-            backend.count += 1
-            backend.total += upstream.xchg.route.timeout
-            self.verdict(now, backend, True)
-
     def unhold(self, xchg: Exchange) -> None:
         if xchg.held:
             xchg.held = False
@@ -463,8 +457,9 @@
             return
         if self.may_shed(xchg):
             self.sheds += 1
-            advice = self.settings.get("policy_limits.max_retry_after", 0) // 2
-            self.host.shed(xchg.id, advice if self.settings.get("policy_limits.retry_after") else 0)
+            advised = self.settings.get("policy_limits.retry_after")
+            advice = self.settings.get("policy_limits.max_retry_after", 0) // 2 if advised else 0
+            self.host.shed(xchg.id, advice)
         else:
             self.host.fail(xchg.id)
         self.call_off(xchg)
@@ -487,40 +482,6 @@
 
     # ---- solve
 
-    def tick(self, now: int) -> None:
-        self.ticks += 1
-        if self.ask_again is not None and now >= self.ask_again and self.list_failures:
-            self.ask_again = now + 20 * SECOND
-            self.host.subscribe()
-        self.demand += (self.arrivals - self.demand) * (0.2 if self.demand else 1.0)
-        self.arrivals = 0
-        limit = 4.0 * self.mean_time
-        for backend in list(self.backends.values()):
-            if backend.close_window(now, limit if not backend.doubt else self.objective * 4.0):
-                self.step(now, backend)
-            backend.slot_time *= 0.85
-            backend.slots *= 0.85
-            if not backend.usable and not backend.out and now - backend.window_from > 60 * SECOND:
-                del self.backends[backend.name]
-        self.weigh_customers()
-        self.note_usable(now)
-        self.solve(now)
-        if (self.sheds > 0.05 * max(self.demand, 1.0)) != self.shedding:
-            self.shedding = not self.shedding
-            self.host.log(f"shedding {'on' if self.shedding else 'off'}: {self.sheds} shed in 1 s of"
-                          f" {self.demand:.0f}/s, equal time {self.equal_time / 10:.0f} ms")  # fmt: skip
-        self.sheds = 0
-        self.drain(now)
-
-    def weigh_customers(self) -> None:
-        """A node whose every customer looks over its share just gets more of the traffic than others."""
-        for customer in self.customers:
-            customer.usage += (customer.seen - customer.usage) * 0.1
-            customer.seen = 0
-        ratios = sorted(c.usage / c.rate for c in self.customers if c.rate > 0)
-        if ratios and self.ticks > 5:
-            self.skew = min(max(ratios[len(ratios) // 2], 1.0), 2.0)
-
     def solve(self, now: int) -> None:
         """Rates of equal response time that sum to the demand, by bisection; floor shares for the rest."""
         ready = [b for b in self.usable if now >= b.out_until]
@@ -528,17 +489,18 @@
             return
         demand = max(self.demand, 0.1)
         measured = [p for b in ready for p in b.points]
-        samples = sum(p[2] for p in measured)
-        if samples:
-            self.mean_time = sum(p[1] * p[2] for p in measured) / samples
+        if measured:
+            self.mean_time = sum(p[1] * p[2] for p in measured) / sum(p[2] for p in measured)
         slots = sum(b.slots for b in ready)
         self.slot = (sum(b.slot_time for b in ready) + self.objective / 4.0) / (slots + 1.0)
-        fixed = [b for b in ready if b.stage]
         solved = [b for b in ready if not b.stage]
         fastest = max((b.rate for b in solved), default=0.0) or demand / len(ready)
-        for backend in fixed:
-            backend.share = backend.held_rate = backend.held_rate or fastest / SPREAD
-        left = max(demand - sum(b.share for b in fixed), 0.2 * demand)
+        left = demand
+        for backend in ready:
+            if backend.stage:
+                backend.share = backend.held_rate = backend.held_rate or fastest / SPREAD
+                left -= backend.share
+        left = max(left, 0.2 * demand)
         if sum(1 for b in solved if b.points) < 2:
             whole = sum(b.weight for b in solved) or 1.0
             for backend in solved:
@@ -554,10 +516,10 @@
             else:
                 high = middle
         self.equal_time = high
-        even = left / len(solved)
         for backend in solved:
             cost = self.cost(backend)
-            rate = max(backend.rate_at(high - cost), FLOOR_SHARE * even / (1 + 4 * cost / self.mean_time))
+            floor = FLOOR_SHARE * left / len(solved) / (1 + 4 * cost / self.mean_time)
+            rate = max(backend.rate_at(high - cost), floor)
             backend.share += (rate - backend.share) * (0.5 if backend.share else 1.0)
 
     def cost(self, backend: Backend) -> float:
@@ -582,10 +544,8 @@
 
     def ahead(self, backend: Backend, now: int) -> float:
         out = float(len(backend.out))
-        if not self.asks:
-            return out
         # Guards against taking one last heard of as crowded for empty: it drains no faster than it works.
-        return max(out, backend.held - (now - backend.held_at) / self.slot)
+        return max(out, backend.held - (now - backend.held_at) / self.slot) if self.asks else out
 
     def expected(self, backend: Backend, now: int) -> float:
         slot = (backend.slot_time + PRIOR * self.slot) / (backend.slots + PRIOR)
@@ -599,88 +559,82 @@
         left = xchg.aim_at - now
         share = 0.35 if xchg.surplus else 0.6 + 0.3 * xchg.route.value / self.top_value
         bound = share * left if left > 0 else 0.3 * xchg.route.objective
-        mean = sum(len(b.out) for b in fit) / len(fit) if fit else 0.0
-        most = max(2.0, 2.0 * mean)
+        most = max(2.0, 2.0 * sum(len(b.out) for b in fit) / len(fit)) if fit else 0.0
         asking = self.asks and not xchg.settled
         # Guards against filling backends that are crowded but were last heard of idle: only fresh reports
         # count, unless no backend answers probes.
         heard = self.asks and now - self.heard_at < SECOND
-        stale = 20 if asking else self.slot / 2 if heard else float("inf")
-        best, best_time = None, float("inf")
+        stale = 20 if asking else self.slot / 2 if heard else inf
+        best, best_time = None, inf
         for backend in fit:
-            if len(backend.out) > most:
-                continue
-            if now - backend.held_at > stale:
+            if len(backend.out) > most or now - backend.held_at > stale:
                 continue
             if backend.probe_at and now - backend.probe_at > 3 * self.probe_trip:
                 continue  # guards against one that stands still: it does not even answer a probe
-            time = self.expected(backend, now)
-            cost = self.cost(backend)
+            time, cost = self.expected(backend, now), self.cost(backend)
             if time <= min(max(self.equal_time - cost, 1.5 * self.slot), bound):
                 best = backend
                 break
             if not asking and time <= bound and time + cost < best_time:
                 best, best_time = backend, time + cost
         if best is not None:
-            whole = 0.0
             for backend in fit:
                 backend.credit += backend.share
-                whole += backend.share
-            best.credit -= whole
+                best.credit -= backend.share
         return best
 
     # ---- newcomers
 
-    def step(self, now: int, backend: Backend) -> None:
+    def step(self, backend: Backend) -> None:
         """Stepwise profiling: a first low rate, a second near 0.8 of the objective, then the solve."""
         if not backend.stage or not backend.points:
             return
         rate, time = backend.points[-1][:2]
+        cores, target = 1.0 / self.nodes, 0.8 * self.objective
+        service = time / (1 + rate * time / SECOND / cores)
         if backend.stage == 2:
             backend.stage = 0
             self.host.log(f"profiled {backend.name}: {rate:.1f}/s at {time / 10:.0f} ms")
-            return
-        cores = 1.0 / self.nodes
-        service = time / (1 + rate * time / SECOND / cores)
-        target = 0.8 * self.objective
-        if service < target:
+        elif service < target:
             aim = cores * (target - service) / (target * service) * SECOND
             fastest = max((b.rate for b in self.backends.values() if not b.stage), default=aim)
             backend.stage, backend.held_rate = 2, min(aim, fastest)
 
     # ---- list keeping and health
 
+    def check_overdue(self, now: int, upstream: UpstreamTry) -> None:
+        # Guards against a backend that takes work and answers nothing: silence since the send is a failure.
+        if upstream.outcome is None and upstream.backend.last_answer < upstream.sent_at:
+            self.verdict(now, upstream, True, upstream.xchg.route.timeout)
+
     def measure(self, now: int, upstream: UpstreamTry, outcome: Outcome, elapsed: int) -> None:
         backend = upstream.backend
         if outcome == Outcome.COMPLETED:
-            backend.last_answer = now
-            backend.full_wait = 0
-            backend.count += 1
-            backend.total += elapsed
+            backend.last_answer, backend.full_wait = now, 0
             backend.slot_time = backend.slot_time * 0.9 + elapsed
             backend.slots = backend.slots * 0.9 + upstream.ahead + 1.0
-            self.verdict(now, backend, False)
+            self.verdict(now, upstream, False, elapsed)
         elif outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET):
             # Guards against a backend that fails fast and would draw traffic by its short times.
-            backend.count += 1
-            backend.total += upstream.xchg.route.timeout
-            self.verdict(now, backend, True)
+            self.verdict(now, upstream, True, upstream.xchg.route.timeout)
         elif outcome == Outcome.REJECTED:
             # Guards against asking again and again where a hung backend is full and turns all away unseen.
             backend.full_wait = min(max(2 * backend.full_wait, int(self.slot)), 2 * SECOND)
             backend.full_until = now + backend.full_wait
 
-    def verdict(self, now: int, backend: Backend, failed: bool) -> None:
-        self.failing += ((1.0 if failed else 0.0) - self.failing) * 0.02
+    def verdict(self, now: int, upstream: UpstreamTry, failed: bool, time: int) -> None:
+        backend = upstream.backend
+        backend.count += 1
+        backend.total += time
+        self.failing += (failed - self.failing) * 0.02
         backend.judge(failed, self.failing)
-        if (backend.doubt >= EJECT and now >= backend.out_until
-                and sum(1 for b in self.usable if now < b.out_until) < len(self.usable) // 2):  # fmt: skip
-            backend.out_until = now + int(backend.backoff * (0.75 + 0.5 * self.chance.uniform()))
-            backend.backoff = min(backend.backoff * 3 // 2, 8 * SECOND)
+        out = sum(1 for b in self.usable if now < b.out_until)
+        if backend.doubt >= EJECT and now >= backend.out_until and out < len(self.usable) // 2:
+            away = int(backend.away * (0.75 + 0.5 * self.chance.uniform()))
+            backend.out_until, backend.away = now + away, min(backend.away * 3 // 2, AWAY_MOST)
             backend.doubt = EJECT - 1.0
-            away = (backend.out_until - now) / SECOND
             self.host.log(f"out {backend.name}: {len(backend.out)} unanswered, fleet fails"
-                          f" {self.failing:.0%}, back in {away:.1f} s")  # fmt: skip
-        elif not failed and backend.doubt == 0.0 and backend.backoff > 2 * SECOND:
-            backend.backoff = 2 * SECOND
+                          f" {self.failing:.0%}, back in {away / SECOND:.1f} s")  # fmt: skip
+        elif not failed and backend.doubt == 0.0 and backend.away > AWAY:
+            backend.away = AWAY
             self.host.log(f"trusted again {backend.name}")
