--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -1,9 +1,8 @@
 """Every decision of basalthoist.
 
-How to call it: make one `Node(host, seed, settings, now)` for each process start, then call the `on_...`
-method for each thing that happens, with the clock. The node acts by calling its host; the host's interface
-and the types they share are in host.py. `settings` is a plain map such as {"routes.0.value": 3.0}. Times are
-whole tenths of a millisecond.
+How to call it: make one `Node(host, seed, settings, now)` a process start, then call the `on_...` method for
+each thing that happens, with the clock. It acts by calling its host; that interface is in host.py. `settings`
+is a plain map such as {"routes.0.value": 3.0}. Times are whole tenths of a millisecond.
 """
 
 from bisect import insort
@@ -36,7 +35,7 @@
     """One backend as this node knows it: how it is listed, its profile, its health, what is out to it."""
 
     def __init__(self, listed: Listed, now: int) -> None:
-        self.name, self.credit, self.share, self.away = listed.name, 0.0, 0.0, AWAY
+        self.name, self.credit, self.share, self.cost, self.away = listed.name, 0.0, 0.0, 0.0, AWAY
         self.out: list[UpstreamTry] = []
         self.learn(listed)
         self.forget(now)
@@ -50,13 +49,11 @@
         self.points: list[list[float]] = []  # [rate, response time, samples, when]
         self.window_from, self.sent, self.count, self.total = now, 0, 0, 0.0
         self.slot_time, self.slots = 0.0, 0.0  # response times, and exchanges held during them
-        self.doubt, self.out_until = 0.0, 0  # the sequential test's sum; until when it is ejected
-        self.full_until, self.full_wait, self.last_answer = 0, 0, now
+        self.doubt, self.out_until, self.last_answer = 0.0, 0, now  # doubt: the sequential test's sum
         self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0  # as it reports itself
-        self.warm_at, self.budget = 0, 1.0
+        self.full_until, self.full_wait, self.warm_at, self.budget = 0, 0, 0, 1.0
         self.recent: deque[int] = deque()  # sends while cold
-        self.stage, self.held_rate = 0, 0.0  # of stepwise profiling: 0 is none, 1 and 2 are its held rates
-        self.rate = 0.0  # usual rate from this node
+        self.stage, self.held_rate, self.rate = 0, 0.0, 0.0  # stage 0: no stepwise profiling; 1, 2: its rates
 
     def close_window(self, now: int, limit: float) -> bool:
         span = now - self.window_from
@@ -66,15 +63,15 @@
         self.rate += (rate - self.rate) * (0.3 if self.rate else 1.0)
         if self.count:
             mean = min(self.total / self.count, limit)
+            kept, was = 0.0, [0.0, 0.0]
             near = [p for p in self.points if abs(p[0] - rate) <= 0.25 * max(p[0], rate)]
-            kept = 0.0
             if near:  # the old mean at this rate counts for less the older it is
-                was_rate, was, samples, when = near[0]
-                kept = min(samples, 8.0) * 0.5 ** ((now - when) / (4 * SECOND))
-                rate = (was_rate * kept + rate * self.count) / (kept + self.count)
-                mean = (was * kept + mean * self.count) / (kept + self.count)
-                self.points.remove(near[0])
-            self.points.append([rate, mean, kept + self.count, now])
+                was = near[0]
+                kept = min(was[2], 8.0) * 0.5 ** ((now - was[3]) / (4 * SECOND))
+                self.points.remove(was)
+            both = kept + self.count
+            point = [(was[i] * kept + new * self.count) / both for i, new in enumerate((rate, mean))]
+            self.points.append([*point, both, now])
         self.points = sorted(p for p in self.points if now - p[3] < POINT_LIFE)
         if len(self.points) > POINTS:
             self.points.remove(min(self.points, key=lambda p: p[3]))
@@ -175,22 +172,19 @@
         self.objective = min(r.objective for r in self.routes)
         self.top_value = max(r.value for r in self.routes)
         self.crossing = get("prices.cross_zone", 0.0)
+        self.advice = get("policy_limits.max_retry_after", 0) // 2 if get("policy_limits.retry_after") else 0
         # Asking backends before a send pays where they report their load and a probe costs little.
-        reports = get("feedback.how", "off") != "off" and "inflight" in get("feedback.fields", ())
-        asks = min(int(0.01 / max(get("prices.probe", 0.0), 1e-6)), 4)
-        self.asks = asks if reports and get("policy_limits.probes", False) else 0
+        useful = get("policy_limits.probes", False) and "inflight" in get("feedback.fields", ())
+        self.asks = min(int(0.01 / max(get("prices.probe", 0.0), 1e-6)), 4) if useful else 0
         self.probes_out, self.probe_trip, self.heard_at = 0, 10.0, -SECOND
         self.backends: dict[str, Backend] = {}
-        self.usable: list[Backend] = []
         self.exchanges: dict[int, Exchange] = {}
-        self.held: list[Exchange] = []
-        self.due: list = []
+        self.usable, self.held, self.due = [], [], []
         self.due_seq, self.woken_for, self.ticks = 0, 0, 0
         self.failing = 0.02  # share of the fleet's tries that fail
         self.mean_time, self.slot = self.objective / 3.0, self.objective / 4.0
         self.demand, self.arrivals, self.equal_time = 0.0, 0, float(self.objective)
-        self.sheds, self.shedding = 0, False
-        self.list_failures, self.ask_again = 0, 0
+        self.sheds, self.shedding, self.list_failures, self.ask_again = 0, False, 0, 0
         if get("discovery", "pushed") == "on_request":
             host.subscribe()
         host.wake(SECOND, "tick")
@@ -201,9 +195,7 @@
         tries, route = xchg.tries, xchg.route
         if xchg.over or xchg.streaming or now >= xchg.deadline or not backend.usable:
             return False
-        if not tries:
-            return True
-        if len(tries) >= self.settings.get("policy_limits.max_upstream_tries", 1):
+        if tries and len(tries) >= self.settings.get("policy_limits.max_upstream_tries", 1):
             return False
         if any(t.outcome is None for t in tries) and not self.settings.get("policy_limits.parallel_tries"):
             return False
@@ -217,10 +209,9 @@
         return same.get(route.group, False)
 
     def may_shed(self, xchg: Exchange) -> bool:
-        route = xchg.route
-        if route.semantics == "retriable" or (route.semantics == "deduped" and route.group == "all"):
-            return True
-        return all(t.outcome in NEVER_RAN for t in xchg.tries)
+        kind = (xchg.route.semantics, xchg.route.group)
+        harmless = kind[0] == "retriable" or kind == ("deduped", "all")
+        return harmless or all(t.outcome in NEVER_RAN for t in xchg.tries)
 
     def cold_allows(self, backend: Backend, now: int) -> bool:
         """A cold backend's budget of sends for this node, over any window in which it could fall over."""
@@ -229,7 +220,7 @@
         return len(backend.recent) < backend.budget
 
     def note_usable(self, now: int) -> None:
-        """The backends that may get work; cold ones' budgets, from what warm ones of their kind usually get."""
+        """The backends that may get work; cold ones' budgets, by what warm ones of their kind usually get."""
         get = self.settings.get
         warm, start = get("rules.warm_within", 0), get("rules.cold_from", 0.1)
         push = 0.5 * get("rules.fall_multiple", 1.0) * get("rules.overload_for", SECOND) / SECOND
@@ -237,6 +228,8 @@
         rates: dict[int, list[float]] = {}
         for backend in self.usable:
             backend.warm_at = 0 if backend.started is None else backend.started + warm
+            # What crossing locations costs, as response time, so that the solve weighs it.
+            backend.cost = 2.0 * self.crossing * self.objective * (backend.location != self.location)
             if backend.rate and now >= backend.warm_at + warm:
                 rates.setdefault(backend.kind, []).append(backend.rate)
         usual = {kind: sum(found) / len(found) for kind, found in rates.items()}
@@ -248,8 +241,7 @@
 
     # ---- what happens
 
-    def on_exchange(self, now: int, ident: int, route_no: int, customer_no: int, key: str | None, grace: int,
-                    hint: int | None, again: bool) -> None:  # fmt: skip
+    def on_exchange(self, now: int, ident: int, route_no: int, customer_no: int, grace: int, again: bool):
         route = self.routes[route_no]
         aim_at = now + route.objective
         if not again:
@@ -275,14 +267,13 @@
         self.measure(now, upstream, outcome, elapsed)
         if load is not None and load.inflight is not None:
             backend.held, backend.held_at = load.inflight, now
-        if over:
+        if over or xchg.over:
             self.finish(xchg)
-        elif not xchg.over and not any(t.outcome is None for t in xchg.tries):
-            if outcome == Outcome.CANCELLED or now >= xchg.aim_at:
+        elif not any(t.outcome is None for t in xchg.tries):
+            if now >= xchg.aim_at:
                 self.give_up(now, xchg)
             else:
                 self.place(now, xchg)
-        self.forget(xchg)
         self.drain(now)
 
     def on_probe_ended(self, now: int, name: str, outcome: Outcome, elapsed: int, load: Load | None) -> None:
@@ -298,11 +289,8 @@
             self.drain(now)
 
     def on_exchange_gone(self, now: int, ident: int) -> None:
-        xchg = self.exchanges.get(ident)
-        if xchg is not None:
-            self.call_off(xchg)
-            self.finish(xchg)
-            self.forget(xchg)
+        if ident in self.exchanges:
+            self.finish(self.exchanges[ident])
 
     def on_answer_started(self, now: int, ident: int, try_no: int) -> None:
         if ident in self.exchanges:
@@ -314,18 +302,15 @@
 
     def on_list(self, now: int, entries: list[Listed], whole: bool) -> None:
         self.list_failures = 0
-        named = set()
+        named = {listed.name for listed in entries}
         for listed in entries:
-            named.add(listed.name)
             backend = self.backends.get(listed.name)
             if backend is None:
                 backend = self.backends[listed.name] = Backend(listed, now)
                 backend.credit = self.chance.uniform()
-            else:
-                restarted = listed.started is not None and listed.started != backend.started
-                backend.learn(listed)
-                if restarted:
-                    backend.forget(now)
+            elif listed.started is not None and listed.started != backend.started:
+                backend.forget(now)
+            backend.learn(listed)
         for backend in self.backends.values():
             backend.usable = backend.usable and (not whole or backend.name in named)
         self.note_usable(now)
@@ -439,8 +424,7 @@
         upstream = UpstreamTry(xchg, backend, now, self.ahead(backend, now))
         xchg.tries.append(upstream)
         backend.out.append(upstream)
-        backend.sent += 1
-        backend.held += 1
+        backend.sent, backend.held = backend.sent + 1, backend.held + 1
         if now < backend.warm_at:
             backend.recent.append(now)
         self.host.send(xchg.id, backend.name, xchg.deadline - now)
@@ -449,35 +433,28 @@
 
     def unhold(self, xchg: Exchange) -> None:
         if xchg.held:
-            xchg.held = False
             self.held.remove(xchg)
+            xchg.held = False
 
     def give_up(self, now: int, xchg: Exchange) -> None:
         if xchg.over or xchg.streaming:
             return
         if self.may_shed(xchg):
             self.sheds += 1
-            advised = self.settings.get("policy_limits.retry_after")
-            advice = self.settings.get("policy_limits.max_retry_after", 0) // 2 if advised else 0
-            self.host.shed(xchg.id, advice)
+            self.host.shed(xchg.id, self.advice)
         else:
             self.host.fail(xchg.id)
-        self.call_off(xchg)
         self.finish(xchg)
-        self.forget(xchg)
-
-    def call_off(self, xchg: Exchange) -> None:
-        if self.settings.get("policy_limits.cancel") and not xchg.streaming:
-            for number, upstream in enumerate(xchg.tries):
-                if upstream.outcome is None:
-                    self.host.cancel(xchg.id, number)
 
     def finish(self, xchg: Exchange) -> None:
+        """It has its answer: call off what is out, and drop it when the last outcome is in."""
+        out = [number for number, upstream in enumerate(xchg.tries) if upstream.outcome is None]
+        if not xchg.over and self.settings.get("policy_limits.cancel") and not xchg.streaming:
+            for number in out:
+                self.host.cancel(xchg.id, number)
         xchg.over = True
         self.unhold(xchg)
-
-    def forget(self, xchg: Exchange) -> None:
-        if xchg.over and not any(t.outcome is None for t in xchg.tries):
+        if not out:
             self.exchanges.pop(xchg.id, None)
 
     # ---- solve
@@ -495,12 +472,10 @@
         self.slot = (sum(b.slot_time for b in ready) + self.objective / 4.0) / (slots + 1.0)
         solved = [b for b in ready if not b.stage]
         fastest = max((b.rate for b in solved), default=0.0) or demand / len(ready)
-        left = demand
         for backend in ready:
             if backend.stage:
                 backend.share = backend.held_rate = backend.held_rate or fastest / SPREAD
-                left -= backend.share
-        left = max(left, 0.2 * demand)
+        left = max(demand - sum(b.share for b in ready if b.stage), 0.2 * demand)
         if sum(1 for b in solved if b.points) < 2:
             whole = sum(b.weight for b in solved) or 1.0
             for backend in solved:
@@ -511,21 +486,14 @@
         low, high = 0.0, 100.0 * self.objective
         for _ in range(24):
             middle = (low + high) / 2
-            if sum(b.rate_at(middle - self.cost(b)) for b in solved) < left:
-                low = middle
-            else:
-                high = middle
+            enough = sum(b.rate_at(middle - b.cost) for b in solved) >= left
+            low, high = (low, middle) if enough else (middle, high)
         self.equal_time = high
         for backend in solved:
-            cost = self.cost(backend)
-            floor = FLOOR_SHARE * left / len(solved) / (1 + 4 * cost / self.mean_time)
-            rate = max(backend.rate_at(high - cost), floor)
+            floor = FLOOR_SHARE * left / len(solved) / (1 + 4 * backend.cost / self.mean_time)
+            rate = max(backend.rate_at(high - backend.cost), floor)
             backend.share += (rate - backend.share) * (0.5 if backend.share else 1.0)
 
-    def cost(self, backend: Backend) -> float:
-        """What crossing locations costs, as response time, so that the solve weighs it."""
-        return 2.0 * self.crossing * self.objective if backend.location != self.location else 0.0
-
     # ---- rotation
 
     def turns(self, now: int, xchg: Exchange) -> list[Backend]:
@@ -543,9 +511,9 @@
         return fit
 
     def ahead(self, backend: Backend, now: int) -> float:
-        out = float(len(backend.out))
         # Guards against taking one last heard of as crowded for empty: it drains no faster than it works.
-        return max(out, backend.held - (now - backend.held_at) / self.slot) if self.asks else out
+        heard = backend.held - (now - backend.held_at) / self.slot if self.asks else 0.0
+        return max(float(len(backend.out)), heard)
 
     def expected(self, backend: Backend, now: int) -> float:
         slot = (backend.slot_time + PRIOR * self.slot) / (backend.slots + PRIOR)
@@ -567,11 +535,11 @@
         stale = 20 if asking else self.slot / 2 if heard else inf
         best, best_time = None, inf
         for backend in fit:
-            if len(backend.out) > most or now - backend.held_at > stale:
+            # Guards against one that stands still: it does not even answer a probe.
+            still = backend.probe_at and now - backend.probe_at > 3 * self.probe_trip
+            if still or len(backend.out) > most or now - backend.held_at > stale:
                 continue
-            if backend.probe_at and now - backend.probe_at > 3 * self.probe_trip:
-                continue  # guards against one that stands still: it does not even answer a probe
-            time, cost = self.expected(backend, now), self.cost(backend)
+            time, cost = self.expected(backend, now), backend.cost
             if time <= min(max(self.equal_time - cost, 1.5 * self.slot), bound):
                 best = backend
                 break
@@ -597,7 +565,7 @@
             self.host.log(f"profiled {backend.name}: {rate:.1f}/s at {time / 10:.0f} ms")
         elif service < target:
             aim = cores * (target - service) / (target * service) * SECOND
-            fastest = max((b.rate for b in self.backends.values() if not b.stage), default=aim)
+            fastest = max((b.rate for b in self.usable if not b.stage), default=aim)
             backend.stage, backend.held_rate = 2, min(aim, fastest)
 
     # ---- list keeping and health
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,7 +9,7 @@
 
 
 def begin(made, ident=1):
-    made.on_exchange(NOW, ident, 0, 0, None, 8000, None, False)
+    made.on_exchange(NOW, ident, 0, 0, 8000, False)
 
 
 @pytest.mark.parametrize(
@@ -86,7 +86,7 @@
     made, _ = node([listed("a")], customers__count=1, **{"customers__0__quota_per_s": 1.0})
     marks = []
     for ident, again in enumerate((False, False, False, True)):
-        made.on_exchange(NOW, ident, 0, 0, None, 8000, None, again)
+        made.on_exchange(NOW, ident, 0, 0, 8000, again)
         marks.append(made.exchanges[ident].surplus if ident in made.exchanges else None)
     assert marks[-1] is not False
 
