--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -14,7 +14,7 @@
 
 SECOND = 10_000
 WINDOW, WINDOW_MOST = 2 * SECOND, 8 * SECOND  # a profile window is lengthened until it holds SAMPLES
-SAMPLES, POINTS, POINT_LIFE = 4, 6, 30 * SECOND
+SAMPLES, POINTS, POINT_LIFE = 4, 8, 30 * SECOND
 SPREAD = 4.0
 FLOOR_SHARE = 0.2  # of an even share
 PRIOR = 3.0  # samples' worth of the fleet's mean that every measured mean is blended with
@@ -62,16 +62,7 @@
         rate = self.sent / span * SECOND
         self.rate += (rate - self.rate) * (0.3 if self.rate else 1.0)
         if self.count:
-            mean = min(self.total / self.count, limit)
-            kept, was = 0.0, [0.0, 0.0]
-            near = [p for p in self.points if abs(p[0] - rate) <= 0.25 * max(p[0], rate)]
-            if near:  # the old mean at this rate counts for less the older it is
-                was = near[0]
-                kept = min(was[2], 8.0) * 0.5 ** ((now - was[3]) / (4 * SECOND))
-                self.points.remove(was)
-            both = kept + self.count
-            point = [(was[i] * kept + new * self.count) / both for i, new in enumerate((rate, mean))]
-            self.points.append([*point, both, now])
+            self.points.append([rate, min(self.total / self.count, limit), float(self.count), now])
         self.points = sorted(p for p in self.points if now - p[3] < POINT_LIFE)
         if len(self.points) > POINTS:
             self.points.remove(min(self.points, key=lambda p: p[3]))
@@ -82,7 +73,7 @@
         """The profile as a non-decreasing line, its points blended with the fleet's mean by their samples."""
         blended: list[tuple[float, float, float]] = []
         for rate, time, samples, when in self.points or [(mean_rate, mean_time, PRIOR, now)]:
-            samples *= 0.5 ** ((now - when) / (10 * SECOND))
+            samples *= 0.5 ** ((now - when) / (5 * SECOND))
             both = samples + PRIOR
             blended.append((max(rate, 0.01), (time * samples + mean_time * PRIOR) / both, both))
             while len(blended) > 1 and blended[-2][1] > blended[-1][1]:
