--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -117,20 +117,15 @@
 class Customer:
     """A customer's share at this node, as a bucket that fills at the share's rate."""
 
-    def __init__(self, quota: float, nodes: int) -> None:
-        self.rate = quota / nodes
-        self.tokens, self.at, self.seen, self.usage = self.rate * 2.0, 0, 0, 0.0
-
-    def within(self, now: int, skew: float, again: bool) -> bool:
-        rate = self.rate * skew
-        if self.at:
-            self.tokens = min(self.tokens + (now - self.at) * rate / SECOND, max(2.0 * rate, 1.0))
-        self.at = now
+    def __init__(self, rate: float) -> None:
+        self.rate, self.tokens, self.at = rate, 0.0, -WINDOW_MOST
+
+    def within(self, now: int, again: bool) -> bool:
+        most = max(3.0 * self.rate, 1.0)  # nodes get uneven parts of a customer's traffic, in bursts
+        self.tokens, self.at = min(self.tokens + (now - self.at) * self.rate / SECOND, most), now
         fits = self.tokens >= 1.0
         # Guards against shed surplus that comes back as a client's retry and passes for traffic in share.
-        if not again:
-            self.seen += 1
-            self.tokens -= fits
+        self.tokens -= fits and not again
         return fits
 
 
@@ -159,7 +154,7 @@
         self.nodes, self.location = max(get("nodes", 1), 1), get("location", 0)
         self.routes = [Route(settings, i) for i in range(get("routes.count", 1))]
         quotas = [get(f"customers.{i}.quota_per_s", 0.0) for i in range(get("customers.count", 0))]
-        self.customers, self.skew = [Customer(quota, self.nodes) for quota in quotas], 1.0
+        self.customers = [Customer(quota / self.nodes) for quota in quotas]
         self.objective = min(r.objective for r in self.routes)
         self.top_value = max(r.value for r in self.routes)
         self.crossing = get("prices.cross_zone", 0.0)
@@ -171,7 +166,7 @@
         self.backends: dict[str, Backend] = {}
         self.exchanges: dict[int, Exchange] = {}
         self.usable, self.held, self.due = [], [], []
-        self.due_seq, self.woken_for, self.ticks = 0, 0, 0
+        self.due_seq, self.woken_for = 0, 0
         self.failing = 0.02  # share of the fleet's tries that fail
         self.mean_time, self.slot = self.objective / 3.0, self.objective / 4.0
         self.demand, self.arrivals, self.equal_time = 0.0, 0, float(self.objective)
@@ -241,7 +236,7 @@
         elif grace < route.usual_grace:
             aim_at -= route.timeout - grace  # the client's earlier tries have used up part of its objective
         known = customer_no < len(self.customers)
-        surplus = known and not self.customers[customer_no].within(now, self.skew, again)
+        surplus = known and not self.customers[customer_no].within(now, again)
         xchg = self.exchanges[ident] = Exchange(ident, route, now, now + grace, aim_at, surplus)
         self.at(xchg.deadline - self.settings.get("tick", 10), self.give_up, xchg)
         self.place(now, xchg)
@@ -332,7 +327,6 @@
             self.host.wake(self.woken_for - now, "due")
 
     def tick(self, now: int) -> None:
-        self.ticks += 1
         if self.list_failures and now >= self.ask_again:
             self.ask_again = now + 20 * SECOND
             self.host.subscribe()
@@ -345,7 +339,6 @@
             backend.slots *= 0.85
             if not backend.usable and not backend.out and now - backend.window_from > 60 * SECOND:
                 del self.backends[backend.name]
-        self.weigh_customers()
         self.note_usable(now)
         self.solve(now)
         if (self.sheds > 0.05 * max(self.demand, 1.0)) != self.shedding:
@@ -357,15 +350,6 @@
 
     # ---- admission and holding
 
-    def weigh_customers(self) -> None:
-        """A node whose every customer looks over its share just gets more of the traffic than others."""
-        for customer in self.customers:
-            customer.usage += (customer.seen - customer.usage) * 0.1
-            customer.seen = 0
-        ratios = sorted(c.usage / c.rate for c in self.customers if c.rate > 0)
-        if ratios and self.ticks > 5:
-            self.skew = min(max(ratios[len(ratios) // 2], 1.0), 2.0)
-
     def place(self, now: int, xchg: Exchange) -> None:
         """Send it, or hold it for a short while until some backend has room for it in time."""
         if not xchg.held:
