--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -35,8 +35,8 @@
     """One backend as this node knows it: how it is listed, its profile, its health, what is out to it."""
 
     def __init__(self, listed: Listed, now: int) -> None:
-        self.name, self.credit, self.share, self.cost, self.away = listed.name, 0.0, 0.0, 0.0, AWAY
-        self.out: list[UpstreamTry] = []
+        self.name, self.out, self.away = listed.name, [], AWAY
+        self.credit = self.share = self.cost = 0.0
         self.learn(listed)
         self.forget(now)
 
@@ -137,9 +137,6 @@
         self.tries: list[UpstreamTry] = []
         self.order = (surplus, -route.value, now, ident)
 
-    def __lt__(self, other: "Exchange") -> bool:
-        return self.order < other.order
-
 
 class UpstreamTry:
     def __init__(self, xchg: Exchange, backend: Backend, now: int, ahead: float) -> None:
@@ -149,8 +146,7 @@
 
 class Node:
     def __init__(self, host: Host, seed: int, settings: dict, now: int) -> None:
-        self.host, self.settings, self.chance = host, settings, Lcg(seed)
-        get = settings.get
+        self.host, self.settings, self.chance, get = host, settings, Lcg(seed), settings.get
         self.nodes, self.location = max(get("nodes", 1), 1), get("location", 0)
         self.routes = [Route(settings, i) for i in range(get("routes.count", 1))]
         quotas = [get(f"customers.{i}.quota_per_s", 0.0) for i in range(get("customers.count", 0))]
@@ -185,17 +181,16 @@
             return False
         if any(t.outcome is None for t in tries) and not self.settings.get("policy_limits.parallel_tries"):
             return False
-        ran = [t for t in tries if t.outcome not in NEVER_RAN]
+        ran, group = [t for t in tries if t.outcome not in NEVER_RAN], route.group
         if not ran or route.semantics == "retriable":
             return True
         if route.semantics != "deduped" or now + 10 >= ran[0].sent_at + route.window:
             return False
         first = ran[0].backend
-        same = {"all": True, "location": backend.location == first.location, "pod": backend.pod == first.pod}
-        return same.get(route.group, False)
+        return group == "all" or getattr(backend, group, None) == getattr(first, group, self)
 
     def may_shed(self, xchg: Exchange) -> bool:
-        kind = (xchg.route.semantics, xchg.route.group)
+        kind = xchg.route.semantics, xchg.route.group
         harmless = kind[0] == "retriable" or kind == ("deduped", "all")
         return harmless or all(t.outcome in NEVER_RAN for t in xchg.tries)
 
@@ -264,8 +259,7 @@
 
     def on_probe_ended(self, now: int, name: str, outcome: Outcome, elapsed: int, load: Load | None) -> None:
         self.probes_out -= 1
-        backend = self.backends.get(name)
-        if backend is None:
+        if (backend := self.backends.get(name)) is None:
             return
         backend.probe_at = 0
         if outcome == Outcome.COMPLETED and load is not None and load.inflight is not None:
@@ -354,9 +348,10 @@
         """Send it, or hold it for a short while until some backend has room for it in time."""
         if not xchg.held:
             xchg.held = True
-            insort(self.held, xchg)
+            insort(self.held, xchg, key=lambda x: x.order)
             patience = 0.05 if xchg.surplus else 0.3
-            self.at(min(now + int(patience * xchg.route.objective), xchg.aim_at), self.tire, xchg)
+            until = min(now + int(patience * xchg.route.objective), xchg.aim_at)
+            self.at(until, lambda at, x: x.held and self.give_up(at, x), xchg)
             if self.asks and not xchg.asked:
                 self.ask(now, xchg)
                 self.at(now + int(3 * self.probe_trip) + 10, self.settle, xchg)
@@ -380,15 +375,10 @@
             self.ask(now, xchg)
             self.at(now + int(self.slot / 4) + 10, self.settle, xchg)
 
-    def tire(self, now: int, xchg: Exchange) -> None:
-        if xchg.held:
-            self.give_up(now, xchg)
-
     def drain(self, now: int) -> None:
         missed = 0
         for xchg in list(self.held):
-            if missed < 3 and xchg.held and not self.try_send(now, xchg):
-                missed += 1
+            missed += missed < 3 and xchg.held and not self.try_send(now, xchg)
         self.arm(now)
 
     def try_send(self, now: int, xchg: Exchange) -> bool:
@@ -436,17 +426,14 @@
 
     def solve(self, now: int) -> None:
         """Rates of equal response time that sum to the demand, by bisection; floor shares for the rest."""
-        ready = [b for b in self.usable if now >= b.out_until]
-        if not ready:
-            return
-        demand = max(self.demand, 0.1)
+        ready, demand = [b for b in self.usable if now >= b.out_until], max(self.demand, 0.1)
         measured = [p for b in ready for p in b.points]
         if measured:
             self.mean_time = sum(p[1] * p[2] for p in measured) / sum(p[2] for p in measured)
         slots = sum(b.slots for b in ready)
         self.slot = (sum(b.slot_time for b in ready) + self.objective / 4.0) / (slots + 1.0)
         solved = [b for b in ready if not b.stage]
-        fastest = max((b.rate for b in solved), default=0.0) or demand / len(ready)
+        fastest = max((b.rate for b in solved), default=0.0) or demand / max(len(ready), 1)
         for backend in ready:
             if backend.stage:
                 backend.share = backend.held_rate = backend.held_rate or fastest / SPREAD
@@ -454,7 +441,7 @@
         if sum(1 for b in solved if b.points) < 2:
             whole = sum(b.weight for b in solved) or 1.0
             for backend in solved:
-                backend.share = left * (backend.weight or 1.0) / whole
+                backend.share = left * backend.weight / whole
             return
         for backend in solved:
             backend.curve(demand / len(ready), self.mean_time, 1.0 / self.nodes, now)
@@ -504,8 +491,7 @@
         bound = share * left if left > 0 else 0.3 * xchg.route.objective
         most = max(2.0, 2.0 * sum(len(b.out) for b in fit) / len(fit)) if fit else 0.0
         asking = self.asks and not xchg.settled
-        # Guards against filling backends that are crowded but were last heard of idle: only fresh reports
-        # count, unless no backend answers probes.
+        # Guards against filling crowded backends last heard of idle: reports must be fresh while any come.
         heard = self.asks and now - self.heard_at < SECOND
         stale = 20 if asking else self.slot / 2 if heard else inf
         best, best_time = None, inf
@@ -571,8 +557,8 @@
         backend.total += time
         self.failing += (failed - self.failing) * 0.02
         backend.judge(failed, self.failing)
-        out = sum(1 for b in self.usable if now < b.out_until)
-        if backend.doubt >= EJECT and now >= backend.out_until and out < len(self.usable) // 2:
+        most_out = sum(now < b.out_until for b in self.usable) >= len(self.usable) // 2
+        if backend.doubt >= EJECT and now >= backend.out_until and not most_out:
             away = int(backend.away * (0.75 + 0.5 * self.chance.uniform()))
             backend.out_until, backend.away = now + away, min(backend.away * 3 // 2, AWAY_MOST)
             backend.doubt = EJECT - 1.0
