--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -304,8 +304,7 @@
             self.host.wake(SECOND, "tick")
             self.tick(now)
             return
-        if now >= self.woken_for:
-            self.woken_for = 0
+        self.woken_for = self.woken_for if now < self.woken_for else 0
         while self.due and self.due[0][0] <= now:
             _, _, act, what = heappop(self.due)
             act(now, what)
