Where reports are asked for, only a nearly idle backend takes its turn at once

Cause: with a high solved time the first backend in the rotation was taken with two exchanges in hand while another asked was idle.

--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -500,7 +500,7 @@
             if still or len(backend.out) > most or now - backend.held_at > stale:
                 continue
             time, cost = self.expected(backend, now), backend.cost
-            if time <= min(max(self.equal_time - cost, 1.5 * self.slot), bound):
+            if time <= min(max(0.0 if self.asks else self.equal_time - cost, 1.5 * self.slot), bound):
                 best = backend
                 break
             if not asking and time <= bound and time + cost < best_time:
