Ask the backends longest unheard of when asking again; take idle ones at once

A held exchange asked the same four crowded backends at the front of the rotation each time, and with heavy exchanges about even an idle backend was foretold too late. Told from a real lack of room by reported util of 0.5 to 0.7 while 46% was shed.

--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -359,7 +359,10 @@
 
     def ask(self, now: int, xchg: Exchange) -> None:
         xchg.asked += 1
-        for backend in self.turns(now, xchg)[: self.asks]:
+        fit = self.turns(now, xchg)
+        if xchg.asked > 1:  # guards against asking the same crowded few while others, long unheard of, are idle
+            fit.sort(key=lambda b: b.held_at)
+        for backend in fit[: self.asks]:
             if not backend.probe_at and now - backend.held_at > 20:
                 backend.probe_at = now
                 self.probes_out += 1
@@ -500,7 +503,10 @@
             if still or len(backend.out) > most or now - backend.held_at > stale:
                 continue
             time, cost = self.expected(backend, now), backend.cost
-            if time <= min(max(0.0 if self.asks else self.equal_time - cost, 1.5 * self.slot), bound):
+            # Guards against refusing what idle backends could do, since heavy exchanges look like slowness.
+            idle = heard and self.ahead(backend, now) < 0.5 and left > 0.3 * xchg.route.objective
+            near = max(0.0 if self.asks else self.equal_time - cost, 1.5 * self.slot)
+            if idle or time <= min(near, bound):
                 best = backend
                 break
             if not asking and time <= bound and time + cost < best_time:
