--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -49,7 +49,7 @@
         self.points: list[list[float]] = []  # [rate, response time, samples, when]
         self.window_from, self.sent, self.count, self.total = now, 0, 0, 0.0
         self.slot_time, self.slots = 0.0, 0.0  # response times, and exchanges held during them
-        self.doubt, self.out_until, self.last_answer = 0.0, 0, now  # doubt: the sequential test's sum
+        self.fails, self.doubt, self.out_until, self.last_answer = 0.0, 0.0, 0, now  # doubt: the test's sum
         self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0  # as it reports itself
         self.full_until, self.full_wait, self.warm_at, self.budget = 0, 0, 0, 1.0
         self.recent: deque[int] = deque()  # sends while cold
@@ -163,7 +163,7 @@
         self.exchanges: dict[int, Exchange] = {}
         self.usable, self.held, self.due = [], [], []
         self.due_seq, self.woken_for = 0, 0
-        self.failing = 0.02  # share of the fleet's tries that fail
+        self.failing = 0.0  # share of its tries that the median backend fails
         self.mean_time, self.slot = self.objective / 3.0, self.objective / 4.0
         self.demand, self.arrivals, self.equal_time = 0.0, 0, float(self.objective)
         self.sheds, self.shedding, self.list_failures, self.ask_again = 0, False, 0, 0
@@ -213,6 +213,8 @@
             backend.cost = 2.0 * self.crossing * self.objective * (backend.location != self.location)
             if backend.rate and now >= backend.warm_at + warm:
                 rates.setdefault(backend.kind, []).append(backend.rate)
+        # Guards against a few sick backends passing for what is usual: the fleet's share is the median one.
+        self.failing = sorted([b.fails for b in self.usable] or [0.0])[len(self.usable) // 2]
         usual = {kind: sum(found) / len(found) for kind, found in rates.items()}
         least = min(usual.values(), default=self.demand / max(len(self.usable), 1))
         for backend in self.usable:
@@ -360,7 +362,7 @@
     def ask(self, now: int, xchg: Exchange) -> None:
         xchg.asked += 1
         fit = self.turns(now, xchg)
-        if xchg.asked > 1:  # guards against asking the same crowded few while others, long unheard of, are idle
+        if xchg.asked > 1:  # guards against asking the same crowded few while others are idle and unheard of
             fit.sort(key=lambda b: b.held_at)
         for backend in fit[: self.asks]:
             if not backend.probe_at and now - backend.held_at > 20:
@@ -560,7 +562,7 @@
         backend = upstream.backend
         backend.count += 1
         backend.total += time
-        self.failing += (failed - self.failing) * 0.02
+        backend.fails += (failed - backend.fails) * 0.2
         backend.judge(failed, self.failing)
         most_out = sum(now < b.out_until for b in self.usable) >= len(self.usable) // 2
         if backend.doubt >= EJECT and now >= backend.out_until and not most_out:
