--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -19,6 +19,7 @@
 FLOOR_SHARE = 0.2  # of an even share
 PRIOR = 3.0  # samples' worth of the fleet's mean that every measured mean is blended with
 EJECT, TRIAL = 6.0, 3.0  # sums of the sequential test: over the first out, over the second one try at a time
+CROWD = 4.0
 AWAY, AWAY_MOST = 2 * SECOND, 8 * SECOND
 
 
@@ -47,6 +48,7 @@
     def forget(self, now: int) -> None:
         """A new or restarted process: nothing measured before holds for it."""
         self.points: list[list[float]] = []  # [rate, response time, samples, when]
+        self.line: list[tuple[float, float]] = []
         self.window_from, self.sent, self.count, self.total = now, 0, 0, 0.0
         self.slot_time, self.slots = 0.0, 0.0  # response times, and exchanges held during them
         self.fails, self.doubt, self.out_until, self.last_answer = 0.0, 0.0, 0, now  # doubt: the test's sum
@@ -508,10 +510,12 @@
             # Guards against refusing what idle backends could do, since heavy exchanges look like slowness.
             idle = heard and self.ahead(backend, now) < 0.5 and left > 0.3 * xchg.route.objective
             near = max(0.0 if self.asks else self.equal_time - cost, 1.5 * self.slot)
-            if idle or time <= min(near, bound):
+            # Guards against crowding a backend until it turns slower: a few times its idle time is enough.
+            room = min(bound, CROWD * backend.line[0][1]) if backend.line else bound
+            if idle or time <= min(near, room):
                 best = backend
                 break
-            if not asking and time <= bound and time + cost < best_time:
+            if not asking and time <= room and time + cost < best_time:
                 best, best_time = backend, time + cost
         if best is not None:
             for backend in fit:
