Fill a backend up to four times its idle time only where this node has a try out already

Cause: the bound in time alone lets queues grow to the objective, where backends thrash or turn slower.

--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -511,7 +511,7 @@
             idle = heard and self.ahead(backend, now) < 0.5 and left > 0.3 * xchg.route.objective
             near = max(0.0 if self.asks else self.equal_time - cost, 1.5 * self.slot)
             # Guards against crowding a backend until it turns slower: a few times its idle time is enough.
-            room = min(bound, CROWD * backend.line[0][1]) if backend.line else bound
+            room = min(bound, CROWD * backend.line[0][1]) if backend.line and backend.out else bound
             if idle or time <= min(near, room):
                 best = backend
                 break
