--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -491,8 +491,10 @@
         return time
 
     def pick(self, now: int, xchg: Exchange) -> Backend | None:
-        fit = self.turns(now, xchg)
-        left = xchg.aim_at - now
+        # Guards against all nodes together crowding the fleet in a burst, each with little out anywhere.
+        if sum(len(b.out) for b in self.usable) >= max(CROWD * len(self.usable) / self.nodes, 2.0):
+            return None
+        fit, left = self.turns(now, xchg), xchg.aim_at - now
         share = 0.35 if xchg.surplus else 0.6 + 0.3 * xchg.route.value / self.top_value
         bound = share * left if left > 0 else 0.3 * xchg.route.objective
         most = max(2.0, 2.0 * sum(len(b.out) for b in fit) / len(fit)) if fit else 0.0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -100,3 +100,11 @@
         waits.append(backend.full_until - NOW)
     assert waits == sorted(waits)
     assert waits[-1] > 4 * waits[0]
+
+
+@pytest.mark.parametrize(("nodes", "most"), [(1, 16), (4, 4)])
+def test_a_node_keeps_only_its_part_of_the_fleets_room_out(nodes, most):
+    made, host = node([listed(n) for n in "abcd"], nodes=nodes, routes__0__latency_objective=80_000)
+    for ident in range(60):
+        made.on_exchange(NOW, ident, 0, 0, 80_000, False)
+    assert len(host.take("send")) <= most
