--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -15,11 +15,10 @@
 SECOND = 10_000
 WINDOW, WINDOW_MOST = 2 * SECOND, 8 * SECOND  # a profile window is lengthened until it holds SAMPLES
 SAMPLES, POINTS, POINT_LIFE = 4, 8, 30 * SECOND
-SPREAD = 4.0
+SPREAD, CROWD = 4.0, 4.0
 FLOOR_SHARE = 0.2  # of an even share
 PRIOR = 3.0  # samples' worth of the fleet's mean that every measured mean is blended with
 EJECT, TRIAL = 6.0, 3.0  # sums of the sequential test: over the first out, over the second one try at a time
-CROWD = 4.0
 AWAY, AWAY_MOST = 2 * SECOND, 8 * SECOND
 
 
@@ -33,8 +32,6 @@
 
 
 class Backend:
-    """One backend as this node knows it: how it is listed, its profile, its health, what is out to it."""
-
     def __init__(self, listed: Listed, now: int) -> None:
         self.name, self.out, self.away = listed.name, [], AWAY
         self.credit = self.share = self.cost = 0.0
@@ -48,7 +45,7 @@
     def forget(self, now: int) -> None:
         """A new or restarted process: nothing measured before holds for it."""
         self.points: list[list[float]] = []  # [rate, response time, samples, when]
-        self.line: list[tuple[float, float]] = []
+        self.idle = inf
         self.window_from, self.sent, self.count, self.total = now, 0, 0, 0.0
         self.slot_time, self.slots = 0.0, 0.0  # response times, and exchanges held during them
         self.fails, self.doubt, self.out_until, self.last_answer = 0.0, 0.0, 0, now  # doubt: the test's sum
@@ -84,6 +81,7 @@
                 blended[-2:] = [((r0 * n0 + r1 * n1) / both, (t0 * n0 + t1 * n1) / both, both)]
         rate, time, _ = blended[0]
         self.line = [(0.0, time / (1 + rate * time / SECOND / cores))] + [(r, t) for r, t, _ in blended]
+        self.idle = max(self.line[0][1], 0.4 * time)  # where there are more cores, the first says too little
 
     def rate_at(self, time: float) -> float:
         line = self.line
@@ -116,9 +114,7 @@
         self.objective = get("latency_objective", 0) or int(0.8 * self.timeout)
 
 
-class Customer:
-    """A customer's share at this node, as a bucket that fills at the share's rate."""
-
+class Customer:  # its share at this node, as a bucket that fills at the share's rate
     def __init__(self, rate: float) -> None:
         self.rate, self.tokens, self.at = rate, 0.0, -WINDOW_MOST
 
@@ -167,7 +163,7 @@
         self.due_seq, self.woken_for = 0, 0
         self.failing = 0.0  # share of its tries that the median backend fails
         self.mean_time, self.slot = self.objective / 3.0, self.objective / 4.0
-        self.demand, self.arrivals, self.equal_time = 0.0, 0, float(self.objective)
+        self.demand, self.arrivals, self.equal_time, self.part = 0.0, 0, float(self.objective), inf
         self.sheds, self.shedding, self.list_failures, self.ask_again = 0, False, 0, 0
         if get("discovery", "pushed") == "on_request":
             host.subscribe()
@@ -188,13 +184,12 @@
             return True
         if route.semantics != "deduped" or now + 10 >= ran[0].sent_at + route.window:
             return False
-        first = ran[0].backend
-        return group == "all" or getattr(backend, group, None) == getattr(first, group, self)
+        return group == "all" or getattr(backend, group, None) == getattr(ran[0].backend, group, self)
 
     def may_shed(self, xchg: Exchange) -> bool:
-        kind = xchg.route.semantics, xchg.route.group
-        harmless = kind[0] == "retriable" or kind == ("deduped", "all")
-        return harmless or all(t.outcome in NEVER_RAN for t in xchg.tries)
+        kind, group = xchg.route.semantics, xchg.route.group
+        return (kind == "retriable" or (kind == "deduped" and group == "all")
+                or all(t.outcome in NEVER_RAN for t in xchg.tries))  # fmt: skip
 
     def cold_allows(self, backend: Backend, now: int) -> bool:
         """A cold backend's budget of sends for this node, over any window in which it could fall over."""
@@ -234,8 +229,7 @@
             self.arrivals += 1
         elif grace < route.usual_grace:
             aim_at -= route.timeout - grace  # the client's earlier tries have used up part of its objective
-        known = customer_no < len(self.customers)
-        surplus = known and not self.customers[customer_no].within(now, again)
+        surplus = customer_no < len(self.customers) and not self.customers[customer_no].within(now, again)
         xchg = self.exchanges[ident] = Exchange(ident, route, now, now + grace, aim_at, surplus)
         self.at(xchg.deadline - self.settings.get("tick", 10), self.give_up, xchg)
         self.place(now, xchg)
@@ -255,10 +249,7 @@
         if over or xchg.over:
             self.finish(xchg)
         elif not any(t.outcome is None for t in xchg.tries):
-            if now >= xchg.aim_at:
-                self.give_up(now, xchg)
-            else:
-                self.place(now, xchg)
+            (self.give_up if now >= xchg.aim_at else self.place)(now, xchg)
         self.drain(now)
 
     def on_probe_ended(self, now: int, name: str, outcome: Outcome, elapsed: int, load: Load | None) -> None:
@@ -305,9 +296,7 @@
 
     def on_wake(self, now: int, tag: str) -> None:
         if tag == "tick":
-            self.host.wake(SECOND, "tick")
-            self.tick(now)
-            return
+            return self.tick(now)
         self.woken_for = self.woken_for if now < self.woken_for else 0
         while self.due and self.due[0][0] <= now:
             _, _, act, what = heappop(self.due)
@@ -324,6 +313,7 @@
             self.host.wake(self.woken_for - now, "due")
 
     def tick(self, now: int) -> None:
+        self.host.wake(SECOND, "tick")
         if self.list_failures and now >= self.ask_again:
             self.ask_again = now + 20 * SECOND
             self.host.subscribe()
@@ -363,9 +353,8 @@
 
     def ask(self, now: int, xchg: Exchange) -> None:
         xchg.asked += 1
-        fit = self.turns(now, xchg)
-        if xchg.asked > 1:  # guards against asking the same crowded few while others are idle and unheard of
-            fit.sort(key=lambda b: b.held_at)
+        # Guards against asking the same crowded few again while others are idle and unheard of.
+        fit = sorted(self.turns(now, xchg), key=lambda b: b.held_at * (xchg.asked > 1))
         for backend in fit[: self.asks]:
             if not backend.probe_at and now - backend.held_at > 20:
                 backend.probe_at = now
@@ -374,10 +363,8 @@
 
     def settle(self, now: int, xchg: Exchange) -> None:
         """The backends asked have answered or will not: choose by what is known, or ask others in a while."""
-        if not xchg.held:
-            return
         xchg.settled = True
-        if not self.try_send(now, xchg) and xchg.asked < 4:
+        if xchg.held and not self.try_send(now, xchg) and xchg.asked < 4:
             self.ask(now, xchg)
             self.at(now + int(self.slot / 4) + 10, self.settle, xchg)
 
@@ -418,7 +405,6 @@
         self.finish(xchg)
 
     def finish(self, xchg: Exchange) -> None:
-        """It has its answer: call off what is out, and drop it when the last outcome is in."""
         out = [number for number, upstream in enumerate(xchg.tries) if upstream.outcome is None]
         if not xchg.over and self.settings.get("policy_limits.cancel") and not xchg.streaming:
             for number in out:
@@ -440,10 +426,10 @@
         self.slot = (sum(b.slot_time for b in ready) + self.objective / 4.0) / (slots + 1.0)
         solved = [b for b in ready if not b.stage]
         fastest = max((b.rate for b in solved), default=0.0) or demand / max(len(ready), 1)
-        for backend in ready:
-            if backend.stage:
-                backend.share = backend.held_rate = backend.held_rate or fastest / SPREAD
-        left = max(demand - sum(b.share for b in ready if b.stage), 0.2 * demand)
+        newcomers, self.part = [b for b in ready if b.stage], len(ready) / self.nodes
+        for backend in newcomers:
+            backend.share = backend.held_rate = backend.held_rate or fastest / SPREAD
+        left = max(demand - sum(b.share for b in newcomers), 0.2 * demand)
         if sum(1 for b in solved if b.points) < 2:
             whole = sum(b.weight for b in solved) or 1.0
             for backend in solved:
@@ -457,6 +443,8 @@
             enough = sum(b.rate_at(middle - b.cost) for b in solved) >= left
             low, high = (low, middle) if enough else (middle, high)
         self.equal_time = high
+        # This node's part of the fleet's cores: at one a backend, or by what they are seen to work at once.
+        self.part = max(self.part, sum(b.rate * b.idle for b in solved) / SECOND)
         for backend in solved:
             floor = FLOOR_SHARE * left / len(solved) / (1 + 4 * backend.cost / self.mean_time)
             rate = max(backend.rate_at(high - backend.cost), floor)
@@ -492,7 +480,7 @@
 
     def pick(self, now: int, xchg: Exchange) -> Backend | None:
         # Guards against all nodes together crowding the fleet in a burst, each with little out anywhere.
-        if sum(len(b.out) for b in self.usable) >= max(CROWD * len(self.usable) / self.nodes, 2.0):
+        if sum(len(b.out) for b in self.usable) >= max(CROWD * self.part, 2.0):
             return None
         fit, left = self.turns(now, xchg), xchg.aim_at - now
         share = 0.35 if xchg.surplus else 0.6 + 0.3 * xchg.route.value / self.top_value
@@ -511,9 +499,9 @@
             time, cost = self.expected(backend, now), backend.cost
             # Guards against refusing what idle backends could do, since heavy exchanges look like slowness.
             idle = heard and self.ahead(backend, now) < 0.5 and left > 0.3 * xchg.route.objective
-            near = max(0.0 if self.asks else self.equal_time - cost, 1.5 * self.slot)
+            near = 1.5 * self.slot if self.asks else max(self.equal_time - cost, 1.5 * self.slot)
             # Guards against crowding a backend until it turns slower: a few times its idle time is enough.
-            room = min(bound, CROWD * backend.line[0][1]) if backend.line and backend.out else bound
+            room = min(bound, CROWD * backend.idle) if backend.out else bound
             if idle or time <= min(near, room):
                 best = backend
                 break
