Let the caps on crowding act only once backends take a fifth of the objective per exchange

So that quick backends with many cores are not held to four exchanges each. Backends with several cores and long work are still held to four each.

--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -81,7 +81,7 @@
                 blended[-2:] = [((r0 * n0 + r1 * n1) / both, (t0 * n0 + t1 * n1) / both, both)]
         rate, time, _ = blended[0]
         self.line = [(0.0, time / (1 + rate * time / SECOND / cores))] + [(r, t) for r, t, _ in blended]
-        self.idle = max(self.line[0][1], 0.4 * time)  # where there are more cores, the first says too little
+        self.idle = self.line[0][1]
 
     def rate_at(self, time: float) -> float:
         line = self.line
@@ -157,14 +157,12 @@
         useful = get("policy_limits.probes", False) and "inflight" in get("feedback.fields", ())
         self.asks = min(int(0.01 / max(get("prices.probe", 0.0), 1e-6)), 4) if useful else 0
         self.probes_out, self.probe_trip, self.heard_at = 0, 10.0, -SECOND
-        self.backends: dict[str, Backend] = {}
-        self.exchanges: dict[int, Exchange] = {}
-        self.usable, self.held, self.due = [], [], []
+        self.backends, self.exchanges, self.usable, self.held, self.due = {}, {}, [], [], []
         self.due_seq, self.woken_for = 0, 0
         self.failing = 0.0  # share of its tries that the median backend fails
         self.mean_time, self.slot = self.objective / 3.0, self.objective / 4.0
-        self.demand, self.arrivals, self.equal_time, self.part = 0.0, 0, float(self.objective), inf
-        self.sheds, self.shedding, self.list_failures, self.ask_again = 0, False, 0, 0
+        self.demand, self.arrivals, self.equal_time = 0.0, 0, float(self.objective)
+        self.sheds, self.shedding, self.list_failures, self.ask_again, self.most_out = 0, False, 0, 0, inf
         if get("discovery", "pushed") == "on_request":
             host.subscribe()
         host.wake(SECOND, "tick")
@@ -426,7 +424,8 @@
         self.slot = (sum(b.slot_time for b in ready) + self.objective / 4.0) / (slots + 1.0)
         solved = [b for b in ready if not b.stage]
         fastest = max((b.rate for b in solved), default=0.0) or demand / max(len(ready), 1)
-        newcomers, self.part = [b for b in ready if b.stage], len(ready) / self.nodes
+        newcomers = [b for b in ready if b.stage]
+        self.most_out = max(CROWD * len(ready) / self.nodes, 2.0) if self.slot > 0.2 * self.objective else inf
         for backend in newcomers:
             backend.share = backend.held_rate = backend.held_rate or fastest / SPREAD
         left = max(demand - sum(b.share for b in newcomers), 0.2 * demand)
@@ -443,8 +442,6 @@
             enough = sum(b.rate_at(middle - b.cost) for b in solved) >= left
             low, high = (low, middle) if enough else (middle, high)
         self.equal_time = high
-        # This node's part of the fleet's cores: at one a backend, or by what they are seen to work at once.
-        self.part = max(self.part, sum(b.rate * b.idle for b in solved) / SECOND)
         for backend in solved:
             floor = FLOOR_SHARE * left / len(solved) / (1 + 4 * backend.cost / self.mean_time)
             rate = max(backend.rate_at(high - backend.cost), floor)
@@ -480,7 +477,7 @@
 
     def pick(self, now: int, xchg: Exchange) -> Backend | None:
         # Guards against all nodes together crowding the fleet in a burst, each with little out anywhere.
-        if sum(len(b.out) for b in self.usable) >= max(CROWD * self.part, 2.0):
+        if sum(len(b.out) for b in self.usable) >= self.most_out:
             return None
         fit, left = self.turns(now, xchg), xchg.aim_at - now
         share = 0.35 if xchg.surplus else 0.6 + 0.3 * xchg.route.value / self.top_value
@@ -501,16 +498,15 @@
             idle = heard and self.ahead(backend, now) < 0.5 and left > 0.3 * xchg.route.objective
             near = 1.5 * self.slot if self.asks else max(self.equal_time - cost, 1.5 * self.slot)
             # Guards against crowding a backend until it turns slower: a few times its idle time is enough.
-            room = min(bound, CROWD * backend.idle) if backend.out else bound
+            room = min(bound, max(CROWD * backend.idle, 0.2 * self.objective)) if backend.out else bound
             if idle or time <= min(near, room):
                 best = backend
                 break
             if not asking and time <= room and time + cost < best_time:
                 best, best_time = backend, time + cost
-        if best is not None:
-            for backend in fit:
-                backend.credit += backend.share
-                best.credit -= backend.share
+        for backend in fit if best is not None else ():
+            backend.credit += backend.share
+            best.credit -= backend.share
         return best
 
     # ---- newcomers
