--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -340,7 +340,7 @@
         if not xchg.held:
             xchg.held = True
             insort(self.held, xchg, key=lambda x: x.order)
-            patience = 0.05 if xchg.surplus else 0.45
+            patience = 0.05 if xchg.surplus else 0.3
             until = min(now + int(patience * xchg.route.objective), xchg.aim_at)
             self.at(until, lambda at, x: x.held and self.give_up(at, x), xchg)
             if self.asks and not xchg.asked:
