Probe an ejected backend before it gets another exchange; tests of the decisions

A test found that a newcomer listed before any rate was known kept a first rate near zero; it now follows the fastest.

--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -44,8 +44,7 @@
 
     def forget(self, now: int) -> None:
         """A new or restarted process: nothing measured before holds for it."""
-        self.points: list[list[float]] = []  # [rate, response time, samples, when]
-        self.idle = inf
+        self.points, self.line = [], [(0.0, inf)]  # points: [rate, response time, samples, when]
         self.window_from, self.sent, self.count, self.total = now, 0, 0, 0.0
         self.slot_time, self.slots = 0.0, 0.0  # response times, and exchanges held during them
         self.fails, self.doubt, self.out_until, self.last_answer = 0.0, 0.0, 0, now  # doubt: the test's sum
@@ -81,7 +80,6 @@
                 blended[-2:] = [((r0 * n0 + r1 * n1) / both, (t0 * n0 + t1 * n1) / both, both)]
         rate, time, _ = blended[0]
         self.line = [(0.0, time / (1 + rate * time / SECOND / cores))] + [(r, t) for r, t, _ in blended]
-        self.idle = self.line[0][1]
 
     def rate_at(self, time: float) -> float:
         line = self.line
@@ -131,9 +129,8 @@
     def __init__(self, ident: int, route: Route, now: int, deadline: int, aim_at: int, surplus: bool) -> None:
         self.id, self.route, self.deadline, self.aim_at = ident, route, deadline, aim_at
         self.surplus, self.held, self.over, self.streaming = surplus, False, False, False
-        self.asked, self.settled = 0, False
+        self.asked, self.settled, self.order = 0, False, (surplus, -route.value, now, ident)
         self.tries: list[UpstreamTry] = []
-        self.order = (surplus, -route.value, now, ident)
 
 
 class UpstreamTry:
@@ -149,9 +146,8 @@
         self.routes = [Route(settings, i) for i in range(get("routes.count", 1))]
         quotas = [get(f"customers.{i}.quota_per_s", 0.0) for i in range(get("customers.count", 0))]
         self.customers = [Customer(quota / self.nodes) for quota in quotas]
-        self.objective = min(r.objective for r in self.routes)
+        self.objective, self.crossing = min(r.objective for r in self.routes), get("prices.cross_zone", 0.0)
         self.top_value = max(r.value for r in self.routes)
-        self.crossing = get("prices.cross_zone", 0.0)
         self.advice = get("policy_limits.max_retry_after", 0) // 2 if get("policy_limits.retry_after") else 0
         # Asking backends before a send pays where they report their load and a probe costs little.
         useful = get("policy_limits.probes", False) and "inflight" in get("feedback.fields", ())
@@ -159,8 +155,7 @@
         self.probes_out, self.probe_trip, self.heard_at = 0, 10.0, -SECOND
         self.backends, self.exchanges, self.usable, self.held, self.due = {}, {}, [], [], []
         self.due_seq, self.woken_for = 0, 0
-        self.failing = 0.0  # share of its tries that the median backend fails
-        self.mean_time, self.slot = self.objective / 3.0, self.objective / 4.0
+        self.failing, self.mean_time, self.slot = 0.0, self.objective / 3.0, self.objective / 4.0
         self.demand, self.arrivals, self.equal_time = 0.0, 0, float(self.objective)
         self.sheds, self.shedding, self.list_failures, self.ask_again, self.most_out = 0, False, 0, 0, inf
         if get("discovery", "pushed") == "on_request":
@@ -190,13 +185,12 @@
                 or all(t.outcome in NEVER_RAN for t in xchg.tries))  # fmt: skip
 
     def cold_allows(self, backend: Backend, now: int) -> bool:
-        """A cold backend's budget of sends for this node, over any window in which it could fall over."""
         while backend.recent and backend.recent[0] < now - self.settings.get("rules.overload_for", SECOND):
             backend.recent.popleft()
         return len(backend.recent) < backend.budget
 
     def note_usable(self, now: int) -> None:
-        """The backends that may get work; cold ones' budgets, by what warm ones of their kind usually get."""
+        """Backends that may get work; cold ones' budgets, by what warm ones of their kind usually get."""
         get = self.settings.get
         warm, start = get("rules.warm_within", 0), get("rules.cold_from", 0.1)
         push = 0.5 * get("rules.fall_multiple", 1.0) * get("rules.overload_for", SECOND) / SECOND
@@ -255,6 +249,9 @@
         if (backend := self.backends.get(name)) is None:
             return
         backend.probe_at = 0
+        if now < backend.out_until:
+            backend.out_until = now if outcome == Outcome.COMPLETED else now + backend.away
+            self.at(backend.out_until, lambda at, b: outcome and self.look_again(at, b), backend)
         if outcome == Outcome.COMPLETED and load is not None and load.inflight is not None:
             backend.held, backend.held_at, self.heard_at = load.inflight, now, now
             self.probe_trip += (elapsed - self.probe_trip) * 0.05
@@ -336,7 +333,6 @@
     # ---- admission and holding
 
     def place(self, now: int, xchg: Exchange) -> None:
-        """Send it, or hold it for a short while until some backend has room for it in time."""
         if not xchg.held:
             xchg.held = True
             insort(self.held, xchg, key=lambda x: x.order)
@@ -355,12 +351,13 @@
         fit = sorted(self.turns(now, xchg), key=lambda b: b.held_at * (xchg.asked > 1))
         for backend in fit[: self.asks]:
             if not backend.probe_at and now - backend.held_at > 20:
-                backend.probe_at = now
-                self.probes_out += 1
-                self.host.probe(backend.name)
+                self.probe(now, backend)
+
+    def probe(self, now: int, backend: Backend) -> None:
+        backend.probe_at, self.probes_out = now, self.probes_out + 1
+        self.host.probe(backend.name)
 
     def settle(self, now: int, xchg: Exchange) -> None:
-        """The backends asked have answered or will not: choose by what is known, or ask others in a while."""
         xchg.settled = True
         if xchg.held and not self.try_send(now, xchg) and xchg.asked < 4:
             self.ask(now, xchg)
@@ -427,12 +424,11 @@
         newcomers = [b for b in ready if b.stage]
         self.most_out = max(CROWD * len(ready) / self.nodes, 2.0) if self.slot > 0.2 * self.objective else inf
         for backend in newcomers:
-            backend.share = backend.held_rate = backend.held_rate or fastest / SPREAD
+            backend.share = backend.held_rate or fastest / SPREAD
         left = max(demand - sum(b.share for b in newcomers), 0.2 * demand)
         if sum(1 for b in solved if b.points) < 2:
-            whole = sum(b.weight for b in solved) or 1.0
             for backend in solved:
-                backend.share = left * backend.weight / whole
+                backend.share = left * backend.weight / (sum(b.weight for b in solved) or 1.0)
             return
         for backend in solved:
             backend.curve(demand / len(ready), self.mean_time, 1.0 / self.nodes, now)
@@ -450,7 +446,6 @@
     # ---- rotation
 
     def turns(self, now: int, xchg: Exchange) -> list[Backend]:
-        """Backends this exchange may go to now, in the order of the smooth weighted rotation."""
         fit = [b for b in self.usable
                if now >= b.out_until and now >= b.full_until and not (b.doubt > TRIAL and b.out)
                and (now >= b.warm_at or self.cold_allows(b, now))]  # fmt: skip
@@ -498,7 +493,7 @@
             idle = heard and self.ahead(backend, now) < 0.5 and left > 0.3 * xchg.route.objective
             near = 1.5 * self.slot if self.asks else max(self.equal_time - cost, 1.5 * self.slot)
             # Guards against crowding a backend until it turns slower: a few times its idle time is enough.
-            room = min(bound, max(CROWD * backend.idle, 0.2 * self.objective)) if backend.out else bound
+            room = min(bound, max(CROWD * backend.line[0][1], 0.2 * self.objective)) if backend.out else bound
             if idle or time <= min(near, room):
                 best = backend
                 break
@@ -548,6 +543,12 @@
             backend.full_wait = min(max(2 * backend.full_wait, int(self.slot)), 2 * SECOND)
             backend.full_until = now + backend.full_wait
 
+    def look_again(self, now: int, backend: Backend) -> None:
+        # Guards against spending exchanges on backends dead or cut off: where it may, a probe goes first.
+        if self.settings.get("policy_limits.probes") and not backend.probe_at:
+            backend.out_until = now + AWAY_MOST
+            self.probe(now, backend)
+
     def verdict(self, now: int, upstream: UpstreamTry, failed: bool, time: int) -> None:
         backend = upstream.backend
         backend.count += 1
@@ -559,6 +560,7 @@
             away = int(backend.away * (0.75 + 0.5 * self.chance.uniform()))
             backend.out_until, backend.away = now + away, min(backend.away * 3 // 2, AWAY_MOST)
             backend.doubt = EJECT - 1.0
+            self.at(backend.out_until, self.look_again, backend)
             self.host.log(f"out {backend.name}: {len(backend.out)} unanswered, fleet fails"
                           f" {self.failing:.0%}, back in {away / SECOND:.1f} s")  # fmt: skip
         elif not failed and backend.doubt == 0.0 and backend.away > AWAY:
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,148 @@
+import pytest
+from helpers import SECOND, listed, node
+
+from basalthoist.decisions.host import Load, Outcome
+from basalthoist.decisions.policy import EJECT, Backend, Exchange, Lcg, UpstreamTry
+
+NOW = 100 * SECOND
+
+
+def profiled(name, *points):
+    backend = Backend(listed(name), NOW)
+    backend.points = [[rate, time, 1000.0, NOW] for rate, time in points]
+    return backend
+
+
+def test_chance_is_the_same_for_the_same_seed():
+    assert [Lcg(5).uniform() for _ in range(3)] == [Lcg(5).uniform()] * 3
+    assert Lcg(5).uniform() != Lcg(6).uniform()
+
+
+@pytest.mark.parametrize(
+    ("fast", "slow"),
+    [(([10, 400], [20, 800]), ([10, 800], [20, 1600])), (([5, 300], [30, 900]), ([5, 500], [12, 900]))],
+)
+def test_the_solve_gives_equal_times_that_sum_to_the_demand(fast, slow):
+    made, _ = node([listed("a"), listed("b")], nodes=1)
+    made.backends["a"].points = profiled("a", *fast).points
+    made.backends["b"].points = profiled("b", *slow).points
+    made.demand = 30.0
+    made.solve(NOW)
+    a, b = made.backends["a"], made.backends["b"]
+    for backend in (a, b):  # shares move half-way each time; the rate at the solved time is where they go
+        assert backend.rate_at(made.equal_time) > 0
+    assert a.rate_at(made.equal_time) + b.rate_at(made.equal_time) == pytest.approx(30.0, rel=0.01)
+    assert a.rate_at(made.equal_time) > b.rate_at(made.equal_time)
+
+
+def test_a_profile_never_falls_with_the_rate():
+    backend = profiled("a", (5, 900), (10, 500), (20, 700))
+    backend.curve(10.0, 600.0, 1.0, NOW)
+    times = [time for _, time in backend.line]
+    assert times == sorted(times)
+
+
+def test_even_shares_or_the_lists_weights_before_two_profiles():
+    made, _ = node([listed("a", weight=1.0), listed("b", weight=3.0)])
+    assert made.backends["b"].share == pytest.approx(3 * made.backends["a"].share)
+
+
+def test_rotation_follows_the_shares():
+    made, host = node([listed("a"), listed("b")])
+    made.backends["a"].share, made.backends["b"].share = 3.0, 1.0
+    sent = []
+    for ident in range(40):
+        made.on_exchange(NOW, ident, 0, 0, 8000, False)
+        sent += [c[2] for c in host.take("send")]
+        made.on_try_ended(NOW, ident, 0, Outcome.COMPLETED, 1, True, None)
+    assert sent.count("a") == pytest.approx(30, abs=1)
+
+
+def test_a_newcomer_starts_at_the_fastest_rate_over_the_spread_and_steps_up():
+    made, host = node([listed("a"), listed("b"), listed("new", started=NOW - 10)])
+    made.backends["a"].rate = 8.0
+    made.solve(NOW)
+    new = made.backends["new"]
+    assert (new.stage, new.share) == (1, 2.0)
+    new.points = [[2.0, 400.0, 4.0, NOW]]
+    made.step(new)
+    assert new.stage == 2
+    assert new.held_rate == 8.0  # never over the fastest, however quick its first answers were
+    made.step(new)
+    assert new.stage == 0
+
+
+@pytest.mark.parametrize(
+    ("others_fail", "outcomes", "ejected"),
+    [
+        (0.0, [True, True], True),
+        (0.0, [True, False, False, False, False, False, False], False),
+        (0.8, [True] * 4, False),  # all fail together: nothing is usual about this one
+    ],
+)
+def test_sequential_test_on_outcomes(others_fail, outcomes, ejected):
+    backend = Backend(listed("a"), NOW)
+    for failed in outcomes:
+        backend.judge(failed, others_fail)
+    assert (backend.doubt >= EJECT) is ejected
+
+
+def test_a_few_sick_backends_do_not_make_failing_usual():
+    made, _ = node([listed(n) for n in "abcde"])
+    made.backends["a"].fails = made.backends["b"].fails = 0.9
+    made.note_usable(NOW)
+    assert made.failing == 0.0
+
+
+def test_silence_counts_as_failure_and_a_probe_goes_before_the_next_exchange():
+    made, host = node([listed("a"), listed("b")], policy_limits__probes=True)
+    backend = made.backends["a"]
+    silent = Exchange(1, made.routes[0], NOW, NOW + 8000, NOW + 3000, False)
+    for _ in range(3):
+        made.check_overdue(NOW + 1, UpstreamTry(silent, backend, NOW + 1, 0.0))
+    assert backend.out_until > NOW
+    host.take()
+    made.look_again(backend.out_until, backend)
+    assert host.take("probe") == [("probe", "a")]
+    back = backend.out_until - 1
+    made.on_probe_ended(back, "a", Outcome.TIMED_OUT, 2500, None)
+    assert backend.out_until > back
+    made.on_probe_ended(back, "a", Outcome.COMPLETED, 10, None)
+    assert backend.out_until == back
+
+
+def asking(names, **kw):
+    return node([listed(n) for n in names], policy_limits__probes=True, feedback__fields=["inflight"],
+                prices__probe=0.005, **kw)  # fmt: skip
+
+
+def test_held_exchanges_ask_others_than_the_crowded_few():
+    made, host = asking("abcd")
+    made.on_exchange(NOW, 1, 0, 0, 8000, False)
+    first = [c[1] for c in host.take("probe")]
+    for name in first:
+        made.on_probe_ended(NOW + 5, name, Outcome.COMPLETED, 5, Load(9.0, 8.0, 1.0))
+    made.on_wake(NOW + 50, "due")
+    made.on_wake(NOW + 400, "due")
+    second = {c[1] for c in host.take("probe")}
+    assert len(first) == 2
+    assert second == set("abcd") - set(first)
+
+
+def test_an_idle_backend_is_taken_however_slow_the_fleet_looks():
+    made, host = asking("ab")
+    made.slot = 20_000.0
+    made.on_exchange(NOW, 1, 0, 0, 8000, False)
+    name = host.take("probe")[0][1]
+    made.probes_out = 1
+    made.on_probe_ended(NOW + 5, name, Outcome.COMPLETED, 5, Load(0.0, 0.0, 0.0))
+    assert [c[2] for c in host.take("send")] == [name]
+
+
+def test_a_subscription_that_failed_is_asked_for_again():
+    made, host = node([listed("a")], discovery="on_request")
+    made.on_list_failed(NOW)
+    host.take()
+    for second in range(1, 5):
+        made.on_wake(NOW + second * SECOND, "tick")
+    assert len(host.take("subscribe")) == 1
