--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -339,7 +339,7 @@
             patience = 0.05 if xchg.surplus else 0.3
             until = min(now + int(patience * xchg.route.objective), xchg.aim_at)
             self.at(until, lambda at, x: x.held and self.give_up(at, x), xchg)
-            if self.asks and not xchg.asked and now < xchg.aim_at:
+            if self.asks and not xchg.asked:
                 self.ask(now, xchg)
                 self.at(now + int(3 * self.probe_trip) + 10, self.settle, xchg)
         self.try_send(now, xchg)
@@ -349,7 +349,7 @@
         xchg.asked += 1
         # Guards against asking the same crowded few again while others are idle and unheard of.
         fit = sorted(self.turns(now, xchg), key=lambda b: b.held_at * (xchg.asked > 1))
-        for backend in fit[: (self.asks + xchg.surplus) // (1 + xchg.surplus)]:
+        for backend in fit[: self.asks]:
             if not backend.probe_at and now - backend.held_at > 20:
                 self.probe(now, backend)
 
