--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -430,7 +430,8 @@
         newcomers = [b for b in ready if b.stage]
         # Guards against a limit that all backends share: work in hand, cores waiting. Fewer at once help.
         shared = self.busy < 0.7 and self.slot > 0.45 * self.objective
-        self.lanes = min(self.lanes, self.busy) if shared else min(1.05 * self.lanes, CROWD)
+        grown = min((1.5 if self.busy > 0.7 else 1.15) * self.lanes, CROWD)
+        self.lanes = min(self.lanes, self.busy + 0.1) if shared else grown
         most = max(self.lanes * len(ready) / self.nodes, 1.0)
         self.most_out = most if self.slot > 0.2 * self.objective else inf
         for backend in newcomers:
