--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -152,7 +152,7 @@
         # Asking backends before a send pays where they report their load and a probe costs little.
         useful = get("policy_limits.probes", False) and "inflight" in get("feedback.fields", ())
         self.asks = min(int(0.01 / max(get("prices.probe", 0.0), 1e-6)), 4) if useful else 0
-        self.probes_out, self.probe_trip, self.heard_at, self.busy, self.lanes = 0, 10.0, -SECOND, 1.0, CROWD
+        self.probes_out, self.probe_trip, self.heard_at = 0, 10.0, -SECOND
         self.backends, self.exchanges, self.usable, self.held, self.due = {}, {}, [], [], []
         self.due_seq, self.woken_for = 0, 0
         self.failing, self.mean_time, self.slot = 0.0, self.objective / 3.0, self.objective / 4.0
@@ -236,7 +236,8 @@
         if upstream in backend.out:
             backend.out.remove(upstream)
         self.measure(now, upstream, outcome, elapsed)
-        self.hear(now, backend, load)
+        if load is not None and load.inflight is not None:
+            backend.held, backend.held_at = load.inflight, now
         if over or xchg.over:
             self.finish(xchg)
         elif not any(t.outcome is None for t in xchg.tries):
@@ -251,19 +252,12 @@
         if now < backend.out_until:
             backend.out_until = now if outcome == Outcome.COMPLETED else now + backend.away
             self.at(backend.out_until, lambda at, b: outcome and self.look_again(at, b), backend)
-        if outcome == Outcome.COMPLETED and self.hear(now, backend, load):
-            self.heard_at, self.probe_trip = now, self.probe_trip + (elapsed - self.probe_trip) * 0.05
+        if outcome == Outcome.COMPLETED and load is not None and load.inflight is not None:
+            backend.held, backend.held_at, self.heard_at = load.inflight, now, now
+            self.probe_trip += (elapsed - self.probe_trip) * 0.05
         if self.probes_out <= 0:
             self.drain(now)
 
-    def hear(self, now: int, backend: Backend, load: Load | None) -> bool:
-        if load is None or load.inflight is None:
-            return False
-        backend.held, backend.held_at = load.inflight, now
-        if load.inflight >= 1 and load.util is not None:
-            self.busy += (load.util - self.busy) * 0.05
-        return True
-
     def on_exchange_gone(self, now: int, ident: int) -> None:
         if ident in self.exchanges:
             self.finish(self.exchanges[ident])
@@ -428,12 +422,7 @@
         solved = [b for b in ready if not b.stage]
         fastest = max((b.rate for b in solved), default=0.0) or demand / max(len(ready), 1)
         newcomers = [b for b in ready if b.stage]
-        # Guards against a limit that all backends share: work in hand, cores waiting. Fewer at once help.
-        shared = self.busy < 0.7 and self.slot > 0.45 * self.objective
-        grown = min((1.5 if self.busy > 0.7 else 1.15) * self.lanes, CROWD)
-        self.lanes = min(self.lanes, self.busy + 0.1) if shared else grown
-        most = max(self.lanes * len(ready) / self.nodes, 1.0)
-        self.most_out = most if self.slot > 0.2 * self.objective else inf
+        self.most_out = max(CROWD * len(ready) / self.nodes, 2.0) if self.slot > 0.2 * self.objective else inf
         for backend in newcomers:
             backend.share = backend.held_rate or fastest / SPREAD
         left = max(demand - sum(b.share for b in newcomers), 0.2 * demand)
