Put the service time in one place and drop work done twice, with the same decisions

The paper's service time stood in curve and step; the list's weights were summed again for each backend; ejected backends were counted at every outcome instead of on a suspicion; a probe that succeeded armed a wake that did nothing. The tests share one NOW.

--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -31,6 +31,10 @@
         return (self.state >> 33) / 2**31
 
 
+def service_time(rate: float, time: float, cores: float) -> float:
+    return time / (1 + rate * time / SECOND / cores)
+
+
 class Backend:
     def __init__(self, listed: Listed, now: int) -> None:
         self.name, self.out, self.away = listed.name, [], AWAY
@@ -78,18 +82,16 @@
                 (r0, t0, n0), (r1, t1, n1) = blended[-2:]
                 both = n0 + n1
                 blended[-2:] = [((r0 * n0 + r1 * n1) / both, (t0 * n0 + t1 * n1) / both, both)]
-        rate, time, _ = blended[0]
-        self.line = [(0.0, time / (1 + rate * time / SECOND / cores))] + [(r, t) for r, t, _ in blended]
+        self.line = [(0.0, service_time(*blended[0][:2], cores))] + [(r, t) for r, t, _ in blended]
 
     def rate_at(self, time: float) -> float:
-        line = self.line
-        if time <= line[0][1]:
+        if time <= self.line[0][1]:
             return 0.0
-        for (r0, t0), (r1, t1) in zip(line, line[1:], strict=False):
+        for (r0, t0), (r1, t1) in zip(self.line, self.line[1:], strict=False):
             if time <= t1:
                 return r0 + (r1 - r0) * (time - t0) / (t1 - t0) if t1 > t0 else r1
-        rate, top = line[-1]
-        slope = max((top - line[0][1]) / rate, (top - t0) / (rate - r0) if rate > r0 else 0.0, 1e-6)
+        rate, top = self.line[-1]
+        slope = max((top - self.line[0][1]) / rate, (top - t0) / (rate - r0) if rate > r0 else 0.0, 1e-6)
         return rate + (time - top) / slope
 
     def judge(self, failed: bool, usual: float) -> None:
@@ -249,9 +251,11 @@
         if (backend := self.backends.get(name)) is None:
             return
         backend.probe_at = 0
-        if now < backend.out_until:
-            backend.out_until = now if outcome == Outcome.COMPLETED else now + backend.away
-            self.at(backend.out_until, lambda at, b: outcome and self.look_again(at, b), backend)
+        if now < backend.out_until and outcome == Outcome.COMPLETED:
+            backend.out_until = now
+        elif now < backend.out_until:
+            backend.out_until = now + backend.away
+            self.at(backend.out_until, self.look_again, backend)
         if outcome == Outcome.COMPLETED and load is not None and load.inflight is not None:
             backend.held, backend.held_at, self.heard_at = load.inflight, now, now
             self.probe_trip += (elapsed - self.probe_trip) * 0.05
@@ -271,8 +275,7 @@
         self.ask_again = now + int(SECOND * min(2**self.list_failures, 8) * (0.5 + self.chance.uniform()))
 
     def on_list(self, now: int, entries: list[Listed], whole: bool) -> None:
-        self.list_failures = 0
-        named = {listed.name for listed in entries}
+        self.list_failures, named = 0, {listed.name for listed in entries}
         for listed in entries:
             backend = self.backends.get(listed.name)
             if backend is None:
@@ -317,8 +320,7 @@
         for backend in list(self.backends.values()):
             if backend.close_window(now, 4.0 * (self.objective if backend.doubt else self.mean_time)):
                 self.step(backend)
-            backend.slot_time *= 0.85
-            backend.slots *= 0.85
+            backend.slot_time, backend.slots = 0.85 * backend.slot_time, 0.85 * backend.slots
             if not backend.usable and not backend.out and now - backend.window_from > 60 * SECOND:
                 del self.backends[backend.name]
         self.note_usable(now)
@@ -417,8 +419,8 @@
         measured = [p for b in ready for p in b.points]
         if measured:
             self.mean_time = sum(p[1] * p[2] for p in measured) / sum(p[2] for p in measured)
-        slots = sum(b.slots for b in ready)
-        self.slot = (sum(b.slot_time for b in ready) + self.objective / 4.0) / (slots + 1.0)
+        times, slots = sum(b.slot_time for b in ready), sum(b.slots for b in ready)
+        self.slot = (times + self.objective / 4.0) / (slots + 1.0)
         solved = [b for b in ready if not b.stage]
         fastest = max((b.rate for b in solved), default=0.0) or demand / max(len(ready), 1)
         newcomers = [b for b in ready if b.stage]
@@ -427,8 +429,9 @@
             backend.share = backend.held_rate or fastest / SPREAD
         left = max(demand - sum(b.share for b in newcomers), 0.2 * demand)
         if sum(1 for b in solved if b.points) < 2:
+            whole = sum(b.weight for b in solved) or 1.0
             for backend in solved:
-                backend.share = left * backend.weight / (sum(b.weight for b in solved) or 1.0)
+                backend.share = left * backend.weight / whole
             return
         for backend in solved:
             backend.curve(demand / len(ready), self.mean_time, 1.0 / self.nodes, now)
@@ -512,7 +515,7 @@
             return
         rate, time = backend.points[-1][:2]
         cores, target = 1.0 / self.nodes, 0.8 * self.objective
-        service = time / (1 + rate * time / SECOND / cores)
+        service = service_time(rate, time, cores)
         if backend.stage == 2:
             backend.stage = 0
             self.host.log(f"profiled {backend.name}: {rate:.1f}/s at {time / 10:.0f} ms")
@@ -551,12 +554,11 @@
 
     def verdict(self, now: int, upstream: UpstreamTry, failed: bool, time: int) -> None:
         backend = upstream.backend
-        backend.count += 1
-        backend.total += time
+        backend.count, backend.total = backend.count + 1, backend.total + time
         backend.fails += (failed - backend.fails) * 0.2
         backend.judge(failed, self.failing)
-        most_out = sum(now < b.out_until for b in self.usable) >= len(self.usable) // 2
-        if backend.doubt >= EJECT and now >= backend.out_until and not most_out:
+        if (backend.doubt >= EJECT and now >= backend.out_until
+                and sum(now < b.out_until for b in self.usable) < len(self.usable) // 2):  # fmt: skip
             away = int(backend.away * (0.75 + 0.5 * self.chance.uniform()))
             backend.out_until, backend.away = now + away, min(backend.away * 3 // 2, AWAY_MOST)
             backend.doubt = EJECT - 1.0
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,6 +4,7 @@
 from basalthoist.decisions.policy import Node
 
 SECOND = 10_000
+NOW = 100 * SECOND
 
 
 class RecordingHost:
@@ -36,7 +37,7 @@
     return Listed(name, location, kind, pod, state, weight, started)
 
 
-def node(entries, now=100 * SECOND, **kw):
+def node(entries, now=NOW, **kw):
     host = RecordingHost()
     made = Node(host, 7, settings(**kw), now)
     made.on_list(now, entries, True)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,11 +1,9 @@
 import pytest
-from helpers import SECOND, listed, node
+from helpers import NOW, SECOND, listed, node
 
 from basalthoist.decisions.host import Load, Outcome
 from basalthoist.decisions.policy import EJECT, Backend, Exchange, Lcg, UpstreamTry
 
-NOW = 100 * SECOND
-
 
 def profiled(name, *points):
     backend = Backend(listed(name), NOW)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,10 +1,9 @@
 import pytest
-from helpers import SECOND, listed, node
+from helpers import NOW, listed, node
 
 from basalthoist.decisions.host import Outcome
 from basalthoist.decisions.policy import UpstreamTry
 
-NOW = 100 * SECOND
 TWO_PODS = [listed("a", pod=0), listed("b", pod=0), listed("c", pod=1)]
 
 
