--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -251,11 +251,9 @@
         if (backend := self.backends.get(name)) is None:
             return
         backend.probe_at = 0
-        if now < backend.out_until and outcome == Outcome.COMPLETED:
-            backend.out_until = now
-        elif now < backend.out_until:
-            backend.out_until = now + backend.away
-            self.at(backend.out_until, self.look_again, backend)
+        if now < backend.out_until:
+            backend.out_until = now if outcome == Outcome.COMPLETED else now + backend.away
+            self.at(backend.out_until, lambda at, b: outcome and self.look_again(at, b), backend)
         if outcome == Outcome.COMPLETED and load is not None and load.inflight is not None:
             backend.held, backend.held_at, self.heard_at = load.inflight, now, now
             self.probe_trip += (elapsed - self.probe_trip) * 0.05
