A node with few exchanges uses a set of backends, location by location

Cause: hundreds of nodes each kept, solved for and ranked the whole fleet, at under one exchange a minute and backend: 300 to 350 us of CPU an event, cut off, and profiles that were the fleet's mean.

--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -8,6 +8,7 @@
 from bisect import insort
 from collections import deque
 from heapq import heappop, heappush
+from itertools import groupby
 from math import inf, log
 
 from .host import NEVER_RAN, Host, Listed, Load, Outcome
@@ -20,6 +21,7 @@
 PRIOR = 3.0  # samples' worth of the fleet's mean that every measured mean is blended with
 EJECT, TRIAL = 6.0, 3.0  # sums of the sequential test: over the first out, over the second one try at a time
 AWAY, AWAY_MOST = 2 * SECOND, 8 * SECOND
+LEAST = 12  # warm backends' worth that a node uses at the least, where there are as many
 
 
 class Lcg:
@@ -37,23 +39,24 @@
 
 class Backend:
     def __init__(self, listed: Listed, now: int) -> None:
-        self.name, self.out, self.away = listed.name, [], AWAY
-        self.credit = self.share = self.cost = 0.0
+        self.name, self.out, self.away, self.member = listed.name, [], AWAY, False
+        self.place = self.credit = self.share = self.cost = 0.0  # place: its order in this node's choice
         self.learn(listed)
         self.forget(now)
 
     def learn(self, listed: Listed) -> None:
         self.location, self.kind, self.pod = listed.location, listed.kind, listed.pod
         self.weight, self.started, self.usable = listed.weight, listed.started, listed.state == "healthy"
+        self.warm_at = 0
 
     def forget(self, now: int) -> None:
         """A new or restarted process: nothing measured before holds for it."""
         self.points, self.line = [], [(0.0, inf)]  # points: [rate, response time, samples, when]
-        self.window_from, self.sent, self.count, self.total = now, 0, 0, 0.0
+        self.restart_window(now)
         self.slot_time, self.slots = 0.0, 0.0  # response times, and exchanges held during them
         self.fails, self.doubt, self.out_until, self.last_answer = 0.0, 0.0, 0, now  # doubt: the test's sum
         self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0  # as it reports itself
-        self.full_until, self.full_wait, self.warm_at, self.budget = 0, 0, 0, 1.0
+        self.full_until, self.full_wait, self.budget = 0, 0, 1.0
         self.recent: deque[int] = deque()  # sends while cold
         self.stage, self.held_rate, self.rate = 0, 0.0, 0.0  # stage 0: no stepwise profiling; 1, 2: its rates
 
@@ -68,9 +71,12 @@
         self.points = sorted(p for p in self.points if now - p[3] < POINT_LIFE)
         if len(self.points) > POINTS:
             self.points.remove(min(self.points, key=lambda p: p[3]))
-        self.window_from, self.sent, self.count, self.total = now, 0, 0, 0.0
+        self.restart_window(now)
         return True
 
+    def restart_window(self, now: int) -> None:
+        self.window_from, self.sent, self.count, self.total = now, 0, 0, 0.0
+
     def curve(self, mean_rate: float, mean_time: float, cores: float, now: int) -> None:
         """The profile as a non-decreasing line, its points blended with the fleet's mean by their samples."""
         blended: list[tuple[float, float, float]] = []
@@ -156,6 +162,7 @@
         self.asks = min(int(0.01 / max(get("prices.probe", 0.0), 1e-6)), 4) if useful else 0
         self.probes_out, self.probe_trip, self.heard_at = 0, 10.0, -SECOND
         self.backends, self.exchanges, self.usable, self.held, self.due = {}, {}, [], [], []
+        self.groups, self.fleet, self.users, self.total = [], 0, 1.0, 1.0  # groups: usable ones by location
         self.due_seq, self.woken_for = 0, 0
         self.failing, self.mean_time, self.slot = 0.0, self.objective / 3.0, self.objective / 4.0
         self.demand, self.arrivals, self.equal_time = 0.0, 0, float(self.objective)
@@ -191,17 +198,35 @@
             backend.recent.popleft()
         return len(backend.recent) < backend.budget
 
-    def note_usable(self, now: int) -> None:
-        """Backends that may get work; cold ones' budgets, by what warm ones of their kind usually get."""
-        get = self.settings.get
-        warm, start = get("rules.warm_within", 0), get("rules.cold_from", 0.1)
+    def choose(self, now: int) -> None:
+        """The backends this node uses, of each location its part, and the budgets of the cold ones.
+
+        Guards against hundreds of nodes with too few exchanges each to learn of, or rank, a whole fleet:
+        a node uses warm ones' worth enough that each gives samples, in an order of its own by chance."""
+        get, warm = self.settings.get, self.settings.get("rules.warm_within", 0)
+        start = get("rules.cold_from", 0.1)
         push = 0.5 * get("rules.fall_multiple", 1.0) * get("rules.overload_for", SECOND) / SECOND
-        self.usable = [b for b in self.backends.values() if b.usable]
+        size = max(LEAST, self.demand * WINDOW_MOST / SECOND / SAMPLES) / max(self.fleet, 1)
+        before, self.usable = self.usable, []
+        for group in self.groups:
+            room = size * len(group)
+            for backend in group:
+                if room <= 0.0:
+                    break
+                self.usable.append(backend)
+                room -= 1 - (1 - start) * max(backend.warm_at - now, 0) / max(warm, 1)
+        for backend in self.usable:
+            if not backend.member:  # joins at a turn by chance, or all nodes would rush to it
+                backend.credit = -self.chance.uniform() * self.total
+                backend.restart_window(now)
+            if now < backend.warm_at and not backend.stage and not backend.points:
+                backend.stage, backend.held_rate = 1, 0.0
+        for backend in before:
+            backend.member = False
+        self.users = max(self.nodes * len(self.usable) / max(self.fleet, 1), 1.0)  # nodes that use a backend
         rates: dict[int, list[float]] = {}
         for backend in self.usable:
-            backend.warm_at = 0 if backend.started is None else backend.started + warm
-            # What crossing locations costs, as response time, so that the solve weighs it.
-            backend.cost = 2.0 * self.crossing * self.objective * (backend.location != self.location)
+            backend.member = True
             if backend.rate and now >= backend.warm_at + warm:
                 rates.setdefault(backend.kind, []).append(backend.rate)
         # Guards against a few sick backends passing for what is usual: the fleet's share is the median one.
@@ -273,21 +298,25 @@
         self.ask_again = now + int(SECOND * min(2**self.list_failures, 8) * (0.5 + self.chance.uniform()))
 
     def on_list(self, now: int, entries: list[Listed], whole: bool) -> None:
-        self.list_failures, named = 0, {listed.name for listed in entries}
+        self.list_failures, warm = 0, self.settings.get("rules.warm_within", 0)
+        named = {listed.name for listed in entries if listed.state != "gone"}
+        gone = [listed.name for listed in entries if listed.state == "gone"]
         for listed in entries:
             backend = self.backends.get(listed.name)
             if backend is None:
                 backend = self.backends[listed.name] = Backend(listed, now)
-                backend.credit = self.chance.uniform()
+                backend.place = self.chance.uniform()
             elif listed.started is not None and listed.started != backend.started:
                 backend.forget(now)
             backend.learn(listed)
-        for backend in self.backends.values():
-            backend.usable = backend.usable and (not whole or backend.name in named)
-        self.note_usable(now)
-        for backend in self.usable:
-            if now < backend.warm_at and not backend.stage and not backend.points:
-                backend.stage, backend.held_rate = 1, 0.0
+            backend.warm_at = 0 if listed.started is None else listed.started + warm
+            # What crossing locations costs, as response time, so that the solve weighs it.
+            backend.cost = 2.0 * self.crossing * self.objective * (backend.location != self.location)
+        for name in [n for n in (self.backends if whole else gone) if n not in named]:
+            self.backends.pop(name).usable = False
+        fit = sorted((b for b in self.backends.values() if b.usable), key=lambda b: (b.location, b.place))
+        self.fleet, self.groups = len(fit), [list(g) for _, g in groupby(fit, lambda b: b.location)]
+        self.choose(now)
         self.solve(now)
 
     def on_wake(self, now: int, tag: str) -> None:
@@ -315,13 +344,11 @@
             self.host.subscribe()
         self.demand += (self.arrivals - self.demand) * (0.2 if self.demand else 1.0)
         self.arrivals = 0
-        for backend in list(self.backends.values()):
+        for backend in self.usable:
             if backend.close_window(now, 4.0 * (self.objective if backend.doubt else self.mean_time)):
                 self.step(backend)
             backend.slot_time, backend.slots = 0.85 * backend.slot_time, 0.85 * backend.slots
-            if not backend.usable and not backend.out and now - backend.window_from > 60 * SECOND:
-                del self.backends[backend.name]
-        self.note_usable(now)
+        self.choose(now)
         self.solve(now)
         if (self.sheds > 0.05 * max(self.demand, 1.0)) != self.shedding:
             self.shedding = not self.shedding
@@ -422,7 +449,7 @@
         solved = [b for b in ready if not b.stage]
         fastest = max((b.rate for b in solved), default=0.0) or demand / max(len(ready), 1)
         newcomers = [b for b in ready if b.stage]
-        self.most_out = max(CROWD * len(ready) / self.nodes, 2.0) if self.slot > 0.2 * self.objective else inf
+        self.most_out = max(CROWD * len(ready) / self.users, 2.0) if self.slot > 0.2 * self.objective else inf
         for backend in newcomers:
             backend.share = backend.held_rate or fastest / SPREAD
         left = max(demand - sum(b.share for b in newcomers), 0.2 * demand)
@@ -432,7 +459,7 @@
                 backend.share = left * backend.weight / whole
             return
         for backend in solved:
-            backend.curve(demand / len(ready), self.mean_time, 1.0 / self.nodes, now)
+            backend.curve(demand / len(ready), self.mean_time, 1.0 / self.users, now)
         low, high = 0.0, 100.0 * self.objective
         for _ in range(24):
             middle = (low + high) / 2
@@ -443,6 +470,7 @@
             floor = FLOOR_SHARE * left / len(solved) / (1 + 4 * backend.cost / self.mean_time)
             rate = max(backend.rate_at(high - backend.cost), floor)
             backend.share += (rate - backend.share) * (0.5 if backend.share else 1.0)
+        self.total = sum(b.share for b in ready)
 
     # ---- rotation
 
@@ -512,7 +540,7 @@
         if not backend.stage or not backend.points:
             return
         rate, time = backend.points[-1][:2]
-        cores, target = 1.0 / self.nodes, 0.8 * self.objective
+        cores, target = 1.0 / self.users, 0.8 * self.objective
         service = service_time(rate, time, cores)
         if backend.stage == 2:
             backend.stage = 0
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -2,7 +2,7 @@
 from helpers import NOW, SECOND, listed, node
 
 from basalthoist.decisions.host import Load, Outcome
-from basalthoist.decisions.policy import EJECT, Backend, Exchange, Lcg, UpstreamTry
+from basalthoist.decisions.policy import EJECT, LEAST, Backend, Exchange, Lcg, UpstreamTry
 
 
 def profiled(name, *points):
@@ -88,7 +88,7 @@
 def test_a_few_sick_backends_do_not_make_failing_usual():
     made, _ = node([listed(n) for n in "abcde"])
     made.backends["a"].fails = made.backends["b"].fails = 0.9
-    made.note_usable(NOW)
+    made.choose(NOW)
     assert made.failing == 0.0
 
 
@@ -144,3 +144,14 @@
     for second in range(1, 5):
         made.on_wake(NOW + second * SECOND, "tick")
     assert len(host.take("subscribe")) == 1
+
+
+def test_a_node_with_few_exchanges_uses_a_part_of_every_location_and_nodes_differ():
+    fleet = [listed(f"{location}-{i}", location=location) for location in range(4) for i in range(25)]
+    made, _ = node(fleet)
+    used = {b.name for b in made.usable}
+    assert LEAST <= len(used) <= LEAST + 4
+    assert {name[0] for name in used} == set("0123")
+    made.on_list(NOW, fleet[::-1][:-1], True)  # the list's order does not matter, a change moves one at most
+    assert len(used - {b.name for b in made.usable}) <= 1
+    assert len({b.name for b in node(fleet[:5])[0].usable}) == 5  # a small fleet is used whole
