--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -125,7 +125,8 @@
         self.rate, self.tokens, self.at = rate, 0.0, -WINDOW_MOST
 
     def within(self, now: int, again: bool) -> bool:
-        most = max(3.0 * self.rate, 1.0)  # nodes get uneven parts of a customer's traffic, in bursts
+        # Guards against chance passing for surplus: nodes get a few exchanges each, in bursts and uneven parts.
+        most = max(3.0 * self.rate, 6.0)
         self.tokens, self.at = min(self.tokens + (now - self.at) * self.rate / SECOND, most), now
         fits = self.tokens >= 1.0
         # Guards against shed surplus that comes back as a client's retry and passes for traffic in share.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -107,3 +107,11 @@
     for ident in range(60):
         made.on_exchange(NOW, ident, 0, 0, 80_000, False)
     assert len(host.take("send")) <= most
+
+
+@pytest.mark.parametrize(("gap", "surplus"), [(0.4, True), (1.0, False)])  # of the time its share takes
+def test_chance_at_a_small_node_is_told_from_surplus(gap, surplus):
+    made, _ = node([listed("a")], customers__count=1, **{"customers__0__quota_per_s": 0.4})  # two nodes
+    times = [NOW + int(gap * 50_000 * (i - i % 3)) for i in range(24)]  # they come in threes
+    marks = [made.customers[0].within(at, False) for at in times]
+    assert (marks.count(False) > 4) is surplus
