--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -125,7 +125,7 @@
         self.rate, self.tokens, self.at = rate, 0.0, -WINDOW_MOST
 
     def within(self, now: int, again: bool) -> bool:
-        # Guards against chance passing for surplus: nodes get a few exchanges each, in bursts and uneven parts.
+        # Guards against chance passing for surplus: nodes get few exchanges, in bursts and uneven parts.
         most = max(3.0 * self.rate, 6.0)
         self.tokens, self.at = min(self.tokens + (now - self.at) * self.rate / SECOND, most), now
         fits = self.tokens >= 1.0
@@ -167,6 +167,7 @@
         self.due_seq, self.woken_for = 0, 0
         self.failing, self.mean_time, self.slot = 0.0, self.objective / 3.0, self.objective / 4.0
         self.demand, self.arrivals, self.equal_time = 0.0, 0, float(self.objective)
+        self.welcome = 1.0  # the part of the surplus that is let in
         self.sheds, self.shedding, self.list_failures, self.ask_again, self.most_out = 0, False, 0, 0, inf
         if get("discovery", "pushed") == "on_request":
             host.subscribe()
@@ -251,6 +252,8 @@
             aim_at -= route.timeout - grace  # the client's earlier tries have used up part of its objective
         surplus = customer_no < len(self.customers) and not self.customers[customer_no].within(now, again)
         xchg = self.exchanges[ident] = Exchange(ident, route, now, now + grace, aim_at, surplus)
+        if surplus and self.chance.uniform() > self.welcome:
+            return self.give_up(now, xchg)
         self.at(xchg.deadline - self.settings.get("tick", 10), self.give_up, xchg)
         self.place(now, xchg)
 
@@ -343,6 +346,7 @@
         if self.list_failures and now >= self.ask_again:
             self.ask_again = now + 20 * SECOND
             self.host.subscribe()
+        self.welcome = min(self.welcome + 0.03, 1.0)
         self.demand += (self.arrivals - self.demand) * (0.2 if self.demand else 1.0)
         self.arrivals = 0
         for backend in self.usable:
@@ -420,6 +424,8 @@
     def give_up(self, now: int, xchg: Exchange) -> None:
         if xchg.over or xchg.streaming:
             return
+        # Guards against surplus filling the fleet at the other nodes' cost: it goes before what is in share.
+        self.welcome *= 1.0 if xchg.surplus else 0.8
         if self.may_shed(xchg):
             self.sheds += 1
             self.host.shed(xchg.id, self.advice)
