--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -21,7 +21,7 @@
 PRIOR = 3.0  # samples' worth of the fleet's mean that every measured mean is blended with
 EJECT, TRIAL = 6.0, 3.0  # sums of the sequential test: over the first out, over the second one try at a time
 AWAY, AWAY_MOST = 2 * SECOND, 8 * SECOND
-LEAST = 12  # warm backends' worth that a node uses at the least, where there are as many
+LEAST = 8  # warm backends' worth that a node uses at the least, where there are as many
 
 
 class Lcg:
@@ -508,7 +508,7 @@
 
     def pick(self, now: int, xchg: Exchange) -> Backend | None:
         # Guards against all nodes together crowding the fleet in a burst, each with little out anywhere.
-        if sum(len(b.out) for b in self.usable) >= self.most_out:
+        if sum(len(b.out) for b in self.usable) >= self.most_out * (1.0 if xchg.surplus else 2.0):
             return None
         fit, left = self.turns(now, xchg), xchg.aim_at - now
         share = 0.35 if xchg.surplus else 0.5 + 0.25 * xchg.route.value / self.top_value
@@ -578,6 +578,10 @@
             # Guards against asking again and again where a hung backend is full and turns all away unseen.
             backend.full_wait = min(max(2 * backend.full_wait, int(self.slot)), 2 * SECOND)
             backend.full_until = now + backend.full_wait
+            # Guards against full backends that keep the good profile of the few that they did take.
+            backend.count, backend.total = backend.count + 1, backend.total + upstream.xchg.route.timeout
+            backend.slot_time = backend.slot_time * 0.9 + self.objective
+            backend.slots = backend.slots * 0.9 + 1.0
 
     def look_again(self, now: int, backend: Backend) -> None:
         # Guards against spending exchanges on backends dead or cut off: where it may, a probe goes first.
