--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -21,7 +21,7 @@
 PRIOR = 3.0  # samples' worth of the fleet's mean that every measured mean is blended with
 EJECT, TRIAL = 6.0, 3.0  # sums of the sequential test: over the first out, over the second one try at a time
 AWAY, AWAY_MOST = 2 * SECOND, 8 * SECOND
-LEAST = 8  # warm backends' worth that a node uses at the least, where there are as many
+LEAST = 6  # warm backends' worth that a node uses at the least, where there are as many
 
 
 class Lcg:
