Cold budgets of far under one: tokens earned from a start by chance

A node now earns tokens at half the push allowed, reckoned from what its warm ones get, and starts with a part of one by chance. A newcomer without samples leaves stepwise profiling once warm: at a fleet's share an exchange can take a minute.

--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -6,7 +6,6 @@
 """
 
 from bisect import insort
-from collections import deque
 from heapq import heappop, heappush
 from itertools import groupby
 from math import inf, log
@@ -45,7 +44,7 @@
         self.forget(now)
 
     def learn(self, listed: Listed) -> None:
-        self.location, self.kind, self.pod = listed.location, listed.kind, listed.pod
+        self.location, self.pod = listed.location, listed.pod
         self.weight, self.started, self.usable = listed.weight, listed.started, listed.state == "healthy"
         self.warm_at = 0
 
@@ -56,16 +55,15 @@
         self.slot_time, self.slots = 0.0, 0.0  # response times, and exchanges held during them
         self.fails, self.doubt, self.out_until, self.last_answer = 0.0, 0.0, 0, now  # doubt: the test's sum
         self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0  # as it reports itself
-        self.full_until, self.full_wait, self.budget = 0, 0, 1.0
-        self.recent: deque[int] = deque()  # sends while cold
-        self.stage, self.held_rate, self.rate = 0, 0.0, 0.0  # stage 0: no stepwise profiling; 1, 2: its rates
+        self.full_until, self.full_wait, self.budget = 0, 0, 0.0
+        self.tokens, self.tokens_at = 0.0, now  # sends allowed while cold
+        self.stage, self.held_rate = 0, 0.0  # stage 0: no stepwise profiling; 1, 2: its rates
 
     def close_window(self, now: int, limit: float) -> bool:
         span = now - self.window_from
         if span < WINDOW or (self.count < SAMPLES and span < WINDOW_MOST):
             return False
         rate = self.sent / span * SECOND
-        self.rate += (rate - self.rate) * (0.3 if self.rate else 1.0)
         if self.count:
             self.points.append([rate, min(self.total / self.count, limit), float(self.count), now])
         self.points = sorted(p for p in self.points if now - p[3] < POINT_LIFE)
@@ -167,6 +165,7 @@
         self.due_seq, self.woken_for = 0, 0
         self.failing, self.mean_time, self.slot = 0.0, self.objective / 3.0, self.objective / 4.0
         self.demand, self.arrivals, self.equal_time = 0.0, 0, float(self.objective)
+        self.usual, self.sends = 0.0, 0  # sends a second to a warm backend; those of this second
         self.welcome = 1.0  # the part of the surplus that is let in
         self.sheds, self.shedding, self.list_failures, self.ask_again, self.most_out = 0, False, 0, 0, inf
         if get("discovery", "pushed") == "on_request":
@@ -196,9 +195,10 @@
                 or all(t.outcome in NEVER_RAN for t in xchg.tries))  # fmt: skip
 
     def cold_allows(self, backend: Backend, now: int) -> bool:
-        while backend.recent and backend.recent[0] < now - self.settings.get("rules.overload_for", SECOND):
-            backend.recent.popleft()
-        return len(backend.recent) < backend.budget
+        window = self.settings.get("rules.overload_for", SECOND)
+        earned = backend.tokens + (now - backend.tokens_at) * backend.budget / window
+        backend.tokens, backend.tokens_at = min(earned, max(backend.budget, 1.0)), now
+        return backend.tokens >= 1.0
 
     def choose(self, now: int) -> None:
         """The backends this node uses, of each location its part, and the budgets of the cold ones.
@@ -225,20 +225,15 @@
                 backend.stage, backend.held_rate = 1, 0.0
         for backend in before:
             backend.member = False
+        usual = self.usual or self.demand / max(len(self.usable), 1)
         self.users = max(self.nodes * len(self.usable) / max(self.fleet, 1), 1.0)  # nodes that use a backend
-        rates: dict[int, list[float]] = {}
         for backend in self.usable:
             backend.member = True
-            if backend.rate and now >= backend.warm_at + warm:
-                rates.setdefault(backend.kind, []).append(backend.rate)
+            if now < backend.warm_at:
+                # Guards against hundreds of nodes with a send each: a budget may be far under one.
+                backend.budget = push * (1 - (1 - start) * (backend.warm_at - now) / warm) * usual
         # Guards against a few sick backends passing for what is usual: the fleet's share is the median one.
         self.failing = sorted([b.fails for b in self.usable] or [0.0])[len(self.usable) // 2]
-        usual = {kind: sum(found) / len(found) for kind, found in rates.items()}
-        least = min(usual.values(), default=self.demand / max(len(self.usable), 1))
-        for backend in self.usable:
-            if now < backend.warm_at:
-                capacity = 1 - (1 - start) * (backend.warm_at - now) / warm
-                backend.budget = max(1.0, push * capacity * usual.get(backend.kind, least))
 
     # ---- what happens
 
@@ -309,9 +304,10 @@
             backend = self.backends.get(listed.name)
             if backend is None:
                 backend = self.backends[listed.name] = Backend(listed, now)
-                backend.place = self.chance.uniform()
+                backend.place, backend.tokens = self.chance.uniform(), self.chance.uniform()
             elif listed.started is not None and listed.started != backend.started:
                 backend.forget(now)
+                backend.tokens = self.chance.uniform()  # or all nodes would be allowed the first send at once
             backend.learn(listed)
             backend.warm_at = 0 if listed.started is None else listed.started + warm
             # What crossing locations costs, as response time, so that the solve weighs it.
@@ -348,10 +344,13 @@
             self.host.subscribe()
         self.welcome = min(self.welcome + 0.03, 1.0)
         self.demand += (self.arrivals - self.demand) * (0.2 if self.demand else 1.0)
-        self.arrivals = 0
+        warm = sum(now >= b.warm_at for b in self.usable)
+        if warm:
+            self.usual += (self.sends / warm - self.usual) * (0.2 if self.usual else 1.0)
+        self.arrivals = self.sends = 0
         for backend in self.usable:
             if backend.close_window(now, 4.0 * (self.objective if backend.doubt else self.mean_time)):
-                self.step(backend)
+                self.step(now, backend)
             backend.slot_time, backend.slots = 0.85 * backend.slot_time, 0.85 * backend.slots
         self.choose(now)
         self.solve(now)
@@ -410,8 +409,8 @@
         xchg.tries.append(upstream)
         backend.out.append(upstream)
         backend.sent, backend.held = backend.sent + 1, backend.held + 1
-        if now < backend.warm_at:
-            backend.recent.append(now)
+        backend.tokens -= now < backend.warm_at
+        self.sends += now >= backend.warm_at
         self.host.send(xchg.id, backend.name, xchg.deadline - now)
         self.at(now + min(int(4 * self.mean_time), self.objective), self.check_overdue, upstream)
         return True
@@ -454,7 +453,7 @@
         times, slots = sum(b.slot_time for b in ready), sum(b.slots for b in ready)
         self.slot = (times + self.objective / 4.0) / (slots + 1.0)
         solved = [b for b in ready if not b.stage]
-        fastest = max((b.rate for b in solved), default=0.0) or demand / max(len(ready), 1)
+        fastest = max((b.share for b in solved), default=0.0) or demand / max(len(ready), 1)
         newcomers = [b for b in ready if b.stage]
         self.most_out = max(CROWD * len(ready) / self.users, 2.0) if self.slot > 0.2 * self.objective else inf
         for backend in newcomers:
@@ -542,11 +541,13 @@
 
     # ---- newcomers
 
-    def step(self, backend: Backend) -> None:
+    def step(self, now: int, backend: Backend) -> None:
         """Stepwise profiling: a first low rate, a second near 0.8 of the objective, then the solve."""
+        if backend.stage and not backend.points and now >= backend.warm_at:
+            backend.stage = 0  # too few exchanges here to profile it by: it counts as the fleet's mean
         if not backend.stage or not backend.points:
             return
-        rate, time = backend.points[-1][:2]
+        rate, time = max(backend.points, key=lambda p: p[3])[:2]
         cores, target = 1.0 / self.users, 0.8 * self.objective
         service = service_time(rate, time, cores)
         if backend.stage == 2:
@@ -554,7 +555,7 @@
             self.host.log(f"profiled {backend.name}: {rate:.1f}/s at {time / 10:.0f} ms")
         elif service < target:
             aim = cores * (target - service) / (target * service) * SECOND
-            fastest = max((b.rate for b in self.usable if not b.stage), default=aim)
+            fastest = max((b.share for b in self.usable if not b.stage), default=aim)
             backend.stage, backend.held_rate = 2, min(aim, fastest)
 
     # ---- list keeping and health
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -37,8 +37,8 @@
     return Listed(name, location, kind, pod, state, weight, started)
 
 
-def node(entries, now=NOW, **kw):
+def node(entries, now=NOW, seed=7, **kw):
     host = RecordingHost()
-    made = Node(host, 7, settings(**kw), now)
+    made = Node(host, seed, settings(**kw), now)
     made.on_list(now, entries, True)
     return made, host
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -58,18 +58,27 @@
 
 def test_a_newcomer_starts_at_the_fastest_rate_over_the_spread_and_steps_up():
     made, host = node([listed("a"), listed("b"), listed("new", started=NOW - 10)])
-    made.backends["a"].rate = 8.0
+    made.backends["a"].share = 8.0
     made.solve(NOW)
     new = made.backends["new"]
     assert (new.stage, new.share) == (1, 2.0)
+    made.backends["a"].share = 8.0
     new.points = [[2.0, 400.0, 4.0, NOW]]
-    made.step(new)
+    made.step(NOW, new)
     assert new.stage == 2
     assert new.held_rate == 8.0  # never over the fastest, however quick its first answers were
-    made.step(new)
+    made.step(NOW, new)
     assert new.stage == 0
 
 
+def test_a_newcomer_that_gets_no_samples_leaves_stepwise_profiling_once_warm():
+    made, _ = node([listed("a"), listed("b"), listed("new", started=NOW - 10)])
+    made.step(NOW, made.backends["new"])
+    assert made.backends["new"].stage == 1
+    made.step(NOW + 5 * SECOND, made.backends["new"])
+    assert made.backends["new"].stage == 0
+
+
 @pytest.mark.parametrize(
     ("others_fail", "outcomes", "ejected"),
     [
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -70,15 +70,20 @@
     assert host.take("send")[0][2] == "b"
 
 
-def test_a_cold_backend_gets_a_budget_that_counts_what_it_turns_away():
-    made, host = node([listed("a", started=NOW - 100)])
+@pytest.mark.parametrize("nodes", [2, 40, 400])
+def test_a_cold_backends_budget_holds_for_all_nodes_together_and_counts_what_it_turns_away(nodes):
     sent = 0
-    for ident in range(30):
-        begin(made, ident)
-        for call in host.take("send"):
-            sent += 1
-            made.on_try_ended(NOW + 5, call[1], 0, Outcome.REJECTED, 5, False, None)
-    assert 1 <= sent <= 3
+    for seed in range(nodes):
+        made, host = node([listed("a", started=NOW)], seed=seed, nodes=nodes)
+        made.demand = 40.0 / nodes
+        made.choose(NOW)
+        for at in range(NOW + 500, NOW + 10_000, 500):
+            made.backends["a"].full_until = 0
+            made.on_exchange(at, at, 0, 0, 8000, False)
+            for call in host.take("send"):
+                sent += 1
+                made.on_try_ended(at, call[1], 0, Outcome.REJECTED, 5, False, None)
+    assert 1 <= sent <= 2.0 * 0.25 * 40  # a multiple of 2, a quarter warm, 40 a second for one that is warm
 
 
 def test_a_retry_of_shed_surplus_is_still_surplus():
