--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -37,26 +37,27 @@
 
 
 class Backend:
-    def __init__(self, listed: Listed, now: int) -> None:
-        self.name, self.out, self.away, self.member = listed.name, [], AWAY, False
-        self.place = self.credit = self.share = self.cost = 0.0  # place: its order in this node's choice
+    def __init__(self, listed: Listed, now: int, chance: Lcg) -> None:
+        self.name, self.out, self.away = listed.name, [], AWAY
+        self.place = chance.uniform()  # its order in this node's choice
+        self.credit = self.share = self.cost = 0.0
         self.learn(listed)
-        self.forget(now)
+        self.forget(now, chance)
 
     def learn(self, listed: Listed) -> None:
         self.location, self.pod = listed.location, listed.pod
         self.weight, self.started, self.usable = listed.weight, listed.started, listed.state == "healthy"
-        self.warm_at = 0
 
-    def forget(self, now: int) -> None:
+    def forget(self, now: int, chance: Lcg) -> None:
         """A new or restarted process: nothing measured before holds for it."""
-        self.points, self.line = [], [(0.0, inf)]  # points: [rate, response time, samples, when]
+        self.warm_at, self.points, self.line = 0, [], [(0.0, inf)]  # points: [rate, time, samples, when]
         self.restart_window(now)
         self.slot_time, self.slots = 0.0, 0.0  # response times, and exchanges held during them
         self.fails, self.doubt, self.out_until, self.last_answer = 0.0, 0.0, 0, now  # doubt: the test's sum
         self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0  # as it reports itself
         self.full_until, self.full_wait, self.budget = 0, 0, 0.0
-        self.tokens, self.tokens_at = 0.0, now  # sends allowed while cold
+        # Sends allowed while cold: a part of one, or all nodes would make their first at once.
+        self.tokens, self.tokens_at = chance.uniform(), now
         self.stage, self.held_rate = 0, 0.0  # stage 0: no stepwise profiling; 1, 2: its rates
 
     def close_window(self, now: int, limit: float) -> bool:
@@ -114,6 +115,7 @@
 
         self.semantics, self.group = get("semantics", "non-retriable"), get("group", "pod")
         self.window, self.value = get("dedup_window", 0), get("value", 1.0)
+        self.late_value = get("overdue_value", 0.0)
         self.timeout, self.usual_grace = get("overall_timeout", 10 * SECOND), 0
         self.objective = get("latency_objective", 0) or int(0.8 * self.timeout)
 
@@ -167,7 +169,7 @@
         self.demand, self.arrivals, self.equal_time = 0.0, 0, float(self.objective)
         self.usual, self.sends = 0.0, 0  # sends a second to a warm backend; those of this second
         self.welcome = 1.0  # the part of the surplus that is let in
-        self.sheds, self.shedding, self.list_failures, self.ask_again, self.most_out = 0, False, 0, 0, inf
+        self.sheds, self.shedding, self.list_failures, self.ask_again = 0, False, 0, 0
         if get("discovery", "pushed") == "on_request":
             host.subscribe()
         host.wake(SECOND, "tick")
@@ -205,33 +207,33 @@
 
         Guards against hundreds of nodes with too few exchanges each to learn of, or rank, a whole fleet:
         a node uses warm ones' worth enough that each gives samples, in an order of its own by chance."""
-        get, warm = self.settings.get, self.settings.get("rules.warm_within", 0)
-        start = get("rules.cold_from", 0.1)
+        get = self.settings.get
+        warm, start = max(get("rules.warm_within", 0), 1), get("rules.cold_from", 0.1)
         push = 0.5 * get("rules.fall_multiple", 1.0) * get("rules.overload_for", SECOND) / SECOND
         size = max(LEAST, self.demand * WINDOW_MOST / SECOND / SAMPLES) / max(self.fleet, 1)
         before, self.usable = self.usable, []
+
+        def worth(backend):
+            return 1 - (1 - start) * max(backend.warm_at - now, 0) / warm
+
         for group in self.groups:
             room = size * len(group)
             for backend in group:
                 if room <= 0.0:
                     break
                 self.usable.append(backend)
-                room -= 1 - (1 - start) * max(backend.warm_at - now, 0) / max(warm, 1)
-        for backend in self.usable:
-            if not backend.member:  # joins at a turn by chance, or all nodes would rush to it
-                backend.credit = -self.chance.uniform() * self.total
-                backend.restart_window(now)
-            if now < backend.warm_at and not backend.stage and not backend.points:
-                backend.stage, backend.held_rate = 1, 0.0
-        for backend in before:
-            backend.member = False
+                room -= worth(backend)
         usual = self.usual or self.demand / max(len(self.usable), 1)
         self.users = max(self.nodes * len(self.usable) / max(self.fleet, 1), 1.0)  # nodes that use a backend
         for backend in self.usable:
-            backend.member = True
+            if backend not in before:  # joins at a turn by chance, or all nodes would rush to it
+                backend.credit = -self.chance.uniform() * self.total
+                backend.restart_window(now)
             if now < backend.warm_at:
                 # Guards against hundreds of nodes with a send each: a budget may be far under one.
-                backend.budget = push * (1 - (1 - start) * (backend.warm_at - now) / warm) * usual
+                backend.budget = push * worth(backend) * usual
+                if not backend.stage and not backend.points:
+                    backend.stage, backend.held_rate = 1, 0.0
         # Guards against a few sick backends passing for what is usual: the fleet's share is the median one.
         self.failing = sorted([b.fails for b in self.usable] or [0.0])[len(self.usable) // 2]
 
@@ -247,7 +249,8 @@
             aim_at -= route.timeout - grace  # the client's earlier tries have used up part of its objective
         surplus = customer_no < len(self.customers) and not self.customers[customer_no].within(now, again)
         xchg = self.exchanges[ident] = Exchange(ident, route, now, now + grace, aim_at, surplus)
-        if surplus and self.chance.uniform() > self.welcome:
+        # Guards against work for clients' later tries that can only end late, where that is worth nothing.
+        if now >= aim_at and not route.late_value or surplus and self.chance.uniform() > self.welcome:
             return self.give_up(now, xchg)
         self.at(xchg.deadline - self.settings.get("tick", 10), self.give_up, xchg)
         self.place(now, xchg)
@@ -298,22 +301,20 @@
 
     def on_list(self, now: int, entries: list[Listed], whole: bool) -> None:
         self.list_failures, warm = 0, self.settings.get("rules.warm_within", 0)
-        named = {listed.name for listed in entries if listed.state != "gone"}
-        gone = [listed.name for listed in entries if listed.state == "gone"]
+        named = {listed.name: listed.state for listed in entries}
         for listed in entries:
             backend = self.backends.get(listed.name)
             if backend is None:
-                backend = self.backends[listed.name] = Backend(listed, now)
-                backend.place, backend.tokens = self.chance.uniform(), self.chance.uniform()
+                backend = self.backends[listed.name] = Backend(listed, now, self.chance)
             elif listed.started is not None and listed.started != backend.started:
-                backend.forget(now)
-                backend.tokens = self.chance.uniform()  # or all nodes would be allowed the first send at once
+                backend.forget(now, self.chance)
             backend.learn(listed)
             backend.warm_at = 0 if listed.started is None else listed.started + warm
             # What crossing locations costs, as response time, so that the solve weighs it.
             backend.cost = 2.0 * self.crossing * self.objective * (backend.location != self.location)
-        for name in [n for n in (self.backends if whole else gone) if n not in named]:
-            self.backends.pop(name).usable = False
+        for name in list(self.backends if whole else named):
+            if named.get(name, "gone") == "gone":
+                self.backends.pop(name).usable = False
         fit = sorted((b for b in self.backends.values() if b.usable), key=lambda b: (b.location, b.place))
         self.fleet, self.groups = len(fit), [list(g) for _, g in groupby(fit, lambda b: b.location)]
         self.choose(now)
@@ -455,7 +456,6 @@
         solved = [b for b in ready if not b.stage]
         fastest = max((b.share for b in solved), default=0.0) or demand / max(len(ready), 1)
         newcomers = [b for b in ready if b.stage]
-        self.most_out = max(CROWD * len(ready) / self.users, 2.0) if self.slot > 0.2 * self.objective else inf
         for backend in newcomers:
             backend.share = backend.held_rate or fastest / SPREAD
         left = max(demand - sum(b.share for b in newcomers), 0.2 * demand)
@@ -506,9 +506,6 @@
         return time
 
     def pick(self, now: int, xchg: Exchange) -> Backend | None:
-        # Guards against all nodes together crowding the fleet in a burst, each with little out anywhere.
-        if sum(len(b.out) for b in self.usable) >= self.most_out * (1.0 if xchg.surplus else 2.0):
-            return None
         fit, left = self.turns(now, xchg), xchg.aim_at - now
         share = 0.35 if xchg.surplus else 0.5 + 0.25 * xchg.route.value / self.top_value
         bound = share * left if left > 0 else 0.3 * xchg.route.objective
@@ -543,7 +540,7 @@
 
     def step(self, now: int, backend: Backend) -> None:
         """Stepwise profiling: a first low rate, a second near 0.8 of the objective, then the solve."""
-        if backend.stage and not backend.points and now >= backend.warm_at:
+        if not backend.points and now >= backend.warm_at:
             backend.stage = 0  # too few exchanges here to profile it by: it counts as the fleet's mean
         if not backend.stage or not backend.points:
             return
