--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -197,9 +197,8 @@
                 or all(t.outcome in NEVER_RAN for t in xchg.tries))  # fmt: skip
 
     def cold_allows(self, backend: Backend, now: int) -> bool:
-        window = self.settings.get("rules.overload_for", SECOND)
-        earned = backend.tokens + (now - backend.tokens_at) * backend.budget / window
-        backend.tokens, backend.tokens_at = min(earned, max(backend.budget, 1.0)), now
+        backend.tokens = min(backend.tokens + (now - backend.tokens_at) * backend.budget, 1.0)
+        backend.tokens_at = now
         return backend.tokens >= 1.0
 
     def choose(self, now: int) -> None:
@@ -209,7 +208,7 @@
         a node uses warm ones' worth enough that each gives samples, in an order of its own by chance."""
         get = self.settings.get
         warm, start = max(get("rules.warm_within", 0), 1), get("rules.cold_from", 0.1)
-        push = 0.5 * get("rules.fall_multiple", 1.0) * get("rules.overload_for", SECOND) / SECOND
+        push = 0.5 * get("rules.fall_multiple", 1.0) / SECOND
         size = max(LEAST, self.demand * WINDOW_MOST / SECOND / SAMPLES) / max(self.fleet, 1)
         before, self.usable = self.usable, []
 
@@ -240,7 +239,7 @@
     # ---- what happens
 
     def on_exchange(self, now: int, ident: int, route_no: int, customer_no: int, grace: int, again: bool):
-        route = self.routes[route_no]
+        route, self.welcome = self.routes[route_no], min(self.welcome + 0.002, 1.0)
         aim_at = now + route.objective
         if not again:
             route.usual_grace = max(route.usual_grace, grace)
@@ -343,7 +342,6 @@
         if self.list_failures and now >= self.ask_again:
             self.ask_again = now + 20 * SECOND
             self.host.subscribe()
-        self.welcome = min(self.welcome + 0.03, 1.0)
         self.demand += (self.arrivals - self.demand) * (0.2 if self.demand else 1.0)
         warm = sum(now >= b.warm_at for b in self.usable)
         if warm:
