--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -14,7 +14,7 @@
 
 SECOND = 10_000
 WINDOW, WINDOW_MOST = 2 * SECOND, 8 * SECOND  # a profile window is lengthened until it holds SAMPLES
-SAMPLES, POINTS, POINT_LIFE = 4, 8, 30 * SECOND
+SAMPLES, POINT_LIFE = 4, 30 * SECOND
 SPREAD, CROWD = 4.0, 4.0
 FLOOR_SHARE = 0.2  # of an even share
 PRIOR = 3.0  # samples' worth of the fleet's mean that every measured mean is blended with
@@ -41,7 +41,6 @@
         self.name, self.out, self.away = listed.name, [], AWAY
         self.place = chance.uniform()  # its order in this node's choice
         self.credit = self.share = self.cost = 0.0
-        self.learn(listed)
         self.forget(now, chance)
 
     def learn(self, listed: Listed) -> None:
@@ -68,8 +67,6 @@
         if self.count:
             self.points.append([rate, min(self.total / self.count, limit), float(self.count), now])
         self.points = sorted(p for p in self.points if now - p[3] < POINT_LIFE)
-        if len(self.points) > POINTS:
-            self.points.remove(min(self.points, key=lambda p: p[3]))
         self.restart_window(now)
         return True
 
@@ -161,7 +158,7 @@
         # Asking backends before a send pays where they report their load and a probe costs little.
         useful = get("policy_limits.probes", False) and "inflight" in get("feedback.fields", ())
         self.asks = min(int(0.01 / max(get("prices.probe", 0.0), 1e-6)), 4) if useful else 0
-        self.probes_out, self.probe_trip, self.heard_at = 0, 10.0, -SECOND
+        self.probe_trip, self.heard_at = 10.0, -SECOND
         self.backends, self.exchanges, self.usable, self.held, self.due = {}, {}, [], [], []
         self.groups, self.fleet, self.users, self.total = [], 0, 1.0, 1.0  # groups: usable ones by location
         self.due_seq, self.woken_for = 0, 0
@@ -236,8 +233,6 @@
         # Guards against a few sick backends passing for what is usual: the fleet's share is the median one.
         self.failing = sorted([b.fails for b in self.usable] or [0.0])[len(self.usable) // 2]
 
-    # ---- what happens
-
     def on_exchange(self, now: int, ident: int, route_no: int, customer_no: int, grace: int, again: bool):
         route, self.welcome = self.routes[route_no], min(self.welcome + 0.002, 1.0)
         aim_at = now + route.objective
@@ -273,7 +268,6 @@
         self.drain(now)
 
     def on_probe_ended(self, now: int, name: str, outcome: Outcome, elapsed: int, load: Load | None) -> None:
-        self.probes_out -= 1
         if (backend := self.backends.get(name)) is None:
             return
         backend.probe_at = 0
@@ -283,8 +277,7 @@
         if outcome == Outcome.COMPLETED and load is not None and load.inflight is not None:
             backend.held, backend.held_at, self.heard_at = load.inflight, now, now
             self.probe_trip += (elapsed - self.probe_trip) * 0.05
-        if self.probes_out <= 0:
-            self.drain(now)
+        self.drain(now)
 
     def on_exchange_gone(self, now: int, ident: int) -> None:
         if ident in self.exchanges:
@@ -360,8 +353,6 @@
         self.sheds = 0
         self.drain(now)
 
-    # ---- admission and holding
-
     def place(self, now: int, xchg: Exchange) -> None:
         if not xchg.held:
             xchg.held = True
@@ -384,7 +375,7 @@
                 self.probe(now, backend)
 
     def probe(self, now: int, backend: Backend) -> None:
-        backend.probe_at, self.probes_out = now, self.probes_out + 1
+        backend.probe_at = now
         self.host.probe(backend.name)
 
     def settle(self, now: int, xchg: Exchange) -> None:
@@ -441,8 +432,6 @@
         if not out:
             self.exchanges.pop(xchg.id, None)
 
-    # ---- solve
-
     def solve(self, now: int) -> None:
         """Rates of equal response time that sum to the demand, by bisection; floor shares for the rest."""
         ready, demand = [b for b in self.usable if now >= b.out_until], max(self.demand, 0.1)
@@ -476,8 +465,6 @@
             backend.share += (rate - backend.share) * (0.5 if backend.share else 1.0)
         self.total = sum(b.share for b in ready)
 
-    # ---- rotation
-
     def turns(self, now: int, xchg: Exchange) -> list[Backend]:
         fit = [b for b in self.usable
                if now >= b.out_until and now >= b.full_until and not (b.doubt > TRIAL and b.out)
@@ -514,28 +501,25 @@
         stale = 20 if asking else self.slot / 2 if heard else inf
         best, best_time = None, inf
         for backend in fit:
-            # Guards against one that stands still: it does not even answer a probe.
-            still = backend.probe_at and now - backend.probe_at > 3 * self.probe_trip
-            if still or len(backend.out) > most or now - backend.held_at > stale:
+            if len(backend.out) > most or now - backend.held_at > stale:
                 continue
             time, cost = self.expected(backend, now), backend.cost
             # Guards against refusing what idle backends could do, since heavy exchanges look like slowness.
             idle = heard and self.ahead(backend, now) < 0.5 and left > 0.3 * xchg.route.objective
             near = 1.5 * self.slot if self.asks else max(self.equal_time - cost, 1.5 * self.slot)
             # Guards against crowding a backend until it turns slower: a few times its idle time is enough.
-            room = min(bound, max(CROWD * backend.line[0][1], 0.2 * self.objective)) if backend.out else bound
-            if idle or time <= min(near, room):
+            if backend.out and not self.asks and time > max(CROWD * backend.line[0][1], 0.2 * self.objective):
+                continue
+            if idle or time <= min(near, bound):
                 best = backend
                 break
-            if not asking and time <= room and time + cost < best_time:
+            if not asking and time <= bound and time + cost < best_time:
                 best, best_time = backend, time + cost
         for backend in fit if best is not None else ():
             backend.credit += backend.share
             best.credit -= backend.share
         return best
 
-    # ---- newcomers
-
     def step(self, now: int, backend: Backend) -> None:
         """Stepwise profiling: a first low rate, a second near 0.8 of the objective, then the solve."""
         if not backend.points and now >= backend.warm_at:
@@ -553,8 +537,6 @@
             fastest = max((b.share for b in self.usable if not b.stage), default=aim)
             backend.stage, backend.held_rate = 2, min(aim, fastest)
 
-    # ---- list keeping and health
-
     def check_overdue(self, now: int, upstream: UpstreamTry) -> None:
         # Guards against a backend that takes work and answers nothing: silence since the send is a failure.
         if upstream.outcome is None and upstream.backend.last_answer < upstream.sent_at:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -141,7 +141,6 @@
     made.slot = 20_000.0
     made.on_exchange(NOW, 1, 0, 0, 8000, False)
     name = host.take("probe")[0][1]
-    made.probes_out = 1
     made.on_probe_ended(NOW + 5, name, Outcome.COMPLETED, 5, Load(0.0, 0.0, 0.0))
     assert [c[2] for c in host.take("send")] == [name]
 
