--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -54,7 +54,7 @@
         self.slot_time, self.slots = 0.0, 0.0  # response times, and exchanges held during them
         self.fails, self.doubt, self.out_until, self.last_answer = 0.0, 0.0, 0, now  # doubt: the test's sum
         self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0  # as it reports itself
-        self.full_until, self.full_wait, self.budget = 0, 0, 0.0
+        self.full_until, self.budget = 0, 0.0
         # Sends allowed while cold: a part of one, or all nodes would make their first at once.
         self.tokens, self.tokens_at = chance.uniform(), now
         self.stage, self.held_rate = 0, 0.0  # stage 0: no stepwise profiling; 1, 2: its rates
@@ -63,9 +63,9 @@
         span = now - self.window_from
         if span < WINDOW or (self.count < SAMPLES and span < WINDOW_MOST):
             return False
-        rate = self.sent / span * SECOND
         if self.count:
-            self.points.append([rate, min(self.total / self.count, limit), float(self.count), now])
+            time = min(self.total / self.count, limit)
+            self.points.append([self.sent / span * SECOND, time, float(self.count), now])
         self.points = sorted(p for p in self.points if now - p[3] < POINT_LIFE)
         self.restart_window(now)
         return True
@@ -111,9 +111,8 @@
             return settings.get(f"routes.{number}.{name}", default)
 
         self.semantics, self.group = get("semantics", "non-retriable"), get("group", "pod")
-        self.window, self.value = get("dedup_window", 0), get("value", 1.0)
-        self.late_value = get("overdue_value", 0.0)
-        self.timeout, self.usual_grace = get("overall_timeout", 10 * SECOND), 0
+        self.value, self.late_value, self.usual_grace = get("value", 1.0), get("overdue_value", 0.0), 0
+        self.window, self.timeout = get("dedup_window", 0), get("overall_timeout", 10 * SECOND)
         self.objective = get("latency_objective", 0) or int(0.8 * self.timeout)
 
 
@@ -126,8 +125,7 @@
         most = max(3.0 * self.rate, 6.0)
         self.tokens, self.at = min(self.tokens + (now - self.at) * self.rate / SECOND, most), now
         fits = self.tokens >= 1.0
-        # Guards against shed surplus that comes back as a client's retry and passes for traffic in share.
-        self.tokens -= fits and not again
+        self.tokens -= fits and not again  # or surplus shed comes back as a retry and passes for in share
         return fits
 
 
@@ -153,19 +151,17 @@
         quotas = [get(f"customers.{i}.quota_per_s", 0.0) for i in range(get("customers.count", 0))]
         self.customers = [Customer(quota / self.nodes) for quota in quotas]
         self.objective, self.crossing = min(r.objective for r in self.routes), get("prices.cross_zone", 0.0)
-        self.top_value = max(r.value for r in self.routes)
         self.advice = get("policy_limits.max_retry_after", 0) // 2 if get("policy_limits.retry_after") else 0
         # Asking backends before a send pays where they report their load and a probe costs little.
         useful = get("policy_limits.probes", False) and "inflight" in get("feedback.fields", ())
         self.asks = min(int(0.01 / max(get("prices.probe", 0.0), 1e-6)), 4) if useful else 0
-        self.probe_trip, self.heard_at = 10.0, -SECOND
+        self.probe_trip, self.heard_at, self.due_seq, self.woken_for = 10.0, -SECOND, 0, 0
         self.backends, self.exchanges, self.usable, self.held, self.due = {}, {}, [], [], []
         self.groups, self.fleet, self.users, self.total = [], 0, 1.0, 1.0  # groups: usable ones by location
-        self.due_seq, self.woken_for = 0, 0
         self.failing, self.mean_time, self.slot = 0.0, self.objective / 3.0, self.objective / 4.0
         self.demand, self.arrivals, self.equal_time = 0.0, 0, float(self.objective)
-        self.usual, self.sends = 0.0, 0  # sends a second to a warm backend; those of this second
-        self.welcome = 1.0  # the part of the surplus that is let in
+        # usual: sends a second to a warm backend; welcome: the part of the surplus that is let in
+        self.usual, self.sends, self.welcome = 0.0, 0, 1.0
         self.sheds, self.shedding, self.list_failures, self.ask_again = 0, False, 0, 0
         if get("discovery", "pushed") == "on_request":
             host.subscribe()
@@ -190,22 +186,20 @@
 
     def may_shed(self, xchg: Exchange) -> bool:
         kind, group = xchg.route.semantics, xchg.route.group
-        return (kind == "retriable" or (kind == "deduped" and group == "all")
-                or all(t.outcome in NEVER_RAN for t in xchg.tries))  # fmt: skip
+        harmless = kind == "retriable" or (kind == "deduped" and group == "all")
+        return harmless or all(t.outcome in NEVER_RAN for t in xchg.tries)
 
     def cold_allows(self, backend: Backend, now: int) -> bool:
         backend.tokens = min(backend.tokens + (now - backend.tokens_at) * backend.budget, 1.0)
         backend.tokens_at = now
-        return backend.tokens >= 1.0
+        return now >= backend.warm_at or backend.tokens >= 1.0
 
     def choose(self, now: int) -> None:
-        """The backends this node uses, of each location its part, and the budgets of the cold ones.
-
-        Guards against hundreds of nodes with too few exchanges each to learn of, or rank, a whole fleet:
-        a node uses warm ones' worth enough that each gives samples, in an order of its own by chance."""
-        get = self.settings.get
+        """The backends this node uses, of each location its part, and the budgets of the cold ones."""
+        get, push = self.settings.get, 0.5 * self.settings.get("rules.fall_multiple", 1.0) / SECOND
         warm, start = max(get("rules.warm_within", 0), 1), get("rules.cold_from", 0.1)
-        push = 0.5 * get("rules.fall_multiple", 1.0) / SECOND
+        # Guards against hundreds of nodes with too few exchanges each to learn of, or rank, a whole fleet:
+        # a node uses as many warm ones' worth as it can sample, in an order of its own by chance.
         size = max(LEAST, self.demand * WINDOW_MOST / SECOND / SAMPLES) / max(self.fleet, 1)
         before, self.usable = self.usable, []
 
@@ -219,7 +213,6 @@
                     break
                 self.usable.append(backend)
                 room -= worth(backend)
-        usual = self.usual or self.demand / max(len(self.usable), 1)
         self.users = max(self.nodes * len(self.usable) / max(self.fleet, 1), 1.0)  # nodes that use a backend
         for backend in self.usable:
             if backend not in before:  # joins at a turn by chance, or all nodes would rush to it
@@ -227,7 +220,7 @@
                 backend.restart_window(now)
             if now < backend.warm_at:
                 # Guards against hundreds of nodes with a send each: a budget may be far under one.
-                backend.budget = push * worth(backend) * usual
+                backend.budget = push * worth(backend) * (self.usual or self.demand / len(self.usable))
                 if not backend.stage and not backend.points:
                     backend.stage, backend.held_rate = 1, 0.0
         # Guards against a few sick backends passing for what is usual: the fleet's share is the median one.
@@ -236,10 +229,9 @@
     def on_exchange(self, now: int, ident: int, route_no: int, customer_no: int, grace: int, again: bool):
         route, self.welcome = self.routes[route_no], min(self.welcome + 0.002, 1.0)
         aim_at = now + route.objective
-        if not again:
-            route.usual_grace = max(route.usual_grace, grace)
-            self.arrivals += 1
-        elif grace < route.usual_grace:
+        self.arrivals += not again
+        route.usual_grace = max(route.usual_grace, 0 if again else grace)
+        if again and grace < route.usual_grace:
             aim_at -= route.timeout - grace  # the client's earlier tries have used up part of its objective
         surplus = customer_no < len(self.customers) and not self.customers[customer_no].within(now, again)
         xchg = self.exchanges[ident] = Exchange(ident, route, now, now + grace, aim_at, surplus)
@@ -249,16 +241,14 @@
         self.at(xchg.deadline - self.settings.get("tick", 10), self.give_up, xchg)
         self.place(now, xchg)
 
-    def on_try_ended(self, now: int, ident: int, try_no: int, outcome: Outcome, elapsed: int, over: bool,
-                     load: Load | None) -> None:  # fmt: skip
+    def on_try_ended(self, now: int, ident: int, try_no: int, outcome: Outcome, took: int, over: bool, load):
         xchg = self.exchanges.get(ident)
         if xchg is None or try_no >= len(xchg.tries):
             return
         upstream = xchg.tries[try_no]
         backend, upstream.outcome = upstream.backend, outcome
-        if upstream in backend.out:
-            backend.out.remove(upstream)
-        self.measure(now, upstream, outcome, elapsed)
+        backend.out = [t for t in backend.out if t is not upstream]
+        self.measure(now, upstream, outcome, took)
         if load is not None and load.inflight is not None:
             backend.held, backend.held_at = load.inflight, now
         if over or xchg.over:
@@ -336,8 +326,7 @@
             self.ask_again = now + 20 * SECOND
             self.host.subscribe()
         self.demand += (self.arrivals - self.demand) * (0.2 if self.demand else 1.0)
-        warm = sum(now >= b.warm_at for b in self.usable)
-        if warm:
+        if warm := sum(now >= b.warm_at for b in self.usable):
             self.usual += (self.sends / warm - self.usual) * (0.2 if self.usual else 1.0)
         self.arrivals = self.sends = 0
         for backend in self.usable:
@@ -346,19 +335,19 @@
             backend.slot_time, backend.slots = 0.85 * backend.slot_time, 0.85 * backend.slots
         self.choose(now)
         self.solve(now)
-        if (self.sheds > 0.05 * max(self.demand, 1.0)) != self.shedding:
+        # Guards against a log that flickers where a node has an exchange a second: some ten seconds count.
+        if self.shedding != (self.sheds > (0.2 if self.shedding else 1.0) * max(self.demand, 3.0)):
             self.shedding = not self.shedding
-            self.host.log(f"shedding {'on' if self.shedding else 'off'}: {self.sheds} shed in 1 s of"
-                          f" {self.demand:.0f}/s, equal time {self.equal_time / 10:.0f} ms")  # fmt: skip
-        self.sheds = 0
+            mode = f"{'on' if self.shedding else 'off'}: {self.sheds:.0f} shed in 10 s of {self.demand:.1f}/s"
+            self.host.log(f"shedding {mode}, equal time {self.equal_time / 10:.0f} ms")
+        self.sheds *= 0.9
         self.drain(now)
 
     def place(self, now: int, xchg: Exchange) -> None:
         if not xchg.held:
             xchg.held = True
             insort(self.held, xchg, key=lambda x: x.order)
-            patience = 0.05 if xchg.surplus else 0.3
-            until = min(now + int(patience * xchg.route.objective), xchg.aim_at)
+            until = min(now + int((0.05 if xchg.surplus else 0.3) * xchg.route.objective), xchg.aim_at)
             self.at(until, lambda at, x: x.held and self.give_up(at, x), xchg)
             if self.asks and not xchg.asked:
                 self.ask(now, xchg)
@@ -424,9 +413,9 @@
 
     def finish(self, xchg: Exchange) -> None:
         out = [number for number, upstream in enumerate(xchg.tries) if upstream.outcome is None]
-        if not xchg.over and self.settings.get("policy_limits.cancel") and not xchg.streaming:
-            for number in out:
-                self.host.cancel(xchg.id, number)
+        cancels = not xchg.over and self.settings.get("policy_limits.cancel") and not xchg.streaming
+        for number in out if cancels else ():
+            self.host.cancel(xchg.id, number)
         xchg.over = True
         self.unhold(xchg)
         if not out:
@@ -435,17 +424,15 @@
     def solve(self, now: int) -> None:
         """Rates of equal response time that sum to the demand, by bisection; floor shares for the rest."""
         ready, demand = [b for b in self.usable if now >= b.out_until], max(self.demand, 0.1)
-        measured = [p for b in ready for p in b.points]
-        if measured:
-            self.mean_time = sum(p[1] * p[2] for p in measured) / sum(p[2] for p in measured)
+        measured = [p for b in ready for p in b.points] or [[0.0, self.mean_time, 1.0, now]]
+        self.mean_time = sum(p[1] * p[2] for p in measured) / sum(p[2] for p in measured)
         times, slots = sum(b.slot_time for b in ready), sum(b.slots for b in ready)
         self.slot = (times + self.objective / 4.0) / (slots + 1.0)
         solved = [b for b in ready if not b.stage]
         fastest = max((b.share for b in solved), default=0.0) or demand / max(len(ready), 1)
-        newcomers = [b for b in ready if b.stage]
-        for backend in newcomers:
-            backend.share = backend.held_rate or fastest / SPREAD
-        left = max(demand - sum(b.share for b in newcomers), 0.2 * demand)
+        for backend in ready:
+            backend.share = (backend.held_rate or fastest / SPREAD) if backend.stage else backend.share
+        left = max(demand - sum(b.share for b in ready if b.stage), 0.2 * demand)
         if sum(1 for b in solved if b.points) < 2:
             whole = sum(b.weight for b in solved) or 1.0
             for backend in solved:
@@ -466,9 +453,8 @@
         self.total = sum(b.share for b in ready)
 
     def turns(self, now: int, xchg: Exchange) -> list[Backend]:
-        fit = [b for b in self.usable
-               if now >= b.out_until and now >= b.full_until and not (b.doubt > TRIAL and b.out)
-               and (now >= b.warm_at or self.cold_allows(b, now))]  # fmt: skip
+        fit = [b for b in self.usable if now >= b.out_until and now >= b.full_until]
+        fit = [b for b in fit if not (b.doubt > TRIAL and b.out) and self.cold_allows(b, now)]
         if xchg.tries:
             tried = [t.backend for t in xchg.tries]
             fit = [b for b in fit if self.may_try(xchg, b, now)]
@@ -492,7 +478,7 @@
 
     def pick(self, now: int, xchg: Exchange) -> Backend | None:
         fit, left = self.turns(now, xchg), xchg.aim_at - now
-        share = 0.35 if xchg.surplus else 0.5 + 0.25 * xchg.route.value / self.top_value
+        share = 0.35 if xchg.surplus else 0.5 + 0.25 * xchg.route.value / max(r.value for r in self.routes)
         bound = share * left if left > 0 else 0.3 * xchg.route.objective
         most = max(2.0, 2.0 * sum(len(b.out) for b in fit) / len(fit)) if fit else 0.0
         asking = self.asks and not xchg.settled
@@ -501,16 +487,14 @@
         stale = 20 if asking else self.slot / 2 if heard else inf
         best, best_time = None, inf
         for backend in fit:
-            if len(backend.out) > most or now - backend.held_at > stale:
-                continue
             time, cost = self.expected(backend, now), backend.cost
-            # Guards against refusing what idle backends could do, since heavy exchanges look like slowness.
-            idle = heard and self.ahead(backend, now) < 0.5 and left > 0.3 * xchg.route.objective
-            near = 1.5 * self.slot if self.asks else max(self.equal_time - cost, 1.5 * self.slot)
             # Guards against crowding a backend until it turns slower: a few times its idle time is enough.
-            if backend.out and not self.asks and time > max(CROWD * backend.line[0][1], 0.2 * self.objective):
+            room = max(CROWD * backend.line[0][1], 0.2 * self.objective)
+            crowded = backend.out and not self.asks and time > room
+            if len(backend.out) > most or now - backend.held_at > stale or crowded:
                 continue
-            if idle or time <= min(near, bound):
+            near = 1.5 * self.slot if self.asks else max(self.equal_time - cost, 1.5 * self.slot)
+            if time <= min(near, bound):
                 best = backend
                 break
             if not asking and time <= bound and time + cost < best_time:
@@ -545,7 +529,7 @@
     def measure(self, now: int, upstream: UpstreamTry, outcome: Outcome, elapsed: int) -> None:
         backend = upstream.backend
         if outcome == Outcome.COMPLETED:
-            backend.last_answer, backend.full_wait = now, 0
+            backend.last_answer = now
             backend.slot_time = backend.slot_time * 0.9 + elapsed
             backend.slots = backend.slots * 0.9 + upstream.ahead + 1.0
             self.verdict(now, upstream, False, elapsed)
@@ -553,10 +537,8 @@
             # Guards against a backend that fails fast and would draw traffic by its short times.
             self.verdict(now, upstream, True, upstream.xchg.route.timeout)
         elif outcome == Outcome.REJECTED:
-            # Guards against asking again and again where a hung backend is full and turns all away unseen.
-            backend.full_wait = min(max(2 * backend.full_wait, int(self.slot)), 2 * SECOND)
-            backend.full_until = now + backend.full_wait
             # Guards against full backends that keep the good profile of the few that they did take.
+            backend.full_until = now + int(self.slot)
             backend.count, backend.total = backend.count + 1, backend.total + upstream.xchg.route.timeout
             backend.slot_time = backend.slot_time * 0.9 + self.objective
             backend.slots = backend.slots * 0.9 + 1.0
@@ -572,14 +554,14 @@
         backend.count, backend.total = backend.count + 1, backend.total + time
         backend.fails += (failed - backend.fails) * 0.2
         backend.judge(failed, self.failing)
-        if (backend.doubt >= EJECT and now >= backend.out_until
-                and sum(now < b.out_until for b in self.usable) < len(self.usable) // 2):  # fmt: skip
+        gone = sum(now < b.out_until for b in self.usable) if backend.doubt >= EJECT else inf
+        if now >= backend.out_until and gone < len(self.usable) // 2:
             away = int(backend.away * (0.75 + 0.5 * self.chance.uniform()))
             backend.out_until, backend.away = now + away, min(backend.away * 3 // 2, AWAY_MOST)
             backend.doubt = EJECT - 1.0
             self.at(backend.out_until, self.look_again, backend)
-            self.host.log(f"out {backend.name}: {len(backend.out)} unanswered, fleet fails"
-                          f" {self.failing:.0%}, back in {away / SECOND:.1f} s")  # fmt: skip
+            figures = f"{len(backend.out)} unanswered, fleet fails {self.failing:.0%}"
+            self.host.log(f"out {backend.name}: {figures}, back in {away / SECOND:.1f} s")
         elif not failed and backend.doubt == 0.0 and backend.away > AWAY:
             backend.away = AWAY
             self.host.log(f"trusted again {backend.name}")
