--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -1,8 +1,7 @@
 """Every decision of basalthoist.
 
-How to call it: make one `Node(host, seed, settings, now)` a process start, then call the `on_...` method for
-each thing that happens, with the clock. It acts by calling its host; that interface is in host.py. `settings`
-is a plain map such as {"routes.0.value": 3.0}. Times are whole tenths of a millisecond.
+How to call it: one `Node(host, seed, settings, now)` a process start, then its `on_...` method for each thing
+that happens. It calls its host, whose interface is in host.py. `settings`: {"routes.0.value": 3.0, ...}.
 """
 
 from bisect import insort
@@ -12,7 +11,7 @@
 
 from .host import NEVER_RAN, Host, Listed, Load, Outcome
 
-SECOND = 10_000
+SECOND = 10_000  # times are whole tenths of a millisecond
 WINDOW, WINDOW_MOST = 2 * SECOND, 8 * SECOND  # a profile window is lengthened until it holds SAMPLES
 SAMPLES, POINT_LIFE = 4, 30 * SECOND
 SPREAD, CROWD = 4.0, 4.0
@@ -20,7 +19,7 @@
 PRIOR = 3.0  # samples' worth of the fleet's mean that every measured mean is blended with
 EJECT, TRIAL = 6.0, 3.0  # sums of the sequential test: over the first out, over the second one try at a time
 AWAY, AWAY_MOST = 2 * SECOND, 8 * SECOND
-LEAST = 6  # warm backends' worth that a node uses at the least, where there are as many
+LEAST = 8  # warm backends' worth that a node uses at the least, where there are as many
 
 
 class Lcg:
@@ -39,23 +38,21 @@
 class Backend:
     def __init__(self, listed: Listed, now: int, chance: Lcg) -> None:
         self.name, self.out, self.away = listed.name, [], AWAY
-        self.place = chance.uniform()  # its order in this node's choice
-        self.credit = self.share = self.cost = 0.0
+        self.place, self.credit, self.share, self.cost = chance.uniform(), 0.0, 0.0, 0.0  # place: in `choose`
         self.forget(now, chance)
 
     def learn(self, listed: Listed) -> None:
-        self.location, self.pod = listed.location, listed.pod
+        self.location, self.kind, self.pod = listed.location, listed.kind, listed.pod
         self.weight, self.started, self.usable = listed.weight, listed.started, listed.state == "healthy"
 
     def forget(self, now: int, chance: Lcg) -> None:
-        """A new or restarted process: nothing measured before holds for it."""
         self.warm_at, self.points, self.line = 0, [], [(0.0, inf)]  # points: [rate, time, samples, when]
         self.restart_window(now)
-        self.slot_time, self.slots = 0.0, 0.0  # response times, and exchanges held during them
+        self.slot_time, self.slots, self.pace = 0.0, 0.0, 1.0  # times, exchanges held; its kind's pace
         self.fails, self.doubt, self.out_until, self.last_answer = 0.0, 0.0, 0, now  # doubt: the test's sum
         self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0  # as it reports itself
         self.full_until, self.budget = 0, 0.0
-        # Sends allowed while cold: a part of one, or all nodes would make their first at once.
+        # Guards against hundreds of nodes with a send each while it is cold: they start with a part of one.
         self.tokens, self.tokens_at = chance.uniform(), now
         self.stage, self.held_rate = 0, 0.0  # stage 0: no stepwise profiling; 1, 2: its rates
 
@@ -198,8 +195,7 @@
         """The backends this node uses, of each location its part, and the budgets of the cold ones."""
         get, push = self.settings.get, 0.5 * self.settings.get("rules.fall_multiple", 1.0) / SECOND
         warm, start = max(get("rules.warm_within", 0), 1), get("rules.cold_from", 0.1)
-        # Guards against hundreds of nodes with too few exchanges each to learn of, or rank, a whole fleet:
-        # a node uses as many warm ones' worth as it can sample, in an order of its own by chance.
+        # Guards against hundreds of nodes with too few exchanges each to learn of, or rank, a whole fleet.
         size = max(LEAST, self.demand * WINDOW_MOST / SECOND / SAMPLES) / max(self.fleet, 1)
         before, self.usable = self.usable, []
 
@@ -219,7 +215,6 @@
                 backend.credit = -self.chance.uniform() * self.total
                 backend.restart_window(now)
             if now < backend.warm_at:
-                # Guards against hundreds of nodes with a send each: a budget may be far under one.
                 backend.budget = push * worth(backend) * (self.usual or self.demand / len(self.usable))
                 if not backend.stage and not backend.points:
                     backend.stage, backend.held_rate = 1, 0.0
@@ -329,13 +324,14 @@
         if warm := sum(now >= b.warm_at for b in self.usable):
             self.usual += (self.sends / warm - self.usual) * (0.2 if self.usual else 1.0)
         self.arrivals = self.sends = 0
+        # Guards against hundreds of nodes that each forget a slow backend in seconds and try it in turn.
+        fade = min(0.97 ** (self.demand / max(len(self.usable), 1)), 0.95)
         for backend in self.usable:
             if backend.close_window(now, 4.0 * (self.objective if backend.doubt else self.mean_time)):
                 self.step(now, backend)
-            backend.slot_time, backend.slots = 0.85 * backend.slot_time, 0.85 * backend.slots
+            backend.slot_time, backend.slots = fade * backend.slot_time, fade * backend.slots
         self.choose(now)
         self.solve(now)
-        # Guards against a log that flickers where a node has an exchange a second: some ten seconds count.
         if self.shedding != (self.sheds > (0.2 if self.shedding else 1.0) * max(self.demand, 3.0)):
             self.shedding = not self.shedding
             mode = f"{'on' if self.shedding else 'off'}: {self.sheds:.0f} shed in 10 s of {self.demand:.1f}/s"
@@ -426,8 +422,12 @@
         ready, demand = [b for b in self.usable if now >= b.out_until], max(self.demand, 0.1)
         measured = [p for b in ready for p in b.points] or [[0.0, self.mean_time, 1.0, now]]
         self.mean_time = sum(p[1] * p[2] for p in measured) / sum(p[2] for p in measured)
-        times, slots = sum(b.slot_time for b in ready), sum(b.slots for b in ready)
-        self.slot = (times + self.objective / 4.0) / (slots + 1.0)
+        self.slot = (sum(b.slot_time for b in ready) + self.objective / 4) / (sum(b.slots for b in ready) + 1)
+        # Guards against reading chance in a few samples as speed: what those of its kind share comes first.
+        for alike in [[b for b in ready if b.kind == kind] for kind in {b.kind for b in ready}]:
+            pace = sum(b.slot_time for b in alike) / self.slot + PRIOR
+            for backend in alike:
+                backend.pace = pace / (sum(b.slots for b in alike) + PRIOR)
         solved = [b for b in ready if not b.stage]
         fastest = max((b.share for b in solved), default=0.0) or demand / max(len(ready), 1)
         for backend in ready:
@@ -439,7 +439,7 @@
                 backend.share = left * backend.weight / whole
             return
         for backend in solved:
-            backend.curve(demand / len(ready), self.mean_time, 1.0 / self.users, now)
+            backend.curve(demand / len(ready), self.mean_time * backend.pace, 1.0 / self.users, now)
         low, high = 0.0, 100.0 * self.objective
         for _ in range(24):
             middle = (low + high) / 2
@@ -470,7 +470,7 @@
         return max(float(len(backend.out)), heard)
 
     def expected(self, backend: Backend, now: int) -> float:
-        slot = (backend.slot_time + PRIOR * self.slot) / (backend.slots + PRIOR)
+        slot = (backend.slot_time + PRIOR * self.slot * backend.pace) / (backend.slots + PRIOR)
         time = slot * (self.ahead(backend, now) + 1.0)
         if backend.out and backend.last_answer < backend.out[0].sent_at:
             time = max(time, slot + now - backend.out[0].sent_at)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -154,3 +154,14 @@
     made.on_list(NOW, fleet[::-1][:-1], True)  # the list's order does not matter, a change moves one at most
     assert len(used - {b.name for b in made.usable}) <= 1
     assert len({b.name for b in node(fleet[:5])[0].usable}) == 5  # a small fleet is used whole
+
+
+def test_a_backend_without_samples_is_foretold_and_profiled_by_its_kind():
+    made, _ = node([listed("a", kind=0), listed("b", kind=1), listed("c", kind=1)])
+    for name, time in (("a", 500.0), ("b", 1500.0)):
+        backend = made.backends[name]
+        backend.slot_time, backend.slots, backend.points = 50 * time, 50.0, [[5.0, time, 50.0, NOW]]
+    made.solve(NOW)
+    a, b, c = (made.backends[name] for name in "abc")
+    assert made.expected(c, NOW) == pytest.approx(made.expected(b, NOW), rel=0.1)
+    assert c.line[0][1] > 2 * a.line[0][1]
