--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -164,8 +164,6 @@
             host.subscribe()
         host.wake(SECOND, "tick")
 
-    # ---- rules: the only places where a send or a shed is allowed
-
     def may_try(self, xchg: Exchange, backend: Backend, now: int) -> bool:
         tries, route = xchg.tries, xchg.route
         if xchg.over or xchg.streaming or now >= xchg.deadline or not backend.usable:
@@ -189,7 +187,7 @@
     def cold_allows(self, backend: Backend, now: int) -> bool:
         backend.tokens = min(backend.tokens + (now - backend.tokens_at) * backend.budget, 1.0)
         backend.tokens_at = now
-        return now >= backend.warm_at or backend.tokens >= 1.0
+        return backend.tokens >= 1.0
 
     def choose(self, now: int) -> None:
         """The backends this node uses, of each location its part, and the budgets of the cold ones."""
@@ -262,7 +260,8 @@
         if outcome == Outcome.COMPLETED and load is not None and load.inflight is not None:
             backend.held, backend.held_at, self.heard_at = load.inflight, now, now
             self.probe_trip += (elapsed - self.probe_trip) * 0.05
-        self.drain(now)
+        # Guards against going through all that is held with each report of hundreds that changes nothing.
+        (self.drain if self.expected(backend, now) <= 1.5 * self.slot else self.arm)(now)
 
     def on_exchange_gone(self, now: int, ident: int) -> None:
         if ident in self.exchanges:
@@ -441,7 +440,7 @@
         for backend in solved:
             backend.curve(demand / len(ready), self.mean_time * backend.pace, 1.0 / self.users, now)
         low, high = 0.0, 100.0 * self.objective
-        for _ in range(24):
+        for _ in range(16):
             middle = (low + high) / 2
             enough = sum(b.rate_at(middle - b.cost) for b in solved) >= left
             low, high = (low, middle) if enough else (middle, high)
@@ -453,8 +452,8 @@
         self.total = sum(b.share for b in ready)
 
     def turns(self, now: int, xchg: Exchange) -> list[Backend]:
-        fit = [b for b in self.usable if now >= b.out_until and now >= b.full_until]
-        fit = [b for b in fit if not (b.doubt > TRIAL and b.out) and self.cold_allows(b, now)]
+        fit = [b for b in self.usable if now >= b.out_until and not (b.doubt > TRIAL and b.out)]
+        fit = [b for b in fit if now >= b.full_until and (now >= b.warm_at or self.cold_allows(b, now))]
         if xchg.tries:
             tried = [t.backend for t in xchg.tries]
             fit = [b for b in fit if self.may_try(xchg, b, now)]
@@ -487,11 +486,11 @@
         stale = 20 if asking else self.slot / 2 if heard else inf
         best, best_time = None, inf
         for backend in fit:
+            if len(backend.out) > most or now - backend.held_at > stale:
+                continue
             time, cost = self.expected(backend, now), backend.cost
             # Guards against crowding a backend until it turns slower: a few times its idle time is enough.
-            room = max(CROWD * backend.line[0][1], 0.2 * self.objective)
-            crowded = backend.out and not self.asks and time > room
-            if len(backend.out) > most or now - backend.held_at > stale or crowded:
+            if backend.out and not self.asks and time > max(CROWD * backend.line[0][1], 0.2 * self.objective):
                 continue
             near = 1.5 * self.slot if self.asks else max(self.equal_time - cost, 1.5 * self.slot)
             if time <= min(near, bound):
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -165,3 +165,14 @@
     a, b, c = (made.backends[name] for name in "abc")
     assert made.expected(c, NOW) == pytest.approx(made.expected(b, NOW), rel=0.1)
     assert c.line[0][1] > 2 * a.line[0][1]
+
+
+def test_a_report_that_changes_nothing_does_not_go_through_all_that_is_held():
+    made, _ = asking("ab")
+    made.on_exchange(NOW, 1, 0, 0, 8000, False)
+    picks, pick = [], made.pick
+    made.pick = lambda now, xchg: picks.append(xchg) or pick(now, xchg)
+    made.on_probe_ended(NOW + 5, "a", Outcome.COMPLETED, 5, Load(9.0, 8.0, 1.0))
+    assert not picks
+    made.on_probe_ended(NOW + 5, "b", Outcome.COMPLETED, 5, Load(0.0, 0.0, 0.0))
+    assert picks
