--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -539,7 +539,7 @@
             # Guards against full backends that keep the good profile of the few that they did take.
             backend.full_until = now + int(self.slot)
             backend.count, backend.total = backend.count + 1, backend.total + upstream.xchg.route.timeout
-            backend.slot_time = backend.slot_time * 0.9 + self.objective
+            backend.slot_time = backend.slot_time * 0.9 + upstream.xchg.route.timeout
             backend.slots = backend.slots * 0.9 + 1.0
 
     def look_again(self, now: int, backend: Backend) -> None:
