--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -61,8 +61,7 @@
         if span < WINDOW or (self.count < SAMPLES and span < WINDOW_MOST):
             return False
         if self.count:
-            time = min(self.total / self.count, limit)
-            self.points.append([self.sent / span * SECOND, time, float(self.count), now])
+            self.points += [[self.sent / span * SECOND, min(self.total / self.count, limit), self.count, now]]
         self.points = sorted(p for p in self.points if now - p[3] < POINT_LIFE)
         self.restart_window(now)
         return True
@@ -529,6 +528,7 @@
         backend = upstream.backend
         if outcome == Outcome.COMPLETED:
             backend.last_answer = now
+            self.welcome *= 1.0 if upstream.xchg.surplus or now <= upstream.xchg.aim_at else 0.8
             backend.slot_time = backend.slot_time * 0.9 + elapsed
             backend.slots = backend.slots * 0.9 + upstream.ahead + 1.0
             self.verdict(now, upstream, False, elapsed)
@@ -539,7 +539,7 @@
             # Guards against full backends that keep the good profile of the few that they did take.
             backend.full_until = now + int(self.slot)
             backend.count, backend.total = backend.count + 1, backend.total + upstream.xchg.route.timeout
-            backend.slot_time = backend.slot_time * 0.9 + upstream.xchg.route.timeout
+            backend.slot_time = backend.slot_time * 0.9 + self.objective
             backend.slots = backend.slots * 0.9 + 1.0
 
     def look_again(self, now: int, backend: Backend) -> None:
