--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -19,7 +19,7 @@
 PRIOR = 3.0  # samples' worth of the fleet's mean that every measured mean is blended with
 EJECT, TRIAL = 6.0, 3.0  # sums of the sequential test: over the first out, over the second one try at a time
 AWAY, AWAY_MOST = 2 * SECOND, 8 * SECOND
-LEAST = 8  # warm backends' worth that a node uses at the least, where there are as many
+LEAST = 6  # warm backends' worth that a node uses at the least, where there are as many
 
 
 class Lcg:
@@ -323,7 +323,7 @@
             self.usual += (self.sends / warm - self.usual) * (0.2 if self.usual else 1.0)
         self.arrivals = self.sends = 0
         # Guards against hundreds of nodes that each forget a slow backend in seconds and try it in turn.
-        fade = min(0.97 ** (self.demand / max(len(self.usable), 1)), 0.95)
+        fade = min(0.97 ** (self.demand / max(len(self.usable), 1)), 0.85 if self.asks else 0.95)
         for backend in self.usable:
             if backend.close_window(now, 4.0 * (self.objective if backend.doubt else self.mean_time)):
                 self.step(now, backend)
