--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -127,3 +127,21 @@
     made.routes[0].usual_grace = 4500  # the client has spent 8000 - 3500 of its objective of 3000 already
     made.on_exchange(NOW, 1, 0, 0, 3500, True)
     assert [c[0] for c in host.take("send", "shed")] == calls
+
+
+@pytest.mark.parametrize(
+    ("entries", "nodes", "location", "answer"),
+    [
+        ([], 1, 0, "shed"),  # an empty list
+        ([listed("a", location=1)], 1, 0, "send"),  # no backend in the node's own location
+        ([listed("a")], 400, 0, "send"),  # more nodes than backends
+        ([listed(f"b{i}", location=i % 4) for i in range(600)], 400, 2, "send"),
+    ],
+)
+def test_fleets_of_any_size_are_served_and_every_exchange_answered(entries, nodes, location, answer):
+    made, host = node(entries, nodes=nodes, location=location)
+    begin(made)
+    made.on_wake(NOW + 500, "tick")
+    made.on_wake(NOW + 7990, "due")
+    assert answer in {c[0] for c in host.take("send", "shed")}
+    assert len(made.usable) <= 12
