Reckon a kind's pace and the highest value once; name the kind's mean in comments

From the last reading, no decision changed: a kind's held exchanges were summed again for each of its backends at every solve, and the routes' highest value was looked up at every pick. Three comments still spoke of the fleet's mean where it is the kind's.

--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -16,7 +16,7 @@
 SAMPLES, POINT_LIFE = 4, 30 * SECOND
 SPREAD, CROWD = 4.0, 4.0
 FLOOR_SHARE = 0.2  # of an even share
-PRIOR = 3.0  # samples' worth of the fleet's mean that every measured mean is blended with
+PRIOR = 3.0  # samples' worth of the wider mean (kind's, fleet's) that every measured mean is blended with
 EJECT, TRIAL = 6.0, 3.0  # sums of the sequential test: over the first out, over the second one try at a time
 AWAY, AWAY_MOST = 2 * SECOND, 8 * SECOND
 LEAST = 6  # warm backends' worth that a node uses at the least, where there are as many
@@ -70,7 +70,7 @@
         self.window_from, self.sent, self.count, self.total = now, 0, 0, 0.0
 
     def curve(self, mean_rate: float, mean_time: float, cores: float, now: int) -> None:
-        """The profile as a non-decreasing line, its points blended with the fleet's mean by their samples."""
+        """The profile as a non-decreasing line, its points blended with its kind's mean by their samples."""
         blended: list[tuple[float, float, float]] = []
         for rate, time, samples, when in self.points or [(mean_rate, mean_time, PRIOR, now)]:
             samples *= 0.5 ** ((now - when) / (5 * SECOND))
@@ -146,6 +146,7 @@
         self.routes = [Route(settings, i) for i in range(get("routes.count", 1))]
         quotas = [get(f"customers.{i}.quota_per_s", 0.0) for i in range(get("customers.count", 0))]
         self.customers = [Customer(quota / self.nodes) for quota in quotas]
+        self.top_value = max(r.value for r in self.routes)
         self.objective, self.crossing = min(r.objective for r in self.routes), get("prices.cross_zone", 0.0)
         self.advice = get("policy_limits.max_retry_after", 0) // 2 if get("policy_limits.retry_after") else 0
         # Asking backends before a send pays where they report their load and a probe costs little.
@@ -352,8 +353,7 @@
     def ask(self, now: int, xchg: Exchange) -> None:
         xchg.asked += 1
         # Guards against asking the same crowded few again while others are idle and unheard of.
-        fit = sorted(self.turns(now, xchg), key=lambda b: b.held_at * (xchg.asked > 1))
-        for backend in fit[: self.asks]:
+        for backend in sorted(self.turns(now, xchg), key=lambda b: b.held_at * (xchg.asked > 1))[: self.asks]:
             if not backend.probe_at and now - backend.held_at > 20:
                 self.probe(now, backend)
 
@@ -422,10 +422,10 @@
         self.mean_time = sum(p[1] * p[2] for p in measured) / sum(p[2] for p in measured)
         self.slot = (sum(b.slot_time for b in ready) + self.objective / 4) / (sum(b.slots for b in ready) + 1)
         # Guards against reading chance in a few samples as speed: what those of its kind share comes first.
-        for alike in [[b for b in ready if b.kind == kind] for kind in {b.kind for b in ready}]:
-            pace = sum(b.slot_time for b in alike) / self.slot + PRIOR
-            for backend in alike:
-                backend.pace = pace / (sum(b.slots for b in alike) + PRIOR)
+        for kin in [[b for b in ready if b.kind == kind] for kind in {b.kind for b in ready}]:
+            pace = (sum(b.slot_time for b in kin) / self.slot + PRIOR) / (sum(b.slots for b in kin) + PRIOR)
+            for backend in kin:
+                backend.pace = pace
         solved = [b for b in ready if not b.stage]
         fastest = max((b.share for b in solved), default=0.0) or demand / max(len(ready), 1)
         for backend in ready:
@@ -476,7 +476,7 @@
 
     def pick(self, now: int, xchg: Exchange) -> Backend | None:
         fit, left = self.turns(now, xchg), xchg.aim_at - now
-        share = 0.35 if xchg.surplus else 0.5 + 0.25 * xchg.route.value / max(r.value for r in self.routes)
+        share = 0.35 if xchg.surplus else 0.5 + 0.25 * xchg.route.value / self.top_value
         bound = share * left if left > 0 else 0.3 * xchg.route.objective
         most = max(2.0, 2.0 * sum(len(b.out) for b in fit) / len(fit)) if fit else 0.0
         asking = self.asks and not xchg.settled
@@ -505,7 +505,7 @@
     def step(self, now: int, backend: Backend) -> None:
         """Stepwise profiling: a first low rate, a second near 0.8 of the objective, then the solve."""
         if not backend.points and now >= backend.warm_at:
-            backend.stage = 0  # too few exchanges here to profile it by: it counts as the fleet's mean
+            backend.stage = 0  # too few exchanges here to profile it by: it counts as its kind's mean
         if not backend.stage or not backend.points:
             return
         rate, time = max(backend.points, key=lambda p: p[3])[:2]
