--- /dev/null
+++ b/basalthoist/__main__.py
@@ -0,0 +1,36 @@
+"""One real node: `python -m basalthoist`."""
+
+import asyncio
+import signal
+import sys
+
+import uvloop
+
+from .configuration import ConfigurationError, load
+from .net.service import Service
+
+
+async def run(configuration) -> None:
+    loop = asyncio.get_running_loop()
+    service = Service(configuration, loop)
+    for name in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(name, service.leave)
+    await service.serve()
+
+
+def main() -> int:
+    try:
+        configuration = load()
+    except ConfigurationError as wrong:
+        print(f"basalthoist: configuration: {wrong}", file=sys.stderr)
+        return 2
+    try:
+        uvloop.run(run(configuration))
+    except OSError as wrong:
+        print(f"basalthoist: {wrong}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/basalthoist/configuration.py
@@ -0,0 +1,144 @@
+"""Everything that a node is told at its start: read, checked and given defaults here and nowhere else."""
+
+import os
+from collections.abc import Mapping
+from typing import Annotated
+
+import msgspec
+
+from .net.members import MemberList, address_of
+from .terms import flat_map
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Count = Annotated[int, msgspec.Meta(gt=0)]
+
+
+class ConfigurationError(Exception):
+    """What is wrong, with the name of the faulty key."""
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """Sizes in bytes, times in seconds. `sockets` and `memory_mb` are what the machine allows."""
+
+    cores: Positive = 1.0
+    memory_mb: Positive = 192
+    sockets: Annotated[int, msgspec.Meta(ge=64)] = 1024
+    reserve: Count = 32  # descriptors kept free for listener, discovery, log and the loop itself
+    head_bytes: Count = 16 * 1024
+    body_bytes: Count = 64 * 1024
+    list_bytes: Count = 4 * 1024 * 1024
+    log_lines_per_s: Count = 20
+    backlog: Count = 512
+    client_idle_s: Positive = 120.0  # a client's connection between exchanges
+    client_read_s: Positive = 10.0  # from the first byte of a request to its last; an answer not read
+    client_transit_s: Annotated[float, msgspec.Meta(ge=0)] = 0.001  # from a client's send to its arrival here
+    upstream_idle_part: Annotated[float, msgspec.Meta(gt=0, lt=1)] = 0.5  # of the backend's own keep-alive
+    connect_s: Positive = 1.0  # where the settings give no time for it
+    probe_s: Positive = 0.1
+    first_list_s: Positive = 0.3  # how long `/ready` waits for discovery before the saved list has to do
+    watch_silent_s: Positive = 5.0
+    watch_retry_s: Positive = 0.5  # between tries to reach discovery, spread by half of it either way
+    linger_s: Positive = 0.55  # after SIGTERM new connections are still taken for this long
+
+
+class Route(msgspec.Struct):
+    name: str
+    overall_timeout: Annotated[int, msgspec.Meta(ge=0)] = 0
+    streaming: bool = False
+
+
+class Account(msgspec.Struct):
+    name: str
+
+
+class Feedback(msgspec.Struct):
+    how: str = "off"
+
+
+class PolicyLimits(msgspec.Struct):
+    connect_timeout: Annotated[int, msgspec.Meta(ge=0)] = 0
+    keepalive: Annotated[int, msgspec.Meta(ge=0)] = 0
+    probes: bool = False
+
+
+class Told(msgspec.Struct):
+    """Those of the settings that the network side needs itself, in their own words and microseconds."""
+
+    routes: Annotated[list[Route], msgspec.Meta(min_length=1)]
+    accounts: list[Account] = []
+    zones: list[str] = []
+    kinds: list[str] = []
+    policy_limits: PolicyLimits = msgspec.field(default_factory=PolicyLimits)
+    feedback: Feedback = msgspec.field(default_factory=Feedback)
+
+
+class Document(msgspec.Struct):
+    settings: msgspec.Raw
+    seed: str
+    name: str = ""
+    listen: str = ""
+    discovery: str = ""
+    limits: Limits = msgspec.field(default_factory=Limits)
+    known: MemberList = msgspec.field(default_factory=lambda: MemberList(0, [], True))
+
+
+class Configuration:
+    """The node's name, addresses, limits and saved list, and `settings` for the decisions."""
+
+    def __init__(self, document: Document, told: Told, settings: dict, environment: Mapping) -> None:
+        self.name = environment.get("PROXY_NAME") or document.name or "node"
+        listen = environment.get("PROXY_LISTEN") or document.listen
+        self.listen = address("listen (PROXY_LISTEN)", listen)
+        discovery = environment.get("PROXY_DISCOVERY") or document.discovery
+        self.discovery = address("discovery (PROXY_DISCOVERY)", discovery)
+        try:
+            self.seed = int(document.seed, 16)
+        except ValueError:
+            raise ConfigurationError(f"seed: expected hex digits, got {document.seed!r}") from None
+        for member in document.known.members:
+            address(f"known.members, {member.id}: host_port", member.host_port)
+        self.limits, self.known, self.settings = document.limits, document.known, settings
+        self.routes, self.told = told.routes, told
+        self.customers = [account.name for account in told.accounts]
+        self.reports = told.feedback.how != "off"
+        self.connect_timeout_s = told.policy_limits.connect_timeout / 1e6 or document.limits.connect_s
+        keepalive_s = told.policy_limits.keepalive / 1e6 or 10.0
+        self.upstream_idle_s = keepalive_s * document.limits.upstream_idle_part
+
+
+def address(key: str, text: str) -> tuple[str, int]:
+    try:
+        return address_of(text)
+    except ValueError as wrong:
+        raise ConfigurationError(f"{key}: {wrong}") from None
+
+
+def decode(data: bytes, environment: Mapping[str, str]) -> Configuration:
+    try:
+        document = msgspec.json.decode(data, type=Document)
+    except msgspec.ValidationError as wrong:
+        raise ConfigurationError(str(wrong)) from None
+    except msgspec.DecodeError as wrong:
+        raise ConfigurationError(f"not JSON: {wrong}") from None
+    try:
+        told = msgspec.json.decode(document.settings, type=Told)
+        nested = msgspec.json.decode(document.settings, type=dict)
+    except msgspec.ValidationError as wrong:
+        raise ConfigurationError(str(wrong).replace("`$", "`$.settings")) from None
+    try:
+        settings = flat_map(nested)
+    except (TypeError, ValueError) as wrong:
+        raise ConfigurationError(f"settings: a time or list is not of its form: {wrong}") from None
+    return Configuration(document, told, settings, environment)
+
+
+def load(environment: Mapping[str, str] = os.environ) -> Configuration:
+    path = environment.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigurationError("PROXY_CONFIG: not set; it names the JSON file with the settings")
+    try:
+        with open(path, "rb") as file:
+            data = file.read()
+    except OSError as wrong:
+        raise ConfigurationError(f"PROXY_CONFIG: {wrong}") from None
+    return decode(data, environment)
--- /dev/null
+++ b/basalthoist/net/clients.py
@@ -0,0 +1,230 @@
+"""Clients' connections: accept, read, check and answer. What passes the checks becomes an exchange."""
+
+import asyncio
+
+from basalthoist.configuration import Configuration
+
+from .descriptors import Descriptors
+from .exchanges import Exchange, Exchanges
+from .framing import BadMessage, Message, Reader
+from .log import Log
+from .timers import SECOND, Timers, now
+
+REASONS = {
+    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
+    413: b"Content Too Large", 431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
+    502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
+}  # fmt: skip
+METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))
+
+
+class Client(asyncio.Protocol):
+    """One connection. It carries one exchange at a time; what comes behind one waits in `reader`."""
+
+    def __init__(self, door: "Door") -> None:
+        self.door = door
+        self.reader = Reader(False, door.limits.head_bytes, door.limits.body_bytes)
+        self.transport: asyncio.Transport | None = None
+        self.exchange: Exchange | None = None
+        self.since = now()  # when it last fell idle, or began to read or to be written to
+        self.keep, self.counted, self.writing, self.held_back, self.ended = True, False, False, False, False
+
+    # Called by the event loop.
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        self.counted = self.door.descriptors.take()
+        self.door.clients.add(self)
+
+    def connection_lost(self, wrong: Exception | None) -> None:
+        self.ended = True
+        self.door.clients.discard(self)
+        if self.counted:
+            self.door.descriptors.give_back()
+        if self.exchange is not None:
+            xchg, self.exchange = self.exchange, None
+            self.door.exchanges.gone(xchg)
+        self.door.check_drained()
+
+    def data_received(self, data: bytes) -> None:
+        if self.ended:
+            return
+        if self.reader.idle() and self.exchange is None:
+            self.since = now()
+        try:
+            self.reader.feed(data, now())
+        except BadMessage as wrong:
+            return self.refuse(wrong.status)
+        if self.exchange is not None or self.writing:
+            # Guards against a client that sends on without end while its answer is awaited.
+            if len(self.reader.pending) > self.reader.head_bytes + self.reader.body_bytes:
+                self.held_back = True
+                self.transport.pause_reading()
+            return
+        self.advance()
+
+    def pause_writing(self) -> None:
+        self.writing, self.since = True, now()
+
+    def resume_writing(self) -> None:
+        self.writing, self.since = False, now()
+        self.advance()
+
+    # Stages of what it reads.
+
+    def advance(self) -> None:
+        if self.exchange is not None or self.writing or self.ended:
+            return
+        try:
+            message = self.reader.next()
+        except BadMessage as wrong:
+            return self.refuse(wrong.status)
+        if message is not None:
+            return self.take(message)
+        if self.reader.wants_continue:
+            self.reader.wants_continue = False
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if self.held_back:
+            self.held_back = False
+            self.transport.resume_reading()
+
+    def take(self, message: Message) -> None:
+        self.keep = message.keep_alive and self.counted
+        try:
+            self.door.take(self, message)
+        except BadMessage as wrong:
+            self.answer(wrong.status)
+        except Exception as wrong:
+            # Guards against one request that breaks something here and takes the connection's others along.
+            self.door.log(f"request failed: {wrong!r}")
+            if self.exchange is None:
+                self.answer(500)
+            else:
+                self.door.exchanges.end_failed(self.exchange)
+
+    def refuse(self, status: int) -> None:
+        """Where a message ends is no longer known: nothing more is read from this connection."""
+        if self.exchange is None:
+            self.keep = False
+            self.answer(status)
+
+    def answer(self, status: int, headers=(), body=b"") -> None:
+        self.exchange = None
+        if self.ended:
+            return
+        keep = self.keep and not self.door.leaving
+        lines = [b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n" % (status, REASONS[status], len(body))]
+        for name, value in headers:
+            lines += (name, b": ", value, b"\r\n")
+        lines.append(b"\r\n" if keep else b"Connection: close\r\n\r\n")
+        self.transport.writelines([b"".join(lines), body] if len(body) else [b"".join(lines)])
+        self.since = now()
+        if not keep:
+            self.end()
+        elif not self.reader.idle():
+            # Not at once: an answer may come from within a decision, which a next exchange must not enter.
+            self.door.loop.call_soon(self.advance)
+
+    def end(self) -> None:
+        self.ended = True
+        self.transport.close()
+
+    def idle(self) -> bool:
+        return self.exchange is None and self.reader.idle() and not self.writing and not self.ended
+
+    def check_time(self, at: int) -> None:
+        if self.exchange is not None:
+            return
+        waited = at - self.since
+        if self.idle():
+            if waited > self.door.limits.client_idle_s * SECOND:
+                self.end()
+        elif waited > self.door.limits.client_read_s * SECOND:
+            # Guards against requests that never come whole and answers that are never read.
+            if self.writing or self.ended:
+                self.transport.abort()
+            else:
+                self.refuse(408)
+
+
+class Door:
+    """Takes connections in, sorts requests by route and customer, and at the end sees everything answered."""
+
+    def __init__(self, configuration: Configuration, loop, timers: Timers, exchanges: Exchanges,
+                 descriptors: Descriptors, log: Log) -> None:  # fmt: skip
+        self.loop, self.exchanges, self.descriptors, self.log = loop, exchanges, descriptors, log
+        self.limits = configuration.limits
+        self.routes = {r.name.encode(): (i, r) for i, r in enumerate(configuration.routes)}
+        self.customers = {name.encode(): i for i, name in enumerate(configuration.customers)}
+        self.clients: set[Client] = set()
+        self.ready, self.leaving, self.lingered = False, False, False
+        self.drained: asyncio.Future = loop.create_future()
+        descriptors.makers_of_room.append(self.close_idlest)
+        timers.every(SECOND, self.sweep)
+
+    def client(self) -> Client:
+        return Client(self)
+
+    def take(self, client: Client, message: Message) -> None:
+        if not client.counted:
+            return client.answer(503)  # no descriptor is left to do anything about it with
+        path = message.target.partition(b"?")[0]
+        if path == b"/ready":
+            return client.answer(200 if self.ready and not self.leaving else 503)
+        if message.method not in METHODS:
+            raise BadMessage(405, "method")
+        first = path.split(b"/")[1] if path.startswith(b"/") else b""
+        named = message.get(b"request-class")
+        # Guards against a request of two routes, one of which may be repeated and the other not.
+        if named is not None and named != first:
+            raise BadMessage(400, "Request-Class is not the path's")
+        if first not in self.routes:
+            raise BadMessage(404, "unknown route")
+        if not message.get(b"request-id"):
+            raise BadMessage(400, "no Request-Id")
+        number, route = self.routes[first]
+        customer = message.get(b"tenant")
+        if customer is None or not self.customers:
+            customer_no = len(self.customers)
+        elif customer in self.customers:
+            customer_no = self.customers[customer]
+        else:
+            raise BadMessage(400, "unknown Tenant")
+        again = message.get(b"client-retry") == b"1"
+        self.exchanges.start(client, message, number, customer_no, self.timeout(message, route), again)
+
+    def timeout(self, message: Message, route) -> int:
+        text = message.get(b"request-timeout-ms")
+        if text is None:
+            return route.overall_timeout // 1000 or 1000
+        if not text.isdigit() or len(text) > 9:
+            raise BadMessage(400, "bad Request-Timeout-Ms")
+        return int(text)
+
+    def sweep(self) -> None:
+        at = now()
+        for client in list(self.clients):
+            client.check_time(at)
+
+    def close_idlest(self) -> bool:
+        idle = [c for c in self.clients if c.counted and c.idle()]
+        if idle:
+            min(idle, key=lambda c: c.since).end()
+        return bool(idle)
+
+    # The end of the node: late arrivals are still taken, everything is answered, then it is drained.
+
+    def leave(self) -> None:
+        self.leaving = True
+
+    def linger_over(self) -> None:
+        self.lingered = True
+        for client in list(self.clients):
+            if client.idle():
+                client.end()
+        self.check_drained()
+
+    def check_drained(self) -> None:
+        busy = any(not c.ended or c.exchange is not None for c in self.clients)
+        if self.lingered and not busy and not self.clients and not self.drained.done():
+            self.drained.set_result(None)
--- /dev/null
+++ b/basalthoist/net/discovery.py
@@ -0,0 +1,171 @@
+"""Discovery: the whole list first, then a watch on its changes, kept up for as long as the node lives."""
+
+import asyncio
+import random
+
+import httptools
+import msgspec
+
+from basalthoist.configuration import Configuration
+
+from .exchanges import Exchanges
+from .log import Log
+from .members import Member, MemberList, Translator, address_of
+from .timers import SECOND, Timers, now
+from .upstream import Upstream
+
+LINE = msgspec.json.Decoder(MemberList)
+
+
+class Watch(asyncio.Protocol):
+    """One connection to discovery: one answer with the list, then a chunked one that stays open."""
+
+    def __init__(self, discovery: "Discovery") -> None:
+        self.discovery, self.limit = discovery, discovery.limits.list_bytes
+        self.transport: asyncio.Transport | None = None
+        self.heard_at, self.watching, self.closed = now(), False, False
+        self.text = b""
+        self.parser = httptools.HttpResponseParser(self)
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        self.ask("/v1/endpoints")
+
+    def ask(self, path: str) -> None:
+        host = "{}:{}".format(*self.discovery.address)
+        self.transport.write(f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+
+    def data_received(self, data: bytes) -> None:
+        if self.closed:
+            return
+        self.heard_at = now()
+        try:
+            self.parser.feed_data(data)
+            if len(self.text) > self.limit:
+                raise ValueError("a list too large")
+        except (httptools.HttpParserError, ValueError) as wrong:
+            cause = wrong.__context__ or wrong
+            self.fail(f"not understood: {cause}")
+
+    def connection_lost(self, wrong: Exception | None) -> None:
+        self.fail(f"ended: {wrong or 'closed'}")
+
+    def fail(self, why: str) -> None:
+        if not self.closed:
+            self.closed = True
+            if self.transport is not None:
+                self.transport.abort()
+            self.discovery.failed(self, why)
+
+    # Called by httptools.
+
+    def on_headers_complete(self) -> None:
+        if self.parser.get_status_code() != 200:
+            raise ValueError(f"status {self.parser.get_status_code()}")
+
+    def on_body(self, data: bytes) -> None:
+        self.text += data
+        if self.watching:
+            *lines, self.text = self.text.split(b"\n")
+            for line in lines:
+                if line.strip():
+                    self.discovery.learn(LINE.decode(line), first=False)
+
+    def on_message_complete(self) -> None:
+        if self.watching:
+            raise ValueError("the watch was ended")
+        text, self.text, self.watching = self.text, b"", True
+        self.discovery.learn(LINE.decode(text), first=True)
+        self.ask(f"/v1/endpoints?stream=1&index={self.discovery.revision}")
+
+
+class Discovery:
+    """Keeps a watch up and hands on what it says, to the connections first and then to the decisions."""
+
+    def __init__(self, configuration: Configuration, loop, timers: Timers, exchanges: Exchanges,
+                 upstream: Upstream, log: Log) -> None:  # fmt: skip
+        self.loop, self.timers, self.log = loop, timers, log
+        self.exchanges, self.upstream = exchanges, upstream
+        self.limits, self.address = configuration.limits, configuration.discovery
+        self.translator = Translator(configuration.told.zones, configuration.told.kinds)
+        # Guards against a whole tier that comes back to discovery in step.
+        self.chance = random.Random(configuration.seed)
+        self.revision, self.watch, self.opening, self.waiting = 0, None, None, None
+        self.names: set[str] = set()
+        self.on_first = lambda: None
+        self.silent = int(self.limits.watch_silent_s * SECOND)
+        timers.every(SECOND // 2, self.check)
+
+    def start(self, known: MemberList) -> None:
+        known.complete = True
+        self.learn(known, first=False)
+        self.connect()
+
+    def connect(self) -> None:
+        """At once, where there is neither a watch nor one on its way."""
+        if self.waiting is not None:
+            self.waiting.stop()
+            self.waiting = None
+        if self.watch is None and self.opening is None:
+            self.opening = self.loop.create_task(self.open())
+            self.opening.add_done_callback(self.opened)
+
+    async def open(self) -> Watch:
+        opening = self.loop.create_connection(lambda: Watch(self), *self.address)
+        return (await asyncio.wait_for(opening, self.limits.watch_silent_s))[1]
+
+    def opened(self, task: asyncio.Task) -> None:
+        self.opening = None
+        if task.cancelled():
+            return
+        if task.exception() is not None:
+            self.failed(None, f"not reached: {task.exception()!r}")
+        elif task.result().closed:
+            self.later()
+        else:
+            self.watch = task.result()
+
+    def check(self) -> None:
+        # Guards against a watch that was cut off: nothing ends it, it only falls silent.
+        if self.watch is not None and now() - self.watch.heard_at > self.silent:
+            self.watch.fail(f"silent for {self.limits.watch_silent_s:.1f} s")
+
+    def failed(self, watch: Watch | None, why: str) -> None:
+        self.log(f"discovery {why}")
+        if watch is self.watch:
+            self.watch = None
+            self.exchanges.on_list_failed()
+            self.later()
+
+    def later(self) -> None:
+        if self.waiting is None:
+            wait = self.limits.watch_retry_s * (0.5 + self.chance.random())
+            self.waiting = self.timers.after(int(wait * SECOND), self.connect)
+
+    def learn(self, said: MemberList, first: bool) -> None:
+        self.revision = said.revision
+        present: list[Member] = []
+        for member in said.members:
+            try:
+                address_of(member.host_port)
+            except ValueError as wrong:
+                if member.phase != "gone":
+                    # Guards against one entry that makes no sense and costs the node all the others.
+                    self.log(f"{member.id} left out: {wrong}")
+                    continue
+            present.append(member)
+        entries = [self.translator.listed(member) for member in present]
+        for member, listed in zip(present, entries, strict=True):
+            if listed.state != "gone":
+                self.names.add(member.id)
+                self.upstream.learn(member.id, address_of(member.host_port), listed.started)
+        left = {m.id for m in present if m.phase == "gone"}
+        if said.complete:
+            left |= self.names - {m.id for m in present}
+        self.exchanges.on_list(entries, said.complete)
+        for name in left:
+            self.names.discard(name)
+            self.upstream.remove(name)
+            self.translator.forget(name)
+        if first:
+            self.on_first()
--- /dev/null
+++ b/basalthoist/net/exchanges.py
@@ -0,0 +1,193 @@
+"""The host of `Node`: its clock and wakes, and every exchange that is under way."""
+
+from collections.abc import Callable
+from functools import partial
+
+from basalthoist.configuration import Configuration
+from basalthoist.decisions.host import Listed, Outcome
+from basalthoist.decisions.policy import Node
+
+from .framing import Message
+from .log import Log
+from .timers import SECOND, Timers, now
+from .upstream import Call, Upstream, load_of
+
+OWN_HEADERS = frozenset((b"request-timeout-ms", b"host"))  # written anew towards a backend
+KEPT_BACK = frozenset((b"server-load", b"not-started"))  # for the node, not for its clients
+OVERDUE = 20  # tenths after its deadline at which an exchange is answered whatever has become of it
+
+
+class Exchange:
+    """An exchange that a client waits for: who asked, what is sent on, and its tries so far."""
+
+    __slots__ = ("id", "client", "head", "body", "deadline", "calls", "out", "open", "timer")
+
+    def __init__(self, ident: int, client, head: bytes, body, deadline: int) -> None:
+        self.id, self.client, self.head, self.body, self.deadline = ident, client, head, body, deadline
+        self.calls: list[Call | None] = []
+        self.out, self.open, self.timer = 0, True, None
+
+    def parts(self, timeout: int) -> list:
+        """The request towards a backend, which is told for how long the node will wait."""
+        head = self.head + b"Request-Timeout-Ms: %d\r\n\r\n" % max(timeout // 10, 1)
+        return [head, self.body] if len(self.body) else [head]
+
+
+class Exchanges:
+    """Implements the `Host` of the decisions; every call on `Node` goes through `tell`."""
+
+    def __init__(self, configuration: Configuration, loop, timers: Timers, upstream: Upstream,
+                 log: Log) -> None:  # fmt: skip
+        self.loop, self.timers, self.upstream, self.log_line = loop, timers, upstream, log
+        self.limits, self.probes = configuration.limits, configuration.told.policy_limits.probes
+        self.probe_path = b"/status/load" if configuration.reports else b"/health"
+        self.probe_time = int(configuration.limits.probe_s * SECOND)
+        self.transit = int(configuration.limits.client_transit_s * SECOND)
+        self.under_way: dict[int, Exchange] = {}
+        self.last_id = 0
+        self.ask_discovery: Callable[[], None] = lambda: None
+        self.node = Node(self, configuration.seed, configuration.settings, now())
+
+    def tell(self, happened: Callable, *what) -> bool:
+        """Guards against a failing decision: it is logged and ends no more than the exchange it was about."""
+        try:
+            happened(now(), *what)
+            return True
+        except Exception as wrong:
+            step = wrong.__traceback__
+            while step.tb_next is not None:
+                step = step.tb_next
+            self.log_line(f"{happened.__name__} failed: {wrong!r} at line {step.tb_lineno}")
+            return False
+
+    # What clients bring.
+
+    def start(self, client, message: Message, route: int, customer: int, timeout_ms: int,
+              again: bool) -> Exchange:  # fmt: skip
+        """Takes an exchange. Its time counts from when the client sent it, not from when it is looked at."""
+        self.last_id += 1
+        arrived = now()
+        deadline = message.came_at + timeout_ms * 10 - self.transit
+        host = message.get(b"host") or b""
+        lines = [message.method, b" ", message.target, b" HTTP/1.1\r\nHost: ", host, b"\r\n"]
+        for name, value in message.end_to_end(OWN_HEADERS):
+            lines += (name, b": ", value, b"\r\n")
+        if len(message.body) or message.method not in (b"GET", b"DELETE"):
+            lines.append(b"Content-Length: %d\r\n" % len(message.body))
+        xchg = Exchange(self.last_id, client, b"".join(lines), message.body, deadline)
+        self.under_way[xchg.id] = client.exchange = xchg
+        # Guards against an exchange that the decisions lost by failing: it is answered all the same.
+        xchg.timer = self.timers.after(deadline - arrived + OVERDUE, partial(self.overdue, xchg))
+        if not self.tell(self.node.on_exchange, xchg.id, route, customer, max(deadline - arrived, 1), again):
+            self.end_failed(xchg)
+        return xchg
+
+    def gone(self, xchg: Exchange) -> None:
+        """Its client has gone away."""
+        self.close(xchg)
+        self.tell(self.node.on_exchange_gone, xchg.id)
+
+    def overdue(self, xchg: Exchange) -> None:
+        if xchg.open:
+            self.log_line(f"exchange {xchg.id} was left unanswered")
+            self.end_failed(xchg)
+
+    def end_failed(self, xchg: Exchange) -> None:
+        for call in xchg.calls:
+            if call is not None:
+                call.give_up(Outcome.CANCELLED)
+        if xchg.open:
+            self.close(xchg)
+            xchg.client.answer(500)
+            self.tell(self.node.on_exchange_gone, xchg.id)
+
+    def close(self, xchg: Exchange) -> None:
+        """It is answered, or its client is gone; it stays known until its last try has ended."""
+        xchg.open = False
+        xchg.timer.stop()
+        if not xchg.out:
+            self.under_way.pop(xchg.id, None)
+
+    # How tries and probes end.
+
+    def try_ended(self, xchg: Exchange, number: int, began_at: int, outcome: Outcome,
+                  answer: Message | None) -> None:  # fmt: skip
+        xchg.out -= 1
+        load = load_of(answer.get(b"server-load")) if answer is not None else None
+        if outcome == Outcome.COMPLETED and xchg.open:
+            self.close(xchg)
+            xchg.client.answer(200, answer.end_to_end(KEPT_BACK), answer.body)
+        if over := not xchg.open:
+            self.close(xchg)
+        took = now() - began_at
+        if not self.tell(self.node.on_try_ended, xchg.id, number, outcome, took, over, load) and xchg.open:
+            self.end_failed(xchg)
+
+    def probe_ended(self, backend: str, began_at: int, outcome: Outcome, answer: Message | None) -> None:
+        load = None
+        if answer is not None:
+            load = load_of(answer.get(b"server-load")) or load_of(bytes(answer.body[:256]))
+        self.tell(self.node.on_probe_ended, backend, outcome, now() - began_at, load)
+
+    # What discovery says.
+
+    def on_list(self, entries: list[Listed], whole: bool) -> None:
+        self.tell(self.node.on_list, entries, whole)
+
+    def on_list_failed(self) -> None:
+        self.tell(self.node.on_list_failed)
+
+    # The host's side of the decisions; an id of an exchange that is over is no mistake.
+
+    def send(self, ident: int, backend: str, timeout: int) -> None:
+        xchg = self.open_one(ident)
+        if xchg is None:
+            return
+        number, began_at = len(xchg.calls), now()
+        ended = partial(self.try_ended, xchg, number, began_at)
+        xchg.out += 1
+        call = self.upstream.call(backend, xchg.parts(timeout), timeout, ended)
+        if call is None:
+            self.loop.call_soon(ended, Outcome.NOT_SENT, None)
+        xchg.calls.append(call)
+
+    def shed(self, ident: int, retry_after: int) -> None:
+        if (xchg := self.open_one(ident)) is not None:
+            self.close(xchg)
+            advice = [(b"retry-after", b"%.3f" % (retry_after / SECOND))] if retry_after > 0 else []
+            xchg.client.answer(503, advice)
+
+    def fail(self, ident: int) -> None:
+        if (xchg := self.open_one(ident)) is not None:
+            self.close(xchg)
+            late = now() >= xchg.deadline - 2 * OVERDUE
+            xchg.client.answer(504 if late else 502)
+
+    def cancel(self, ident: int, try_no: int) -> None:
+        xchg = self.under_way.get(ident)
+        if xchg is not None and try_no < len(xchg.calls) and xchg.calls[try_no] is not None:
+            xchg.calls[try_no].give_up(Outcome.CANCELLED)
+
+    def open_one(self, ident: int) -> Exchange | None:
+        xchg = self.under_way.get(ident)
+        return xchg if xchg is not None and xchg.open else None
+
+    def probe(self, backend: str) -> None:
+        parts = [b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (self.probe_path, backend.encode())]
+        ended = partial(self.probe_ended, backend, now())
+        if not self.probes or self.upstream.call(backend, parts, self.probe_time, ended) is None:
+            self.loop.call_soon(ended, Outcome.NOT_SENT, None)
+
+    def subscribe(self) -> None:
+        self.ask_discovery()
+
+    def wake(self, after: int, tag: str) -> None:
+        self.timers.after(after, partial(self.woken, tag))
+
+    def woken(self, tag: str) -> None:
+        # Guards against a failing wake that takes those behind it along: what is due is looked at again.
+        if not self.tell(self.node.on_wake, tag) and tag != "tick":
+            self.wake(10, tag)
+
+    def log(self, line: str) -> None:
+        self.log_line(line)
--- /dev/null
+++ b/basalthoist/net/framing.py
@@ -0,0 +1,186 @@
+"""HTTP/1.1 messages cut out of what a connection reads. Heads go through httptools; bodies stay slices."""
+
+import httptools
+
+HOP_BY_HOP = frozenset(
+    (b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"proxy-connection", b"te",
+     b"trailer", b"transfer-encoding", b"upgrade", b"content-length", b"expect")
+)  # fmt: skip
+
+
+class BadMessage(Exception):
+    """What came is no message that can be taken; `status` is what a client is told."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+class Message:
+    """One request or answer. `headers` has names in lower case; `body` is a slice of what was read."""
+
+    __slots__ = ("method", "target", "status", "headers", "body", "keep_alive", "came_at")
+
+    def __init__(self) -> None:
+        self.method, self.target, self.status = b"", b"", 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.body: bytes | memoryview = b""
+        self.keep_alive, self.came_at = True, 0
+
+    def get(self, name: bytes) -> bytes | None:
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+    def end_to_end(self, but: frozenset[bytes]) -> list[tuple[bytes, bytes]]:
+        """The headers that a proxy passes on: none that belongs to this connection alone, none of `but`."""
+        named = {n.strip() for k, v in self.headers if k == b"connection" for n in v.lower().split(b",")}
+        return [(k, v) for k, v in self.headers if k not in HOP_BY_HOP and k not in but and k not in named]
+
+
+class Reader:
+    """Fed with what a connection reads, `next()` gives message after message, or None until more has come."""
+
+    def __init__(self, answers: bool, head_bytes: int, body_bytes: int) -> None:
+        self.answers, self.head_bytes, self.body_bytes = answers, head_bytes, body_bytes
+        self.pending, self.came_at, self.began_at = b"", 0, 0
+        self.restart()
+
+    def restart(self) -> None:
+        self.message: Message | None = None
+        self.searched, self.need, self.have = 0, 0, 0
+        self.parts: list[bytes | memoryview] = []
+        self.parser, self.whole, self.followed, self.in_body = None, False, False, False
+        self.until_end, self.wants_continue = False, False
+
+    # Called by httptools.
+
+    def on_message_begin(self) -> None:
+        if self.whole:  # bytes behind a chunked message, whose end inside what was read is not told
+            self.followed = True
+
+    def on_url(self, url: bytes) -> None:
+        if not self.followed:
+            self.message.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.followed and not self.in_body:
+            self.message.headers.append((name.lower(), value))
+
+    def on_body(self, data: bytes) -> None:
+        if not self.followed:
+            self.parts.append(data)
+            self.have += len(data)
+
+    def on_message_complete(self) -> None:
+        self.whole = True
+
+    # Called by connections.
+
+    def idle(self) -> bool:
+        return self.message is None and not self.pending
+
+    def feed(self, data: bytes, now: int) -> None:
+        self.came_at = now
+        if self.idle():
+            self.began_at = now
+        if self.message is not None:
+            self.add(data)
+        else:
+            self.pending = self.pending + data if self.pending else data
+
+    def next(self) -> Message | None:
+        while self.message is None:
+            if not self.read_head():
+                return None
+            if self.answers and 100 <= self.message.status < 200:
+                self.restart()
+        if self.parser is not None:
+            return self.finish(b"".join(self.parts)) if self.whole else None
+        if self.until_end or self.have < self.need:
+            return None
+        return self.finish(self.parts[0] if len(self.parts) == 1 else b"".join(self.parts))
+
+    def end(self) -> Message | None:
+        """The connection has ended in good order: the rest of an answer that is as long as what came."""
+        return self.finish(b"".join(self.parts)) if self.message is not None and self.until_end else None
+
+    def finish(self, body: bytes | memoryview) -> Message:
+        message, message.body, message.came_at = self.message, body, self.began_at
+        self.restart()
+        self.began_at = self.came_at
+        return message
+
+    def read_head(self) -> bool:
+        while self.pending.startswith(b"\r\n"):
+            self.pending = self.pending[2:]
+        end = self.pending.find(b"\r\n\r\n", max(self.searched - 3, 0))
+        if end > self.head_bytes or (end < 0 and len(self.pending) > self.head_bytes):
+            raise BadMessage(431, "head too large")
+        if end < 0:
+            self.searched = len(self.pending)
+            return False
+        head, rest = memoryview(self.pending)[: end + 4], memoryview(self.pending)[end + 4 :]
+        self.pending, self.message = b"", Message()
+        parser = (httptools.HttpResponseParser if self.answers else httptools.HttpRequestParser)(self)
+        try:
+            parser.feed_data(head)
+        except httptools.HttpParserUpgrade:
+            pass  # an offer to switch protocols need not be taken up
+        except httptools.HttpParserError as wrong:
+            raise BadMessage(400, f"bad head: {wrong}") from None
+        self.message.keep_alive = parser.should_keep_alive()
+        if self.answers:
+            self.message.status = parser.get_status_code()
+        else:
+            self.message.method = parser.get_method()
+        self.whole, self.in_body = False, True
+        self.set_framing(parser)
+        if rest:
+            self.add(rest)
+        return True
+
+    def set_framing(self, parser) -> None:
+        lengths = [v for k, v in self.message.headers if k == b"content-length"]
+        codings = b",".join(v for k, v in self.message.headers if k == b"transfer-encoding").lower()
+        if codings:
+            # Guards against smuggling: two framings in one head, or a coding that hides the end.
+            if lengths or codings.strip() != b"chunked":
+                raise BadMessage(400, "unclear framing")
+            self.parser = parser
+        elif lengths:
+            if len(lengths) > 1 or not lengths[0].isdigit():
+                raise BadMessage(400, "bad Content-Length")
+            self.need = int(lengths[0])
+            if self.need > self.body_bytes:
+                raise BadMessage(413, "body too large")
+        elif self.answers and self.message.status not in (204, 304) and self.message.status >= 200:
+            self.until_end, self.message.keep_alive = True, False
+        expect = self.message.get(b"expect")
+        self.wants_continue = expect is not None and expect.lower() == b"100-continue" and not self.answers
+
+    def add(self, data: bytes | memoryview) -> None:
+        if self.parser is not None:
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade:
+                pass
+            except httptools.HttpParserError as wrong:
+                raise BadMessage(400, f"bad chunk: {wrong}") from None
+            if self.have > self.body_bytes:
+                raise BadMessage(413, "body too large")
+            if self.followed:
+                self.message.keep_alive = False
+        elif self.until_end:
+            self.parts.append(data)
+            self.have += len(data)
+            if self.have > self.body_bytes:
+                raise BadMessage(413, "body too large")
+        else:
+            wanted = self.need - self.have
+            if wanted and data:
+                self.parts.append(memoryview(data)[:wanted])
+                self.have += min(len(data), wanted)
+            if len(data) > wanted:
+                self.pending += bytes(memoryview(data)[wanted:])
--- /dev/null
+++ b/basalthoist/net/log.py
@@ -0,0 +1,30 @@
+"""Log lines on standard error."""
+
+import sys
+import time
+from contextlib import suppress
+
+
+class Log:
+    """Prints at most `per_second` lines each second and says how many it left out."""
+
+    def __init__(self, name: str, per_second: int) -> None:
+        self.name, self.per_second = name, per_second
+        self.second, self.printed, self.left_out = 0, 0, 0
+
+    def __call__(self, line: str) -> None:
+        second = int(time.monotonic())
+        if second != self.second:
+            if self.left_out:
+                self.write(f"{self.left_out} lines left out")
+            self.second, self.printed, self.left_out = second, 0, 0
+        if self.printed >= self.per_second:
+            self.left_out += 1
+            return
+        self.printed += 1
+        self.write(line)
+
+    def write(self, line: str) -> None:
+        # Guards against a log that nobody reads any more: a closed pipe must not end an exchange.
+        with suppress(OSError, ValueError):
+            print(f"{self.name}: {line}", file=sys.stderr, flush=True)
--- /dev/null
+++ b/basalthoist/net/members.py
@@ -0,0 +1,68 @@
+"""The list of backends in discovery's form, and what the decisions are told of it."""
+
+import msgspec
+
+from basalthoist.decisions.host import Listed
+
+from .timers import since_unix
+
+STATES = {"ready": "healthy", "draining": "draining", "gone": "gone"}
+
+
+class Member(msgspec.Struct):
+    id: str
+    host_port: str = ""
+    locality: str = ""
+    flavor: str = ""
+    cell: int = 0
+    phase: str = "ready"
+    size: float = 1.0
+    up_since_ms: int = 0
+
+
+class MemberList(msgspec.Struct):
+    revision: int
+    members: list[Member]
+    complete: bool = False
+
+
+def address_of(host_port: str) -> tuple[str, int]:
+    host, _, port = host_port.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"expected host:port, got {host_port!r}")
+    return host, int(port)
+
+
+class Translator:
+    """Members become `Listed`: names of locations and kinds turn into the settings' numbers."""
+
+    def __init__(self, locations: list[str], kinds: list[str]) -> None:
+        self.locations, self.kinds = locations, kinds
+        self.started: dict[str, tuple[int, int]] = {}
+
+    def listed(self, member: Member) -> Listed:
+        return Listed(
+            member.id,
+            number_in(self.locations, member.locality),
+            number_in(self.kinds, member.flavor),
+            member.cell,
+            STATES.get(member.phase, "draining"),  # a state unknown here: nothing new is sent there
+            member.size,
+            self.start_of(member),
+        )
+
+    def start_of(self, member: Member) -> int | None:
+        # Guards against a Unix clock that is set: the same start must not look like another one.
+        if member.up_since_ms <= 0:
+            return None
+        known = self.started.get(member.id)
+        if known is None or known[0] != member.up_since_ms:
+            known = self.started[member.id] = (member.up_since_ms, since_unix(member.up_since_ms))
+        return known[1]
+
+    def forget(self, name: str) -> None:
+        self.started.pop(name, None)
+
+
+def number_in(names: list[str], name: str) -> int:
+    return names.index(name) if name in names else len(names)
--- /dev/null
+++ b/basalthoist/net/service.py
@@ -0,0 +1,54 @@
+"""Puts the parts together, and takes them apart in order at the end."""
+
+import asyncio
+
+from basalthoist.configuration import Configuration
+
+from .clients import Door
+from .descriptors import Descriptors
+from .discovery import Discovery
+from .exchanges import Exchanges
+from .log import Log
+from .timers import SECOND, Timers
+from .upstream import Upstream
+
+
+class Service:
+    def __init__(self, configuration: Configuration, loop: asyncio.AbstractEventLoop) -> None:
+        limits = configuration.limits
+        self.configuration, self.loop, self.limits = configuration, loop, limits
+        self.log = Log(configuration.name, limits.log_lines_per_s)
+        self.timers = Timers(loop, self.log)
+        descriptors = Descriptors(limits.sockets - limits.reserve)
+        self.upstream = Upstream(loop, self.timers, self.log, descriptors, limits,
+                                 configuration.connect_timeout_s, configuration.upstream_idle_s)  # fmt: skip
+        self.exchanges = Exchanges(configuration, loop, self.timers, self.upstream, self.log)
+        self.door = Door(configuration, loop, self.timers, self.exchanges, descriptors, self.log)
+        self.discovery = Discovery(configuration, loop, self.timers, self.exchanges, self.upstream, self.log)
+        self.exchanges.ask_discovery = self.discovery.connect
+        loop.set_exception_handler(self.unforeseen)
+
+    def unforeseen(self, loop, context: dict) -> None:
+        self.log(f"event loop: {context.get('message')}: {context.get('exception')!r}")
+
+    async def serve(self) -> None:
+        """Until it has been told to leave and has answered everything."""
+        host, port = self.configuration.listen
+        self.discovery.on_first = self.get_ready
+        self.discovery.start(self.configuration.known)
+        self.timers.after(int(self.limits.first_list_s * SECOND), self.get_ready)
+        server = await self.loop.create_server(self.door.client, host, port, backlog=self.limits.backlog)
+        self.log(f"listening on {host}:{port}")
+        await self.door.drained
+        server.close()
+        self.upstream.close_all()
+        self.log("all answered")
+
+    def get_ready(self) -> None:
+        self.door.ready = True
+
+    def leave(self) -> None:
+        if not self.door.leaving:
+            self.log(f"told to leave, {len(self.exchanges.under_way)} exchanges under way")
+            self.door.leave()
+            self.timers.after(int(self.limits.linger_s * SECOND), self.door.linger_over)
--- /dev/null
+++ b/basalthoist/net/upstream.py
@@ -0,0 +1,305 @@
+"""Connections to backends and the calls on them: upstream tries and probes. Nothing is sent again here."""
+
+import asyncio
+import errno
+import select
+import socket
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+
+from basalthoist.decisions.host import Load, Outcome
+from basalthoist.terms import FIELDS
+
+from .descriptors import Descriptors
+from .framing import BadMessage, Message, Reader
+from .log import Log
+from .timers import SECOND, Timers, now
+
+NO_MORE_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+
+
+def load_of(text: bytes | None) -> Load | None:
+    """A report such as `inflight=7,queue=2,util=0.61`; figures that are none are left out."""
+    if not text:
+        return None
+    found = {}
+    for pair in text.decode("latin-1").split(","):
+        name, _, figure = pair.strip().partition("=")
+        try:
+            value = float(figure)
+        except ValueError:
+            continue
+        if 0.0 <= value < float("inf"):
+            found[FIELDS.get(name, name)] = value
+    return Load(found.get("inflight"), found.get("queue"), found.get("util")) if found else None
+
+
+def outcome_of(answer: Message) -> Outcome:
+    if answer.status == 200:
+        return Outcome.COMPLETED
+    if answer.status in (503, 504) and answer.get(b"not-started") == b"1":
+        return Outcome.REJECTED
+    return Outcome.ERROR
+
+
+Done = Callable[[Outcome, Message | None], None]
+
+
+class Call:
+    """One request on its way to a backend. `done` is told once how it ended, never from within `submit`."""
+
+    __slots__ = ("pool", "parts", "done", "connection", "timer", "over", "began_at")
+
+    def __init__(self, pool: "Pool", parts: list[bytes], done: Done) -> None:
+        self.pool, self.parts, self.done = pool, parts, done
+        self.connection: Connection | None = None
+        self.timer, self.over, self.began_at = None, False, now()
+
+    def finish(self, outcome: Outcome, answer: Message | None = None) -> None:
+        if not self.over:
+            self.release()
+            self.done(outcome, answer)
+
+    def finish_soon(self, outcome: Outcome) -> None:
+        if not self.over:
+            self.release()
+            self.pool.upstream.loop.call_soon(self.done, outcome, None)
+
+    def release(self) -> None:
+        self.over = True
+        if self.timer is not None:
+            self.timer.stop()
+        if self.connection is not None:
+            self.connection.call = None
+
+    def give_up(self, outcome: Outcome) -> None:
+        """Ends its sending at once, so that no later try is a second copy of one still out."""
+        if self.over:
+            return
+        if self.connection is not None:
+            self.connection.cut()
+        elif self in self.pool.waiting:
+            self.pool.waiting.remove(self)
+        self.finish_soon(outcome)
+
+
+class Connection(asyncio.Protocol):
+    def __init__(self, pool: "Pool", sock: socket.socket) -> None:
+        self.pool, self.sock = pool, sock
+        limits = pool.upstream.limits
+        self.reader = Reader(True, limits.head_bytes, limits.body_bytes)
+        self.transport: asyncio.Transport | None = None
+        self.call: Call | None = None
+        self.writing, self.cutting, self.idle_since = False, False, now()
+
+    # Called by the event loop.
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        # With no room in the loop's buffer, `pause_writing` says that bytes are still unwritten.
+        transport.set_write_buffer_limits(high=0)
+
+    def pause_writing(self) -> None:
+        self.writing = True
+
+    def resume_writing(self) -> None:
+        self.writing = False
+
+    def data_received(self, data: bytes) -> None:
+        if self.cutting:
+            return
+        if self.call is None:
+            return self.cut()  # an answer that nothing was asked for
+        self.reader.feed(data, now())
+        try:
+            answer = self.reader.next()
+        except BadMessage as wrong:
+            self.pool.upstream.log(f"{self.pool.name} answered what is no answer: {wrong}")
+            return self.fail(Outcome.ERROR)
+        if answer is not None:
+            self.answered(answer)
+
+    def eof_received(self) -> None:
+        if self.call is not None and not self.cutting and (answer := self.reader.end()) is not None:
+            self.answered(answer)
+
+    def connection_lost(self, wrong: Exception | None) -> None:
+        self.pool.lost(self)
+        if self.call is not None:
+            call, self.call = self.call, None
+            call.connection = None
+            call.finish(Outcome.CONNECT_FAILED if self.writing else Outcome.RESET)
+
+    # Called by the pool and its calls.
+
+    def usable(self) -> bool:
+        """Guards against writing to a connection whose end has come but was not yet read."""
+        if self.cutting or self.transport is None or self.transport.is_closing():
+            return False
+        poller = select.poll()
+        poller.register(self.sock.fileno(), select.POLLIN | select.POLLRDHUP)
+        return not poller.poll(0)
+
+    def carry(self, call: Call) -> None:
+        self.call, call.connection = call, self
+        self.transport.writelines(call.parts)
+
+    def answered(self, answer: Message) -> None:
+        call, outcome = self.call, outcome_of(answer)
+        if answer.keep_alive and self.reader.idle() and not self.writing:
+            call.release()
+            self.pool.freed(self)
+        else:
+            self.cut()
+            call.release()
+        call.done(outcome, answer)
+
+    def fail(self, outcome: Outcome) -> None:
+        call = self.call
+        self.cut()
+        call.finish(outcome)
+
+    def cut(self) -> None:
+        if self.cutting:
+            return
+        self.cutting = True
+        self.pool.forget(self)
+        # At once: closing a transport waits for the loop's next turn, and a next try may be written before.
+        with suppress(OSError):  # the other side was first
+            self.sock.shutdown(socket.SHUT_RDWR)
+        self.transport.abort()
+
+
+class Pool:
+    """All connections to one backend. Those that come up or fall free serve who has waited longest."""
+
+    def __init__(self, upstream: "Upstream", name: str, address: tuple[str, int], started) -> None:
+        self.upstream, self.name, self.address, self.started = upstream, name, address, started
+        self.idle: list[Connection] = []
+        self.waiting: deque[Call] = deque()
+        self.opening: set[asyncio.Task] = set()
+        self.closed = False
+
+    def submit(self, call: Call) -> None:
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.usable():
+                return connection.carry(call)
+            connection.cut()
+        if not self.upstream.descriptors.take():
+            self.upstream.log(f"no descriptor left for a connection to {self.name}")
+            return call.finish_soon(Outcome.NOT_SENT)
+        self.waiting.append(call)
+        # A task for a connection, which many calls use in turn: the loop offers no callback for opening one.
+        task = self.upstream.loop.create_task(self.open())
+        self.opening.add(task)
+        task.add_done_callback(self.opened)
+
+    async def open(self) -> Connection:
+        family = socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            loop = self.upstream.loop
+            await asyncio.wait_for(loop.sock_connect(sock, self.address), self.upstream.connect_timeout_s)
+            _, connection = await loop.create_connection(lambda: Connection(self, sock), sock=sock)
+            return connection
+        except BaseException:
+            sock.close()
+            raise
+
+    def opened(self, task: asyncio.Task) -> None:
+        self.opening.discard(task)
+        wrong = None if task.cancelled() else task.exception()
+        if not task.cancelled() and wrong is None:
+            connection = task.result()
+            if connection.transport.is_closing():
+                wrong = ConnectionError("lost while it came up")
+            else:
+                return connection.cut() if self.closed and not self.waiting else self.freed(connection)
+        else:
+            self.upstream.descriptors.give_back()
+        scarce = isinstance(wrong, OSError) and wrong.errno in NO_MORE_DESCRIPTORS
+        if scarce:
+            self.upstream.log(f"no connection to {self.name}: {wrong}")
+        while len(self.waiting) > len(self.opening):
+            self.waiting.popleft().finish(Outcome.NOT_SENT if scarce else Outcome.CONNECT_FAILED)
+
+    def freed(self, connection: Connection) -> None:
+        connection.idle_since = now()
+        if self.waiting:
+            connection.carry(self.waiting.popleft())
+        elif self.closed:
+            connection.cut()
+        else:
+            self.idle.append(connection)
+
+    def forget(self, connection: Connection) -> None:
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+    def lost(self, connection: Connection) -> None:
+        connection.cutting = True
+        self.forget(connection)
+        self.upstream.descriptors.give_back()
+
+    def drop_idle(self, since: int) -> None:
+        for connection in [c for c in self.idle if c.idle_since <= since]:
+            connection.cut()
+
+
+class Upstream:
+    """The pools of all backends that the list has named."""
+
+    def __init__(self, loop, timers: Timers, log: Log, descriptors: Descriptors, limits, connect_timeout_s,
+                 idle_s: float) -> None:  # fmt: skip
+        self.loop, self.timers, self.log, self.descriptors = loop, timers, log, descriptors
+        self.limits, self.connect_timeout_s, self.idle = limits, connect_timeout_s, int(idle_s * SECOND)
+        self.pools: dict[str, Pool] = {}
+        descriptors.makers_of_room.append(self.close_idlest)
+        timers.every(SECOND, lambda: self.drop_idle(now() - self.idle))
+
+    def learn(self, name: str, address: tuple[str, int], started: int | None) -> None:
+        pool = self.pools.get(name)
+        if pool is not None and pool.address == address:
+            if pool.started != started:
+                pool.started = started
+                pool.drop_idle(now())  # they led to the process before
+            return
+        if pool is not None:
+            self.close(pool)
+        self.pools[name] = Pool(self, name, address, started)
+
+    def remove(self, name: str) -> None:
+        if (pool := self.pools.pop(name, None)) is not None:
+            self.close(pool)
+
+    def close(self, pool: Pool) -> None:
+        pool.closed = True
+        pool.drop_idle(now())
+
+    def call(self, name: str, parts: list[bytes], timeout: int, done: Done) -> Call | None:
+        """Starts a call that ends within `timeout` tenths; None where the backend is not known."""
+        pool = self.pools.get(name)
+        if pool is None:
+            return None
+        call = Call(pool, parts, done)
+        call.timer = self.timers.after(timeout, lambda: call.give_up(Outcome.TIMED_OUT))
+        pool.submit(call)
+        return call
+
+    def drop_idle(self, since: int) -> None:
+        for pool in self.pools.values():
+            pool.drop_idle(since)
+
+    def close_idlest(self) -> bool:
+        idle = [pool.idle[0] for pool in self.pools.values() if pool.idle]
+        if idle:
+            min(idle, key=lambda c: c.idle_since).cut()
+        return bool(idle)
+
+    def close_all(self) -> None:
+        for name in list(self.pools):
+            self.remove(name)
--- a/basalthoist/simulator/adapter.py
+++ b/basalthoist/simulator/adapter.py
@@ -4,6 +4,7 @@
 
 from basalthoist.decisions.host import Load, Outcome
 from basalthoist.decisions.policy import Node
+from basalthoist.terms import plain_map, tenths
 
 from .codec import Reader, WireError
 
@@ -11,55 +12,12 @@
     "0": Outcome.COMPLETED, "255": Outcome.ERROR, "254": Outcome.REJECTED, "253": Outcome.TIMED_OUT,
     "252": Outcome.CONNECT_FAILED, "251": Outcome.RESET, "250": Outcome.CANCELLED, "249": Outcome.NOT_SENT,
 }  # fmt: skip
-WORDS = {"idempotent": "retriable", "deduplicated": "deduped", "at_most_once": "non-retriable", "cell": "pod",
-         "zone": "location"}  # fmt: skip
-KEYS = {"accounts": "customers", "siblings": "nodes", "zones": "locations", "zone": "location"}
-FIELDS = {"rif": "inflight", "q": "queue", "busy": "util"}
-TIMES = frozenset(
-    "latency_objective overall_timeout dedup_window connect_timeout keepalive max_retry_after ask_within"
-    " drain_grace grace_to_answer overload_for warm_within tick".split()
-)
-
-
-def tenths(micros: int) -> int:
-    """Microseconds to tenths of a millisecond: early rather than late, never from something to nothing."""
-    return max(1, micros // 100) if micros > 0 else 0
 
 
 def clock_tenths(micros: int) -> int:
     return micros // 100
 
 
-def value_of(text: str):
-    if text in ("true", "false"):
-        return text == "true"
-    for kind in (int, float):
-        try:
-            return kind(text)
-        except ValueError:
-            pass
-    return text
-
-
-def plain_map(pairs: list[str]) -> dict:
-    """The settings in our words and units. Keys unknown here pass through as they are."""
-    found = {}
-    for pair in pairs:
-        path, _, text = pair.partition("=")
-        parts = path.split(".")
-        parts[0] = KEYS.get(parts[0], parts[0])
-        if parts[-1] == "fields":
-            value = [FIELDS.get(f, f) for f in text.split(",") if f and f != "-"]
-        else:
-            value = value_of(text)
-            if isinstance(value, str):
-                value = WORDS.get(value, value) if parts[-1] in ("semantics", "group") else value
-            elif parts[-1] in TIMES:
-                value = tenths(int(value))
-        found[".".join(parts)] = value
-    return found
-
-
 class Instance:
     """The host of one node, and the door through which its events come."""
 
