Integration tests that start the program; lingering close, silent pools dropped, budget shared

Tests speak to the program over sockets with small stand-ins: forms of requests and answers, what makes no exchange, failed tries by kind and route, a silent backend, a client gone, SIGTERM, discovery mute and changing, more clients than descriptors.

Seen with them: a refusal that closed with bytes unread could be overtaken by a reset (clients.py, end); it now ends its sending and reads on until the client closes. CONNECT is 405 like other methods that make no exchange.

--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -23,7 +23,8 @@
     cores: Positive = 1.0
     memory_mb: Positive = 192
     sockets: Annotated[int, msgspec.Meta(ge=64)] = 1024
-    reserve: Count = 32  # descriptors kept free for listener, discovery, log and the loop itself
+    reserve: Count = 48  # descriptors kept free for listener, discovery, log, the loop and what is closing
+    upstream_part: Annotated[float, msgspec.Meta(gt=0, lt=1)] = 0.3  # of the others, never taken by clients
     head_bytes: Count = 16 * 1024
     body_bytes: Count = 64 * 1024
     list_bytes: Count = 4 * 1024 * 1024
@@ -31,6 +32,7 @@
     backlog: Count = 512
     client_idle_s: Positive = 120.0  # a client's connection between exchanges
     client_read_s: Positive = 10.0  # from the first byte of a request to its last; an answer not read
+    client_close_s: Positive = 2.0  # how long a client has to close after the last answer
     client_transit_s: Annotated[float, msgspec.Meta(ge=0)] = 0.001  # from a client's send to its arrival here
     upstream_idle_part: Annotated[float, msgspec.Meta(gt=0, lt=1)] = 0.5  # of the backend's own keep-alive
     connect_s: Positive = 1.0  # where the settings give no time for it
@@ -39,6 +41,7 @@
     watch_silent_s: Positive = 5.0
     watch_retry_s: Positive = 0.5  # between tries to reach discovery, spread by half of it either way
     linger_s: Positive = 0.55  # after SIGTERM new connections are still taken for this long
+    bind_s: Positive = 5.0  # how long the address may still be held by a process before this one
 
 
 class Route(msgspec.Struct):
@@ -99,6 +102,7 @@
             address(f"known.members, {member.id}: host_port", member.host_port)
         self.limits, self.known, self.settings = document.limits, document.known, settings
         self.routes, self.told = told.routes, told
+        self.longest_s = max(route.overall_timeout for route in told.routes) / 1e6 or 1.0
         self.customers = [account.name for account in told.accounts]
         self.reports = told.feedback.how != "off"
         self.connect_timeout_s = told.policy_limits.connect_timeout / 1e6 or document.limits.connect_s
@@ -128,7 +132,7 @@
     try:
         settings = flat_map(nested)
     except (TypeError, ValueError) as wrong:
-        raise ConfigurationError(f"settings: a time or list is not of its form: {wrong}") from None
+        raise ConfigurationError(f"settings.{wrong}") from None
     return Configuration(document, told, settings, environment)
 
 
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -1,6 +1,7 @@
 """Clients' connections: accept, read, check and answer. What passes the checks becomes an exchange."""
 
 import asyncio
+import select
 
 from basalthoist.configuration import Configuration
 
@@ -33,7 +34,8 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
-        self.counted = self.door.descriptors.take()
+        transport.set_write_buffer_limits(high=0)  # answers go out at once, and one at a time
+        self.counted = self.door.descriptors.take(self.door.for_upstream)
         self.door.clients.add(self)
 
     def connection_lost(self, wrong: Exception | None) -> None:
@@ -126,25 +128,42 @@
             self.door.loop.call_soon(self.advance)
 
     def end(self) -> None:
+        """Nothing more is answered. What still comes is read and dropped until the client has closed too."""
+        # Guards against a reset that overtakes the last answer, as closing with bytes unread would send.
+        self.ended, self.since = True, now()
+        self.transport.resume_reading()
+        self.transport.write_eof()
+
+    def close(self) -> None:
         self.ended = True
         self.transport.close()
 
     def idle(self) -> bool:
-        return self.exchange is None and self.reader.idle() and not self.writing and not self.ended
+        """Nothing under way, nor read in part, nor come and not yet read: closing it loses no exchange."""
+        if self.exchange is not None or not self.reader.idle() or self.writing or self.ended:
+            return False
+        poller = select.poll()
+        poller.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poller.poll(0)
 
     def check_time(self, at: int) -> None:
         if self.exchange is not None:
             return
         waited = at - self.since
-        if self.idle():
-            if waited > self.door.limits.client_idle_s * SECOND:
-                self.end()
+        if self.reader.idle() and not self.writing and not self.ended:
+            if waited > self.door.limits.client_idle_s * SECOND and self.idle():
+                self.close()
+        elif self.ended and waited > self.door.limits.client_close_s * SECOND:
+            self.transport.abort()
         elif waited > self.door.limits.client_read_s * SECOND:
             # Guards against requests that never come whole and answers that are never read.
-            if self.writing or self.ended:
-                self.transport.abort()
-            else:
-                self.refuse(408)
+            self.drop()
+
+    def drop(self) -> None:
+        if self.writing or self.ended:
+            self.transport.abort()
+        elif self.exchange is None:
+            self.refuse(408)
 
 
 class Door:
@@ -152,11 +171,14 @@
 
     def __init__(self, configuration: Configuration, loop, timers: Timers, exchanges: Exchanges,
                  descriptors: Descriptors, log: Log) -> None:  # fmt: skip
-        self.loop, self.exchanges, self.descriptors, self.log = loop, exchanges, descriptors, log
+        self.loop, self.timers, self.log = loop, timers, log
+        self.exchanges, self.descriptors = exchanges, descriptors
         self.limits = configuration.limits
         self.routes = {r.name.encode(): (i, r) for i, r in enumerate(configuration.routes)}
         self.customers = {name.encode(): i for i, name in enumerate(configuration.customers)}
         self.clients: set[Client] = set()
+        self.for_upstream = int(descriptors.most * self.limits.upstream_part)
+        self.longest = int(configuration.longest_s * SECOND)
         self.ready, self.leaving, self.lingered = False, False, False
         self.drained: asyncio.Future = loop.create_future()
         descriptors.makers_of_room.append(self.close_idlest)
@@ -207,24 +229,39 @@
             client.check_time(at)
 
     def close_idlest(self) -> bool:
-        idle = [c for c in self.clients if c.counted and c.idle()]
-        if idle:
-            min(idle, key=lambda c: c.since).end()
-        return bool(idle)
+        free = sorted((c for c in self.clients if c.exchange is None), key=lambda c: c.since)
+        for client in free:
+            if client.idle():
+                client.close()
+                return True
+        # Guards against many clients that each begin a request and do not end it.
+        waiting = [c for c in free if now() - c.since > SECOND]
+        if waiting:
+            waiting[0].drop()
+        return bool(waiting)
 
     # The end of the node: late arrivals are still taken, everything is answered, then it is drained.
 
     def leave(self) -> None:
+        """From now on each answer closes its connection; connections are taken until `linger_over`."""
         self.leaving = True
+        self.timers.after(int(self.limits.linger_s * SECOND), self.linger_over)
 
     def linger_over(self) -> None:
         self.lingered = True
         for client in list(self.clients):
             if client.idle():
-                client.end()
+                client.close()
         self.check_drained()
+        # Guards against clients that never end a request or read an answer: nothing taken is open by then.
+        self.timers.after(self.longest, self.end_all)
 
     def check_drained(self) -> None:
-        busy = any(not c.ended or c.exchange is not None for c in self.clients)
-        if self.lingered and not busy and not self.clients and not self.drained.done():
+        if self.lingered and not self.clients and not self.drained.done():
             self.drained.set_result(None)
+
+    def end_all(self) -> None:
+        for client in list(self.clients):
+            if client.exchange is None:
+                client.transport.abort()
+        self.timers.after(SECOND // 10, self.end_all)
--- a/basalthoist/net/framing.py
+++ b/basalthoist/net/framing.py
@@ -17,7 +17,7 @@
 
 
 class Message:
-    """One request or answer. `headers` has names in lower case; `body` is a slice of what was read."""
+    """One request or answer, whole at `came_at`. `headers` has names in lower case; `body` is a slice."""
 
     __slots__ = ("method", "target", "status", "headers", "body", "keep_alive", "came_at")
 
@@ -44,7 +44,7 @@
 
     def __init__(self, answers: bool, head_bytes: int, body_bytes: int) -> None:
         self.answers, self.head_bytes, self.body_bytes = answers, head_bytes, body_bytes
-        self.pending, self.came_at, self.began_at = b"", 0, 0
+        self.pending, self.came_at = b"", 0
         self.restart()
 
     def restart(self) -> None:
@@ -83,8 +83,6 @@
 
     def feed(self, data: bytes, now: int) -> None:
         self.came_at = now
-        if self.idle():
-            self.began_at = now
         if self.message is not None:
             self.add(data)
         else:
@@ -107,9 +105,8 @@
         return self.finish(b"".join(self.parts)) if self.message is not None and self.until_end else None
 
     def finish(self, body: bytes | memoryview) -> Message:
-        message, message.body, message.came_at = self.message, body, self.began_at
+        message, message.body, message.came_at = self.message, body, self.came_at
         self.restart()
-        self.began_at = self.came_at
         return message
 
     def read_head(self) -> bool:
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -1,6 +1,7 @@
 """Puts the parts together, and takes them apart in order at the end."""
 
 import asyncio
+import errno
 
 from basalthoist.configuration import Configuration
 
@@ -9,7 +10,7 @@
 from .discovery import Discovery
 from .exchanges import Exchanges
 from .log import Log
-from .timers import SECOND, Timers
+from .timers import SECOND, Timers, now
 from .upstream import Upstream
 
 
@@ -37,13 +38,25 @@
         self.discovery.on_first = self.get_ready
         self.discovery.start(self.configuration.known)
         self.timers.after(int(self.limits.first_list_s * SECOND), self.get_ready)
-        server = await self.loop.create_server(self.door.client, host, port, backlog=self.limits.backlog)
+        server = await self.listen(host, port)
         self.log(f"listening on {host}:{port}")
         await self.door.drained
         server.close()
         self.upstream.close_all()
         self.log("all answered")
 
+    async def listen(self, host: str, port: int) -> asyncio.Server:
+        give_up = now() + int(self.limits.bind_s * SECOND)
+        while True:
+            try:
+                backlog = self.limits.backlog
+                return await self.loop.create_server(self.door.client, host, port, backlog=backlog)
+            except OSError as wrong:
+                # Guards against a process before this one that has not yet let go of the address.
+                if wrong.errno != errno.EADDRINUSE or now() > give_up:
+                    raise
+            await asyncio.sleep(0.05)
+
     def get_ready(self) -> None:
         self.door.ready = True
 
@@ -51,4 +64,3 @@
         if not self.door.leaving:
             self.log(f"told to leave, {len(self.exchanges.under_way)} exchanges under way")
             self.door.leave()
-            self.timers.after(int(self.limits.linger_s * SECOND), self.door.linger_over)
--- a/basalthoist/net/upstream.py
+++ b/basalthoist/net/upstream.py
@@ -79,6 +79,7 @@
             return
         if self.connection is not None:
             self.connection.cut()
+            self.pool.suspect(self.began_at)
         elif self in self.pool.waiting:
             self.pool.waiting.remove(self)
         self.finish_soon(outcome)
@@ -109,10 +110,11 @@
     def data_received(self, data: bytes) -> None:
         if self.cutting:
             return
+        self.pool.heard_at = now()
         if self.call is None:
             return self.cut()  # an answer that nothing was asked for
-        self.reader.feed(data, now())
         try:
+            self.reader.feed(data, now())
             answer = self.reader.next()
         except BadMessage as wrong:
             self.pool.upstream.log(f"{self.pool.name} answered what is no answer: {wrong}")
@@ -179,7 +181,7 @@
         self.idle: list[Connection] = []
         self.waiting: deque[Call] = deque()
         self.opening: set[asyncio.Task] = set()
-        self.closed = False
+        self.closed, self.heard_at = False, now()
 
     def submit(self, call: Call) -> None:
         while self.idle:
@@ -218,7 +220,8 @@
             if connection.transport.is_closing():
                 wrong = ConnectionError("lost while it came up")
             else:
-                return connection.cut() if self.closed and not self.waiting else self.freed(connection)
+                self.heard_at = now()
+                return self.freed(connection)
         else:
             self.upstream.descriptors.give_back()
         scarce = isinstance(wrong, OSError) and wrong.errno in NO_MORE_DESCRIPTORS
@@ -245,6 +248,12 @@
         self.forget(connection)
         self.upstream.descriptors.give_back()
 
+    def suspect(self, began_at: int) -> None:
+        # Guards against the idle connections to a machine that was cut off, each of which would take a try
+        # that may have run: where none of them said anything for as long, a new one tells without that risk.
+        if self.heard_at < began_at and now() - began_at >= self.upstream.connect_timeout_s * SECOND:
+            self.drop_idle(began_at)
+
     def drop_idle(self, since: int) -> None:
         for connection in [c for c in self.idle if c.idle_since <= since]:
             connection.cut()
--- a/basalthoist/terms.py
+++ b/basalthoist/terms.py
@@ -61,6 +61,8 @@
 def translated(path: str, value) -> tuple[str, object]:
     parts = path.split(".")
     parts[0] = KEYS.get(parts[0], parts[0])
+    if parts[-1] in TIMES and not isinstance(value, int | float):
+        raise ValueError(f"{path}: expected microseconds, got {value!r}")
     if parts[-1] == "fields":
         value = [FIELDS.get(f, f) for f in value]
     elif isinstance(value, str):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,12 @@
-"""A host that records what a node asks of it, and short ways to make nodes and backends."""
+"""A host that records what a node asks of it, short ways to make nodes, and stand-ins on sockets."""
+
+import contextlib
+import json
+import socket
+import subprocess
+import sys
+import threading
+import time
 
 from basalthoist.decisions.host import Listed
 from basalthoist.decisions.policy import Node
@@ -42,3 +50,194 @@
     made = Node(host, seed, settings(**kw), now)
     made.on_list(now, entries, True)
     return made, host
+
+
+# Stand-ins and short ways to start and ask the program itself, over sockets.
+
+
+class StandIn:
+    """A small server on a free port of 127.0.0.1: `behave(stand_in, sock, request)` answers each request."""
+
+    def __init__(self, behave):
+        self.behave, self.seen, self.open, self.closing = behave, [], [], False
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self.listener.accept()
+                self.open.append(sock)
+                threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock):
+        with contextlib.suppress(OSError, EOFError), sock, sock.makefile("rb") as source:
+            while True:
+                request = read_message(source)
+                if request.path != "/health":
+                    self.seen.append(request)
+                self.behave(self, sock, request)
+
+    def close(self):
+        # A blocked accept holds the port until it is woken.
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for sock in self.open:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+
+class Message:
+    def __init__(self, first, headers, body):
+        self.first, self.headers, self.body = first, headers, body
+        self.path = self.status = first.split(" ")[1]
+
+
+def read_message(source):
+    first = source.readline().decode()
+    if not first:
+        raise EOFError
+    headers = {}
+    while line := source.readline().strip():
+        name, _, value = line.decode().partition(":")
+        headers[name.lower()] = value.strip()
+    return Message(first.strip(), headers, source.read(int(headers.get("content-length", 0))))
+
+
+def reply(status=200, body=b"done", **headers):
+    def behave(_, sock, request):
+        lines = [f"HTTP/1.1 {status} Said", f"Content-Length: {len(body)}"]
+        lines += [f"{k.replace('_', '-')}: {v}" for k, v in headers.items()]
+        sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    return behave
+
+
+def raw(data, then_close=False):
+    def behave(_, sock, request):
+        sock.sendall(data)
+        if then_close:
+            raise EOFError
+
+    return behave
+
+
+def cut(_, sock, request):
+    raise EOFError
+
+
+def silent(_, sock, request):
+    pass
+
+
+def member(name, stand_in, phase="ready", started=0):
+    return {"id": name, "host_port": getattr(stand_in, "address", stand_in), "locality": "a", "flavor": "m",
+            "cell": 0, "phase": phase, "size": 1.0, "up_since_ms": started}  # fmt: skip
+
+
+class DiscoveryStandIn(StandIn):
+    """Serves `members`; `tell` sends a change down all watches. `mute`: it accepts and says nothing."""
+
+    def __init__(self, members, mute=False):
+        self.members, self.mute, self.watches, self.lists = members, mute, [], 0
+        super().__init__(type(self).answer)
+
+    def answer(self, sock, request):
+        if self.mute:
+            return
+        text = json.dumps({"revision": 1, "complete": True, "members": self.members}).encode()
+        if "stream=1" in request.path:
+            sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(b"\n"))
+            self.watches.append(sock)
+        else:
+            self.lists += 1
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text) + text)
+
+    def tell(self, *members):
+        line = json.dumps({"revision": 2, "complete": False, "members": members}).encode() + b"\n"
+        for sock in self.watches:
+            sock.sendall(chunk(line))
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def document(discovery, known=(), **more):
+    """A node's configuration with the routes `read` (retriable) and `pay` (non-retriable)."""
+    routes = [
+        {
+            "name": n,
+            "semantics": s,
+            "group": "all",
+            "latency_objective": 300000,
+            "value": 1.0,
+            "overall_timeout": 900000,
+        }
+        for n, s in (("read", "idempotent"), ("pay", "at_most_once"))
+    ]
+    limits = {"connect_timeout": 200000, "keepalive": 10000000, "max_upstream_tries": 3, "cancel": True}
+    made = {"name": "n0", "seed": "5f", "listen": f"127.0.0.1:{free_port()}", "discovery": discovery,
+            "known": {"revision": 0, "complete": True, "members": list(known)}, "settings": {
+                "routes": routes, "accounts": [{"name": "acme", "quota_per_s": 1000.0}], "zones": ["a"],
+                "kinds": ["m"], "zone": 0, "siblings": 1, "policy_limits": limits, "tick": 1000,
+                "discovery": "pushed"}}  # fmt: skip
+    return made | more
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as found:
+        return found.getsockname()[1]
+
+
+class Program:
+    """`python -m basalthoist`, ready to be asked."""
+
+    def __init__(self, folder, made):
+        path = folder / "config.json"
+        path.write_text(json.dumps(made))
+        self.errors = (folder / "log").open("w+")
+        self.process = subprocess.Popen([sys.executable, "-m", "basalthoist"], stderr=self.errors,
+                                        env={"PROXY_CONFIG": str(path), "PATH": ""})  # fmt: skip
+        host, _, port = made["listen"].rpartition(":")
+        self.address = host, int(port)
+
+    def log(self):
+        self.errors.seek(0)
+        return self.errors.read()
+
+    def wait_ready(self):
+        wait_for(lambda: self.up() and self.ask(b"GET /ready HTTP/1.1\r\n\r\n").status == "200")
+        return self
+
+    def up(self):
+        assert self.process.poll() is None, self.log()
+        with contextlib.suppress(OSError), self.connect():
+            return True
+
+    def connect(self):
+        return socket.create_connection(self.address, timeout=10)
+
+    def ask(self, *data):
+        with self.connect() as sock, sock.makefile("rb") as source:
+            for part in data:
+                sock.sendall(part)
+            return read_message(source)
+
+
+def request(route="read", timeout=800, body=b"", ident="1", extra="", path="/x?y=1"):
+    method = "GET" if route == "read" else "POST"
+    length = f"Content-Length: {len(body)}\r\n" if body else ""
+    head = f"{method} /{route}{path} HTTP/1.1\r\nHost: app\r\nRequest-Id: {ident}\r\n"
+    head += f"Request-Class: {route}\r\nTenant: acme\r\nRequest-Timeout-Ms: {timeout}\r\n"
+    return f"{head}{length}{extra}\r\n".encode() + body
+
+
+def wait_for(true, seconds=10):
+    end = time.monotonic() + seconds
+    while not (found := true()):
+        assert time.monotonic() < end, "waited in vain"
+        time.sleep(0.005)
+    return found
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,289 @@
+"""The program itself, spoken to over sockets."""
+
+import json
+import signal
+import socket
+import time
+
+import pytest
+from helpers import (
+    DiscoveryStandIn,
+    Program,
+    StandIn,
+    cut,
+    document,
+    free_port,
+    member,
+    raw,
+    read_message,
+    reply,  # fmt: skip
+    request,
+    silent,
+    wait_for,
+)
+
+
+@pytest.fixture
+def start(tmp_path):
+    """Starts stand-ins with the behaviours named, discovery that lists them, and the program."""
+    running = []
+
+    def begin(*behaviours, known=None, mute=False, wait=True, listed=True, **more):
+        backends = [b if isinstance(b, str) else StandIn(b) for b in behaviours]
+        entries = [member(f"s-{i}", b) for i, b in enumerate(backends)]
+        discovery = DiscoveryStandIn(entries if listed else [], mute)
+        made = document(discovery.address, entries if known is None else known, **more)
+        program = Program(tmp_path, made)
+        running.extend([b for b in backends if not isinstance(b, str)] + [discovery])
+        running.append(program)
+        return (program.wait_ready() if wait else program), backends, discovery
+
+    yield begin
+    for one in running:
+        if isinstance(one, Program):
+            one.process.kill()
+            one.process.wait()
+            one.errors.close()
+        else:
+            one.close()
+
+
+def sent(backends):
+    return [r for b in backends if not isinstance(b, str) for r in b.seen]
+
+
+def test_an_exchange_passes_unchanged(start):
+    program, (backend,), _ = start(reply(200, b"\x00answer", Server_Load="inflight=1", X_More="kept"))
+    extra = "X-Own: 1\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"
+    answer = program.ask(request("pay", body=b"\x01body", ident="abc", extra=extra))
+    assert (answer.status, answer.body, answer.headers["x-more"]) == ("200", b"\x00answer", "kept")
+    assert "server-load" not in answer.headers
+    (passed,) = backend.seen
+    assert (passed.first, passed.body) == ("POST /pay/x?y=1 HTTP/1.1", b"\x01body")
+    assert (passed.headers["request-id"], passed.headers["x-own"]) == ("abc", "1")
+    assert "x-hop" not in passed.headers
+    assert 700 < int(passed.headers["request-timeout-ms"]) <= 800
+
+
+CHUNKED = "Transfer-Encoding: chunked\r\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", "400"),
+        (request(extra=CHUNKED + "Content-Length: 3\r\n") + b"0\r\n\r\n", "400"),
+        (request(extra="Content-Length: 1\r\nContent-Length: 2\r\n") + b"ab", "400"),
+        (request(extra="Content-Length: -1\r\n"), "400"),
+        (request(extra="Transfer-Encoding: gzip\r\n"), "400"),
+        (request(extra=CHUNKED) + b"zz\r\n", "400"),
+        (request(extra="Content-Length: 65537\r\n"), "413"),
+        (request(extra=CHUNKED) + b"20000\r\n" + b"a" * 0x20000 + b"\r\n0\r\n\r\n", "413"),
+        (request(extra="X-Long: " + "a" * 20000 + "\r\n"), "431"),
+        (b"GET /" + b"a" * 20000, "431"),
+        (request("none"), "404"),
+        (request().replace(b"/read", b"/pay"), "400"),
+        (request().replace(b"Request-Id: 1\r\n", b""), "400"),
+        (request().replace(b"acme", b"nobody"), "400"),
+        (request().replace(b"800", b"soon"), "400"),
+        (request().replace(b"GET", b"CONNECT"), "405"),
+        (request().replace(b"GET", b"HEAD"), "405"),
+    ],
+)
+def test_what_makes_no_exchange_is_answered_and_not_passed_on(start, data, status):
+    program, backends, _ = start(reply())
+    assert program.ask(data).status == status
+    assert program.ask(request()).status == "200"
+    assert len(sent(backends)) == 1
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [bytes([b]) for b in request("pay", body=b"body")],
+        [request("pay", extra=CHUNKED), b"2\r\nbo\r\n", b"2\r\ndy\r\n0\r\n\r\n"],
+        [b"\r\n\r\n" + request("pay", body=b"body")],
+        [request("pay", extra="Upgrade: h2c\r\nConnection: Upgrade\r\n", body=b"body")],
+    ],
+)
+def test_a_request_may_come_in_any_form(start, parts):
+    program, (backend,), _ = start(reply())
+    assert program.ask(*parts).status == "200"
+    assert backend.seen[0].body == b"body"
+
+
+def test_a_client_that_waits_for_leave_gets_it(start):
+    program, (backend,), _ = start(reply())
+    with program.connect() as sock, sock.makefile("rb") as source:
+        sock.sendall(request("pay", body=b"body", extra="Expect: 100-continue\r\n")[:-4])
+        assert read_message(source).status == "100"
+        sock.sendall(b"body")
+        assert read_message(source).status == "200"
+
+
+def test_requests_behind_one_another_are_answered_in_order(start):
+    def echo(stand_in, sock, asked):
+        reply(200, asked.headers["request-id"].encode())(stand_in, sock, asked)
+
+    program, _, _ = start(echo)
+    with program.connect() as sock, sock.makefile("rb") as source:
+        sock.sendall(request(ident="a") + request("pay", body=b"x", ident="b") + request(ident="c"))
+        assert [read_message(source).body for _ in range(3)] == [b"a", b"b", b"c"]
+
+
+HALF = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"
+TOO_LONG = b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("failing", "read", "pay"),
+    [
+        (cut, "200", "502"),  # it may have run: only what may run again is sent on
+        (raw(HALF, True), "200", "502"),
+        (raw(b"nonsense\r\n\r\n"), "200", "502"),
+        (raw(TOO_LONG), "200", "502"),
+        (reply(500), "200", "502"),
+        (reply(503), "200", "502"),
+        (reply(503, Not_Started="1"), "200", "200"),
+        (f"127.0.0.1:{free_port()}", "200", "200"),  # nobody listens
+    ],
+)
+@pytest.mark.parametrize("route", ["read", "pay"])
+def test_a_failed_try(start, failing, read, pay, route):
+    """Both backends are asked in turn: of two exchanges one meets the one that fails first."""
+    program, backends, _ = start(failing, reply())
+    statuses = sorted(program.ask(request(route, ident=str(i))).status for i in range(6))
+    wanted = {"read": read, "pay": pay}[route]
+    assert set(statuses) <= {"200", wanted}
+    idents = [r.headers["request-id"] for r in sent(backends)]
+    if wanted == "502":
+        assert "502" in statuses
+        assert len(idents) == len(set(idents))
+
+
+def test_other_forms_of_an_answer_are_read_whole(start):
+    chunked = b"HTTP/1.1 200 OK\r\n" + CHUNKED.encode() + b"\r\n2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n"
+    early = b"HTTP/1.1 100 Continue\r\n\r\n"
+    for behave in (raw(early + chunked), raw(b"HTTP/1.1 200 OK\r\n\r\nwhole", True)):
+        program, _, _ = start(behave)
+        assert program.ask(request()).body == b"whole"
+
+
+@pytest.mark.parametrize(("route", "status"), [("read", "503"), ("pay", "504")])
+def test_a_silent_backend_is_given_up_in_time(start, route, status):
+    program, (backend,), _ = start(silent)
+    began = time.monotonic()
+    answer = program.ask(request(route, timeout=300))
+    assert answer.status in (status, "502")
+    assert time.monotonic() - began < 0.35
+    assert wait_for(lambda: ended(backend.open[0]))
+
+
+def ended(sock):
+    try:
+        return sock.fileno() < 0 or sock.recv(1, socket.MSG_DONTWAIT | socket.MSG_PEEK) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def test_the_try_of_a_client_that_went_away_is_called_off(start):
+    program, (backend,), _ = start(silent)
+    with program.connect() as sock:
+        sock.sendall(request())
+        wait_for(lambda: backend.seen)
+    assert wait_for(lambda: ended(backend.open[0]))
+
+
+def test_a_kept_connection_that_the_backend_closed_is_not_written_to(start):
+    def last_one(stand_in, sock, asked):
+        reply()(stand_in, sock, asked)
+        raise EOFError
+
+    program, (backend,), _ = start(last_one)
+    assert [program.ask(request("pay", ident=str(i))).status for i in range(20)] == ["200"] * 20
+
+
+def test_sigterm_answers_what_is_held_and_what_still_comes(start):
+    gate = []
+
+    def slowly(stand_in, sock, asked):
+        wait_for(lambda: gate)
+        reply()(stand_in, sock, asked)
+
+    program, (backend,), _ = start(slowly)
+    with program.connect() as sock, sock.makefile("rb") as source, program.connect() as kept:
+        sock.sendall(request("pay", ident="held"))
+        wait_for(lambda: backend.seen)
+        program.process.send_signal(signal.SIGTERM)
+        wait_for(lambda: "told to leave" in program.log())
+        gate.append(True)
+        assert program.ask(b"GET /ready HTTP/1.1\r\n\r\n").status == "503"
+        late = program.ask(request("pay", ident="late"))
+        assert (late.status, late.headers["connection"]) == ("200", "close")
+        with kept.makefile("rb") as answers:
+            kept.sendall(request("pay", ident="kept"))
+            assert read_message(answers).status == "200"
+        assert read_message(source).status == "200"
+        with program.connect() as half:
+            half.sendall(b"GET /read HT")
+            assert program.process.wait(5) == 0
+
+
+def test_a_saved_list_serves_while_discovery_is_silent(start):
+    program, _, discovery = start(reply(), mute=True, limits={"watch_silent_s": 0.6})
+    assert program.ask(request()).status == "200"
+    wait_for(lambda: len(discovery.open) > 1)  # a silent watch has failed and another is tried
+    discovery.mute = False
+    wait_for(lambda: discovery.watches)
+
+
+def test_the_watch_adds_drains_and_removes(start):
+    program, (first, second), discovery = start(reply(200, b"1"), reply(200, b"2"), known=[], listed=False)
+    wait_for(lambda: discovery.watches)
+    for told, body in (
+        ([member("s-0", first)], b"1"),
+        ([member("s-0", first, "draining"), member("s-1", second)], b"2"),
+        ([member("s-0", first), member("s-1", second, "gone")], b"1"),
+        ([{"id": "odd", "host_port": "nowhere"}, member("s-0", second)], b"2"),  # at another address now
+    ):
+        discovery.tell(*told)
+        wait_for(lambda want=body: {program.ask(request()).body for _ in range(4)} == {want})
+    for sock in discovery.watches:
+        sock.sendall(b"7\r\n[true]\n\r\n")  # no line of a watch: it is begun anew
+    wait_for(lambda: discovery.lists == 2)
+
+
+def test_more_clients_than_descriptors(start):
+    program, _, _ = start(reply(), limits={"sockets": 96})
+    crowd = [program.connect() for _ in range(150)]
+    for sock in crowd[::2]:
+        sock.sendall(b"GET /read HT")
+    assert wait_for(lambda: program.ask(request()).status == "200")
+    for sock in crowd:
+        sock.close()
+    assert program.ask(request()).status == "200"
+
+
+def test_a_client_that_does_not_end_its_request_is_told(start):
+    program, _, _ = start(reply(), limits={"client_read_s": 0.2})
+    assert program.ask(b"GET /read HT").status == "408"
+
+
+def test_a_faulty_configuration_ends_the_start(tmp_path):
+    made = document("127.0.0.1:1")
+    made["settings"]["routes"][1]["overall_timeout"] = "long"
+    program = Program(tmp_path, made)
+    assert program.process.wait(10) == 2
+    assert "$.settings.routes[1].overall_timeout" in program.log()
+    program.errors.close()
+
+
+def test_an_address_still_held_is_waited_for(tmp_path, start):
+    with socket.create_server(("127.0.0.1", 0)) as held:
+        listen = f"127.0.0.1:{held.getsockname()[1]}"
+        program, _, discovery = start(reply(), wait=False, listen=listen)
+        wait_for(lambda: discovery.watches)
+    assert program.wait_ready().ask(request()).status == "200"
+    assert json.loads((tmp_path / "config.json").read_text())["listen"] == listen
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,257 @@
+"""Parts of the node by themselves."""
+
+import asyncio
+import json
+
+import pytest
+import uvloop
+from helpers import document, member
+
+from basalthoist.configuration import ConfigurationError, decode
+from basalthoist.decisions.host import Load, Outcome
+from basalthoist.net import members
+from basalthoist.net.descriptors import Descriptors
+from basalthoist.net.exchanges import Exchanges
+from basalthoist.net.framing import Message, Reader
+from basalthoist.net.log import Log
+from basalthoist.net.timers import Timers, now
+from basalthoist.net.upstream import Upstream, load_of, outcome_of
+from basalthoist.terms import flat_map, plain_map
+
+ANSWERS = [
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: b\r\n\r\nbody", b"body", True),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", b"", False),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n3\r\nody\r\n0\r\n\r\n", b"body", True),
+    (b"HTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 204 None\r\n\r\n", b"", True),
+]
+
+
+@pytest.mark.parametrize(("data", "body", "keep"), ANSWERS)
+def test_a_message_is_the_same_wherever_it_is_split(data, body, keep):
+    for at in range(len(data) + 1):
+        reader = Reader(True, 1000, 1000)
+        found = []
+        for part in (data[:at], data[at:]):
+            reader.feed(part, 1)
+            found.append(reader.next())
+        whole = [m for m in found if m is not None]
+        assert [(bytes(m.body), m.keep_alive) for m in whole] == [(body, keep)]
+        assert reader.idle()
+
+
+def test_a_body_read_at_once_is_a_slice_of_what_was_read():
+    reader, data = Reader(False, 1000, 1000), b"POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody"
+    reader.feed(data, 1)
+    assert reader.next().body.obj is data
+
+
+def test_what_follows_a_chunked_message_ends_the_connection():
+    reader = Reader(True, 1000, 1000)
+    reader.feed(ANSWERS[2][0] + ANSWERS[0][0], 1)
+    message = reader.next()
+    assert (message.body, message.keep_alive) == (b"body", False)
+    assert message.headers == [(b"transfer-encoding", b"chunked")]
+
+
+@pytest.mark.parametrize("delay", [1, 3, 9, 11, 15, 29])
+def test_nothing_due_is_woken_early(delay):
+    """The loop's own timers fire up to a millisecond early; the decisions would lose a wake too early."""
+
+    async def measure():
+        loop = asyncio.get_running_loop()
+        timers, late = Timers(loop, print), []
+        for _ in range(20):
+            done, due = loop.create_future(), now() + delay
+            timers.after(delay, lambda done=done: done.set_result(now()))
+            late.append(await done - due)
+        return late
+
+    assert min(uvloop.run(measure())) >= 0
+
+
+def test_one_failing_timer_does_not_stop_the_others():
+    async def run():
+        loop, lines = asyncio.get_running_loop(), []
+        timers, done = Timers(loop, lines.append), loop.create_future()
+        timers.after(1, lambda: 1 / 0)
+        timers.after(2, lambda: done.set_result(True)).stop()
+        timers.after(3, lambda: done.set_result(lines))
+        return await done
+
+    assert "ZeroDivisionError" in uvloop.run(run())[0]
+
+
+def test_a_clock_that_is_set_makes_no_other_start(monkeypatch):
+    translator, entry = members.Translator(["a"], ["m"]), members.Member("s", locality="a", up_since_ms=5_000)
+    first = translator.listed(entry)
+    monkeypatch.setattr("time.time_ns", lambda: 99_000_000_000)
+    assert translator.listed(entry) == first
+    entry.up_since_ms += 1
+    assert translator.listed(entry).started != first.started
+
+
+@pytest.mark.parametrize(
+    ("phase", "locality", "state", "location"),
+    [
+        ("ready", "b", "healthy", 1),
+        ("draining", "a", "draining", 0),
+        ("gone", "a", "gone", 0),
+        ("unheard-of", "c", "draining", 2),
+    ],
+)
+def test_members_in_the_words_of_the_decisions(phase, locality, state, location):
+    translator = members.Translator(["a", "b"], [])
+    listed = translator.listed(members.Member("s", locality=locality, phase=phase))
+    assert (listed.state, listed.location, listed.started) == (state, location, None)
+
+
+@pytest.mark.parametrize(
+    ("text", "load"),
+    [
+        (b"inflight=7,queue=2,util=0.61", Load(7.0, 2.0, 0.61)),
+        (b"rif=7, busy=1", Load(7.0, None, 1.0)),
+        (b"queue=nan,inflight=x,util=inf,q", None),
+        (b"", None),
+        (None, None),
+    ],
+)
+def test_load_reports(text, load):
+    assert load_of(text) == load
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "named"),
+    [
+        ("limits.sockets", 10, "$.limits.sockets"),
+        ("limits.client_idle_s", "long", "$.limits.client_idle_s"),
+        ("listen", "nowhere", "listen"),
+        ("discovery", "", "discovery"),
+        ("seed", "xyz", "seed"),
+        ("settings.routes", [], "$.settings.routes"),
+        ("settings.policy_limits.probes", 3, "$.settings.policy_limits.probes"),
+        ("settings.tick", "often", "settings.tick"),
+        ("known.members", [member("s", "x")], "known.members, s: host_port"),
+        ("known.revision", None, "$.known.revision"),
+    ],
+)
+def test_a_faulty_configuration_is_named_by_its_key(path, value, named):
+    made = document("127.0.0.1:1")
+    inner = made
+    *outer, last = path.split(".")
+    for key in outer:
+        inner = inner.setdefault(key, {})
+    inner[last] = value
+    with pytest.raises(ConfigurationError, match=named.replace("$", r"\$")):
+        decode(json.dumps(made).encode(), {})
+
+
+def test_the_environment_goes_before_the_file():
+    environment = {"PROXY_LISTEN": "127.0.0.2:7", "PROXY_NAME": "x"}
+    found = decode(json.dumps(document("127.0.0.1:1")).encode(), environment)
+    assert (found.listen, found.name, found.discovery) == (("127.0.0.2", 7), "x", ("127.0.0.1", 1))
+
+
+def test_settings_are_the_same_from_the_wire_and_from_json():
+    nested = {
+        "accounts": [{"name": "x", "quota_per_s": 2.5}], "feedback": {"fields": ["rif", "q"]}, "siblings": 3,
+        "routes": [{"semantics": "at_most_once", "group": "cell"}], "zone": 1, "tick": 1000,
+    }  # fmt: skip
+    wire = (
+        "accounts.count=1 accounts.0.name=x accounts.0.quota_per_s=2.5 feedback.fields=rif,q siblings=3"
+        " routes.count=1 routes.0.semantics=at_most_once routes.0.group=cell zone=1 tick=1000"
+    )
+    assert flat_map(nested) == plain_map(wire.split())
+    assert flat_map(nested)["routes.0.group"] == "pod"
+
+
+def test_the_budget_of_descriptors_closes_what_is_idle_first():
+    budget, idle = Descriptors(3), ["one"]
+
+    def close_one():
+        return bool(idle) and (idle.pop(), budget.give_back())[1] is None
+
+    budget.makers_of_room.append(close_one)
+    assert [budget.take(), budget.take(keep_free=1), budget.take(keep_free=1)] == [True, True, True]
+    assert (idle, budget.used) == ([], 2)
+    assert [budget.take(keep_free=1), budget.take(), budget.take()] == [False, True, False]
+
+
+class Client:
+    def __init__(self):
+        self.exchange, self.answers = None, []
+
+    def answer(self, status, headers=(), body=b""):
+        self.answers.append(status)
+
+
+def exchanges_on(loop):
+    made = decode(json.dumps(document("127.0.0.1:1")).encode(), {})
+    log = Log("n0", 100)
+    timers = Timers(loop, log)
+    return Exchanges(made, loop, timers, Upstream(loop, timers, log, Descriptors(9), made.limits, 1, 1), log)
+
+
+def start(exchanges, timeout):
+    client, message = Client(), Message()
+    message.method, message.target, message.came_at = b"POST", b"/pay", now()
+    return client, exchanges.start(client, message, 1, 0, timeout, False)
+
+
+def broken(*what):
+    raise KeyError("broken")
+
+
+@pytest.mark.parametrize("failing", ["on_exchange", "on_try_ended"])
+def test_a_failing_decision_ends_its_own_exchange_only(failing):
+    async def run():
+        exchanges = exchanges_on(asyncio.get_running_loop())
+        setattr(exchanges.node, failing, broken)
+        first, xchg = start(exchanges, 500)
+        if failing == "on_try_ended":
+            exchanges.send(xchg.id, "unlisted", 100)
+            while not first.answers:
+                await asyncio.sleep(0)
+        delattr(exchanges.node, failing)
+        second, _ = start(exchanges, 20)
+        while not second.answers:
+            await asyncio.sleep(0)
+        assert not exchanges.under_way
+        return first.answers, second.answers
+
+    assert uvloop.run(run()) == ([500], [503])
+
+
+def test_an_exchange_that_the_decisions_lost_is_answered_all_the_same():
+    async def run():
+        exchanges = exchanges_on(asyncio.get_running_loop())
+        exchanges.node.on_exchange = lambda *what: None
+        began = now()
+        client, _ = start(exchanges, 10)
+        while not client.answers:
+            await asyncio.sleep(0)
+        return client.answers, now() - began
+
+    answers, took = uvloop.run(run())
+    assert answers == [500] and 100 <= took < 600
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "outcome"),
+    [(200, [], 0), (500, [], 1), (503, [], 1), (504, [(b"not-started", b"1")], 2), (404, [], 1)],
+)
+def test_outcomes(status, headers, outcome):
+    answer = Message()
+    answer.status, answer.headers = status, headers
+    assert outcome_of(answer) == Outcome(outcome)
+
+
+def test_the_log_leaves_lines_out_and_says_so(capsys, monkeypatch):
+    clock = [5.0]
+    monkeypatch.setattr("time.monotonic", lambda: clock[0])
+    log = Log("n0", 2)
+    for number in range(5):
+        log(f"line {number}")
+    clock[0] = 6.0
+    log("last")
+    lines = capsys.readouterr().err.split("\n")
+    assert lines[:4] == ["n0: line 0", "n0: line 1", "n0: 3 lines left out", "n0: last"]
