Discovery that closes after the list, fewer descriptors than told, requests that can't be read

Discovery: where it closes after the list, the next connection begins with the watch (it was listed for ever before); tries to reach it spread and double up to 2 s. The budget of descriptors is bounded by what the machine allows. A request whose reading fails in our own code is answered 500 instead of its connection being dropped.

Tests: a backend to which no connection comes up has not run a non-retriable exchange, which goes on to another; idle connections to a backend that fell silent are dropped.

--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -1,6 +1,7 @@
 """Everything that a node is told at its start: read, checked and given defaults here and nowhere else."""
 
 import os
+import resource
 from collections.abc import Mapping
 from typing import Annotated
 
@@ -38,8 +39,11 @@
     connect_s: Positive = 1.0  # where the settings give no time for it
     probe_s: Positive = 0.1
     first_list_s: Positive = 0.3  # how long `/ready` waits for discovery before the saved list has to do
-    watch_silent_s: Positive = 5.0
-    watch_retry_s: Positive = 0.5  # between tries to reach discovery, spread by half of it either way
+    watch_silent_s: Positive = 4.5
+    watch_retry_s: Positive = (
+        0.4  # before discovery is tried again, spread by half of it either way; it doubles
+    )
+    watch_retry_most_s: Positive = 2.0
     linger_s: Positive = 0.55  # after SIGTERM new connections are still taken for this long
     bind_s: Positive = 5.0  # how long the address may still be held by a process before this one
 
@@ -88,7 +92,8 @@
 class Configuration:
     """The node's name, addresses, limits and saved list, and `settings` for the decisions."""
 
-    def __init__(self, document: Document, told: Told, settings: dict, environment: Mapping) -> None:
+    def __init__(self, document: Document, told: Told, settings: dict, environment: Mapping,
+                 open_files: int) -> None:  # fmt: skip
         self.name = environment.get("PROXY_NAME") or document.name or "node"
         listen = environment.get("PROXY_LISTEN") or document.listen
         self.listen = address("listen (PROXY_LISTEN)", listen)
@@ -100,7 +105,11 @@
             raise ConfigurationError(f"seed: expected hex digits, got {document.seed!r}") from None
         for member in document.known.members:
             address(f"known.members, {member.id}: host_port", member.host_port)
-        self.limits, self.known, self.settings = document.limits, document.known, settings
+        # Guards against a machine that allows fewer descriptors than the file says.
+        sockets = min(document.limits.sockets, open_files)
+        reserve = min(document.limits.reserve, sockets // 3)
+        self.limits = msgspec.structs.replace(document.limits, sockets=sockets, reserve=reserve)
+        self.known, self.settings = document.known, settings
         self.routes, self.told = told.routes, told
         self.longest_s = max(route.overall_timeout for route in told.routes) / 1e6 or 1.0
         self.customers = [account.name for account in told.accounts]
@@ -117,7 +126,7 @@
         raise ConfigurationError(f"{key}: {wrong}") from None
 
 
-def decode(data: bytes, environment: Mapping[str, str]) -> Configuration:
+def decode(data: bytes, environment: Mapping[str, str], open_files: int = 1 << 20) -> Configuration:
     try:
         document = msgspec.json.decode(data, type=Document)
     except msgspec.ValidationError as wrong:
@@ -133,7 +142,7 @@
         settings = flat_map(nested)
     except (TypeError, ValueError) as wrong:
         raise ConfigurationError(f"settings.{wrong}") from None
-    return Configuration(document, told, settings, environment)
+    return Configuration(document, told, settings, environment, open_files)
 
 
 def load(environment: Mapping[str, str] = os.environ) -> Configuration:
@@ -145,4 +154,5 @@
             data = file.read()
     except OSError as wrong:
         raise ConfigurationError(f"PROXY_CONFIG: {wrong}") from None
-    return decode(data, environment)
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return decode(data, environment, 1 << 20 if allowed == resource.RLIM_INFINITY else allowed)
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -55,8 +55,8 @@
             self.since = now()
         try:
             self.reader.feed(data, now())
-        except BadMessage as wrong:
-            return self.refuse(wrong.status)
+        except Exception as wrong:
+            return self.not_read(wrong)
         if self.exchange is not None or self.writing:
             # Guards against a client that sends on without end while its answer is awaited.
             if len(self.reader.pending) > self.reader.head_bytes + self.reader.body_bytes:
@@ -79,8 +79,8 @@
             return
         try:
             message = self.reader.next()
-        except BadMessage as wrong:
-            return self.refuse(wrong.status)
+        except Exception as wrong:
+            return self.not_read(wrong)
         if message is not None:
             return self.take(message)
         if self.reader.wants_continue:
@@ -104,6 +104,11 @@
             else:
                 self.door.exchanges.end_failed(self.exchange)
 
+    def not_read(self, wrong: Exception) -> None:
+        if not isinstance(wrong, BadMessage):
+            self.door.log(f"request not read: {wrong!r}")
+        self.refuse(wrong.status if isinstance(wrong, BadMessage) else 500)
+
     def refuse(self, status: int) -> None:
         """Where a message ends is no longer known: nothing more is read from this connection."""
         if self.exchange is None:
--- a/basalthoist/net/discovery.py
+++ b/basalthoist/net/discovery.py
@@ -18,7 +18,10 @@
 
 
 class Watch(asyncio.Protocol):
-    """One connection to discovery: one answer with the list, then a chunked one that stays open."""
+    """One connection to discovery: an answer with the list, then a chunked one that stays open.
+
+    Where discovery closes after the list, the next connection begins with the watch.
+    """
 
     def __init__(self, discovery: "Discovery") -> None:
         self.discovery, self.limit = discovery, discovery.limits.list_bytes
@@ -29,7 +32,14 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
-        self.ask("/v1/endpoints")
+        if self.discovery.listed:
+            self.watch()
+        else:
+            self.ask("/v1/endpoints")
+
+    def watch(self) -> None:
+        self.watching = True
+        self.ask(f"/v1/endpoints?stream=1&index={self.discovery.revision}")
 
     def ask(self, path: str) -> None:
         host = "{}:{}".format(*self.discovery.address)
@@ -53,6 +63,7 @@
     def fail(self, why: str) -> None:
         if not self.closed:
             self.closed = True
+            self.discovery.listed = self.discovery.listed and not self.watching
             if self.transport is not None:
                 self.transport.abort()
             self.discovery.failed(self, why)
@@ -74,9 +85,13 @@
     def on_message_complete(self) -> None:
         if self.watching:
             raise ValueError("the watch was ended")
-        text, self.text, self.watching = self.text, b"", True
+        text, self.text = self.text, b""
         self.discovery.learn(LINE.decode(text), first=True)
-        self.ask(f"/v1/endpoints?stream=1&index={self.discovery.revision}")
+        self.discovery.listed = True
+        if self.parser.should_keep_alive():
+            self.watch()
+        else:
+            self.fail("closes after the list")
 
 
 class Discovery:
@@ -92,6 +107,7 @@
         self.chance = random.Random(configuration.seed)
         self.revision, self.watch, self.opening, self.waiting = 0, None, None, None
         self.names: set[str] = set()
+        self.listed, self.failures = False, 0  # listed: the next thing to ask for is the watch
         self.on_first = lambda: None
         self.silent = int(self.limits.watch_silent_s * SECOND)
         timers.every(SECOND // 2, self.check)
@@ -139,7 +155,9 @@
 
     def later(self) -> None:
         if self.waiting is None:
-            wait = self.limits.watch_retry_s * (0.5 + self.chance.random())
+            longer = min(self.limits.watch_retry_s * 2**self.failures, self.limits.watch_retry_most_s)
+            wait = longer * (0.5 + self.chance.random())
+            self.failures = min(self.failures + 1, 20)
             self.waiting = self.timers.after(int(wait * SECOND), self.connect)
 
     def learn(self, said: MemberList, first: bool) -> None:
@@ -168,4 +186,5 @@
             self.upstream.remove(name)
             self.translator.forget(name)
         if first:
+            self.failures = 0
             self.on_first()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -138,22 +138,29 @@
 
 
 class DiscoveryStandIn(StandIn):
-    """Serves `members`; `tell` sends a change down all watches. `mute`: it accepts and says nothing."""
+    """Serves `members`; `tell` sends a change down all watches.
 
-    def __init__(self, members, mute=False):
+    `mute`: it accepts and says nothing; `one_each`: it closes after each answer.
+    """
+
+    def __init__(self, members, mute=False, one_each=False):
         self.members, self.mute, self.watches, self.lists = members, mute, [], 0
+        self.one_each = one_each
         super().__init__(type(self).answer)
 
     def answer(self, sock, request):
         if self.mute:
             return
+        close = b"Connection: close\r\n" if self.one_each else b""
         text = json.dumps({"revision": 1, "complete": True, "members": self.members}).encode()
         if "stream=1" in request.path:
             sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(b"\n"))
             self.watches.append(sock)
         else:
             self.lists += 1
-            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text) + text)
+            sock.sendall(b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n" % (close, len(text)) + text)
+            if self.one_each:
+                raise EOFError
 
     def tell(self, *members):
         line = json.dumps({"revision": 2, "complete": False, "members": members}).encode() + b"\n"
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -28,10 +28,10 @@
     """Starts stand-ins with the behaviours named, discovery that lists them, and the program."""
     running = []
 
-    def begin(*behaviours, known=None, mute=False, wait=True, listed=True, **more):
+    def begin(*behaviours, known=None, wait=True, listed=True, mute=False, one_each=False, **more):
         backends = [b if isinstance(b, str) else StandIn(b) for b in behaviours]
         entries = [member(f"s-{i}", b) for i, b in enumerate(backends)]
-        discovery = DiscoveryStandIn(entries if listed else [], mute)
+        discovery = DiscoveryStandIn(entries if listed else [], mute, one_each)
         made = document(discovery.address, entries if known is None else known, **more)
         program = Program(tmp_path, made)
         running.extend([b for b in backends if not isinstance(b, str)] + [discovery])
@@ -179,6 +179,36 @@
     assert wait_for(lambda: ended(backend.open[0]))
 
 
+def test_a_backend_to_which_no_connection_comes_up_has_not_run_it(start):
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as clogged:
+        address = f"127.0.0.1:{clogged.getsockname()[1]}"
+        fillers = [socket.socket() for _ in range(3)]
+        for sock in fillers:
+            sock.setblocking(False)
+            sock.connect_ex(clogged.getsockname())
+        program, _, _ = start(address, reply())
+        assert {program.ask(request("pay", ident=str(i))).status for i in range(4)} == {"200"}
+        for sock in fillers:
+            sock.close()
+
+
+def test_idle_connections_to_a_backend_that_fell_silent_are_dropped(start):
+    def until_silent(stand_in, sock, asked):
+        if "silent" not in asked.first:
+            wait_for(lambda: len(stand_in.seen) >= 2)
+            reply()(stand_in, sock, asked)
+
+    program, (backend,), _ = start(until_silent)
+    with program.connect() as one, program.connect() as two:
+        for sock in (one, two):
+            sock.sendall(request())
+        for sock in (one, two):
+            assert read_message(sock.makefile("rb")).status == "200"
+    assert len(backend.open) == 2
+    assert program.ask(request("pay", timeout=400, path="/silent")).status in ("502", "504")
+    wait_for(lambda: all(ended(sock) for sock in backend.open))
+
+
 def ended(sock):
     try:
         return sock.fileno() < 0 or sock.recv(1, socket.MSG_DONTWAIT | socket.MSG_PEEK) == b""
@@ -239,6 +269,12 @@
     wait_for(lambda: discovery.watches)
 
 
+def test_a_discovery_that_closes_after_the_list_is_watched_on_another_connection(start):
+    program, _, discovery = start(reply(), one_each=True)
+    wait_for(lambda: discovery.watches)
+    assert discovery.lists == 1
+
+
 def test_the_watch_adds_drains_and_removes(start):
     program, (first, second), discovery = start(reply(200, b"1"), reply(200, b"2"), known=[], listed=False)
     wait_for(lambda: discovery.watches)
