Take connections in by hand, so that a crowd waits or is refused instead of dropped

Seen: with 96 descriptors and 150 clients at once some connections were closed before their request was read, partly by closing ones just accepted as idle, and the loop's own accept drops connections when descriptors run out.

The listener now accepts under the budget (clients.py, Listener): past it connections are let in to be answered 503, past half of the reserve they wait in the backlog. A connection that has brought no request yet is not closed as idle within its first 0.1 s. At the end what the machine has already accepted is taken before the listener closes.

Test: a crowd at once with few descriptors; it failed before.

--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -32,6 +32,7 @@
     log_lines_per_s: Count = 20
     backlog: Count = 512
     client_idle_s: Positive = 120.0  # a client's connection between exchanges
+    client_fresh_s: Positive = 0.1  # a connection as new as this is about to bring its first request
     client_read_s: Positive = 10.0  # from the first byte of a request to its last; an answer not read
     client_close_s: Positive = 2.0  # how long a client has to close after the last answer
     client_transit_s: Annotated[float, msgspec.Meta(ge=0)] = 0.001  # from a client's send to its arrival here
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import select
+import socket
 
 from basalthoist.configuration import Configuration
 
@@ -22,27 +23,26 @@
 class Client(asyncio.Protocol):
     """One connection. It carries one exchange at a time; what comes behind one waits in `reader`."""
 
-    def __init__(self, door: "Door") -> None:
-        self.door = door
+    def __init__(self, door: "Door", welcome: bool) -> None:
+        self.door, self.welcome = door, welcome  # not welcome: no descriptor is left to do anything for it
         self.reader = Reader(False, door.limits.head_bytes, door.limits.body_bytes)
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
         self.since = now()  # when it last fell idle, or began to read or to be written to
-        self.keep, self.counted, self.writing, self.held_back, self.ended = True, False, False, False, False
+        self.keep, self.writing, self.held_back, self.ended = True, False, False, False
+        self.asked = False  # whether it has brought a request yet
 
     # Called by the event loop.
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
         transport.set_write_buffer_limits(high=0)  # answers go out at once, and one at a time
-        self.counted = self.door.descriptors.take(self.door.for_upstream)
         self.door.clients.add(self)
 
     def connection_lost(self, wrong: Exception | None) -> None:
         self.ended = True
         self.door.clients.discard(self)
-        if self.counted:
-            self.door.descriptors.give_back()
+        self.door.descriptors.give_back()
         if self.exchange is not None:
             xchg, self.exchange = self.exchange, None
             self.door.exchanges.gone(xchg)
@@ -91,7 +91,7 @@
             self.transport.resume_reading()
 
     def take(self, message: Message) -> None:
-        self.keep = message.keep_alive and self.counted
+        self.keep, self.asked = message.keep_alive and self.welcome, True
         try:
             self.door.take(self, message)
         except BadMessage as wrong:
@@ -182,19 +182,18 @@
         self.routes = {r.name.encode(): (i, r) for i, r in enumerate(configuration.routes)}
         self.customers = {name.encode(): i for i, name in enumerate(configuration.customers)}
         self.clients: set[Client] = set()
+        self.listener: Listener | None = None
         self.for_upstream = int(descriptors.most * self.limits.upstream_part)
+        self.fresh = int(self.limits.client_fresh_s * SECOND)
         self.longest = int(configuration.longest_s * SECOND)
         self.ready, self.leaving, self.lingered = False, False, False
         self.drained: asyncio.Future = loop.create_future()
         descriptors.makers_of_room.append(self.close_idlest)
         timers.every(SECOND, self.sweep)
 
-    def client(self) -> Client:
-        return Client(self)
-
     def take(self, client: Client, message: Message) -> None:
-        if not client.counted:
-            return client.answer(503)  # no descriptor is left to do anything about it with
+        if not client.welcome:
+            return client.answer(503)
         path = message.target.partition(b"?")[0]
         if path == b"/ready":
             return client.answer(200 if self.ready and not self.leaving else 503)
@@ -236,7 +235,7 @@
     def close_idlest(self) -> bool:
         free = sorted((c for c in self.clients if c.exchange is None), key=lambda c: c.since)
         for client in free:
-            if client.idle():
+            if (client.asked or now() - client.since > self.fresh) and client.idle():
                 client.close()
                 return True
         # Guards against many clients that each begin a request and do not end it.
@@ -262,11 +261,74 @@
         self.timers.after(self.longest, self.end_all)
 
     def check_drained(self) -> None:
-        if self.lingered and not self.clients and not self.drained.done():
+        if not self.lingered or self.clients or self.drained.done():
+            return
+        # Guards against closing on a connection that the machine has accepted and the node has not yet seen.
+        self.listener.accept()
+        if not self.listener.tasks:
             self.drained.set_result(None)
 
     def end_all(self) -> None:
         for client in list(self.clients):
             if client.exchange is None:
                 client.transport.abort()
+        self.check_drained()
         self.timers.after(SECOND // 10, self.end_all)
+
+
+class Listener:
+    """Takes connections in itself, so that where descriptors run out they wait instead of being dropped."""
+
+    def __init__(self, door: Door, address: tuple[str, int]) -> None:
+        self.door, self.loop, self.listening = door, door.loop, True
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self.sock = socket.create_server(address, family=family, backlog=door.limits.backlog)
+        self.sock.setblocking(False)
+        self.tasks: set[asyncio.Task] = set()
+        door.listener = self
+        self.loop.add_reader(self.sock, self.accept)
+
+    def accept(self) -> None:
+        descriptors = self.door.descriptors
+        for _ in range(64):
+            if descriptors.brimful():
+                descriptors.make_room()
+                return self.pause()
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as wrong:
+                # Guards against EMFILE all the same: those that wait are taken in when there is room again.
+                self.door.log(f"no connection taken: {wrong}")
+                return self.pause()
+            welcome = descriptors.take(self.door.for_upstream)
+            if not welcome:
+                descriptors.take_anyway()
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            # A task for a connection, not for an exchange: the loop has no other form of this.
+            task = self.loop.create_task(self.take_over(sock, welcome))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def take_over(self, sock: socket.socket, welcome: bool) -> None:
+        try:
+            await self.loop.connect_accepted_socket(lambda: Client(self.door, welcome), sock)
+        except OSError as wrong:
+            self.door.log(f"connection not taken over: {wrong}")
+            self.door.descriptors.give_back()
+            sock.close()
+
+    def pause(self) -> None:
+        self.loop.remove_reader(self.sock)
+        self.door.timers.after(SECOND // 100, self.resume)
+
+    def resume(self) -> None:
+        if self.listening:
+            self.loop.add_reader(self.sock, self.accept)
+
+    def close(self) -> None:
+        self.listening = False
+        self.loop.remove_reader(self.sock)
+        self.sock.close()
--- a/basalthoist/net/descriptors.py
+++ b/basalthoist/net/descriptors.py
@@ -4,18 +4,28 @@
 
 
 class Descriptors:
-    def __init__(self, most: int) -> None:
-        self.most, self.used = most, 0
+    """`most` may be in use, and half of `reserve` on top of it by those that are let in to be turned away."""
+
+    def __init__(self, most: int, reserve: int = 0) -> None:
+        self.most, self.brim, self.used = most, most + reserve // 2, 0
         self.makers_of_room: list[Callable[[], bool]] = []
 
     def take(self, keep_free: int = 0) -> bool:
         """One more, closing something idle for it at the limit. False: there is none to be had."""
         # Guards against EMFILE, at which an accepted connection, and what it carries, would be dropped.
-        full = self.used >= self.most - keep_free
-        if full and not any(make_room() for make_room in self.makers_of_room):
+        if self.used >= self.most - keep_free and not self.make_room():
             return False
         self.used += 1
         return True
 
+    def make_room(self) -> bool:
+        return any(make_room() for make_room in self.makers_of_room)
+
+    def take_anyway(self) -> None:
+        self.used += 1
+
+    def brimful(self) -> bool:
+        return self.used >= self.brim
+
     def give_back(self) -> None:
         self.used -= 1
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -5,7 +5,7 @@
 
 from basalthoist.configuration import Configuration
 
-from .clients import Door
+from .clients import Door, Listener
 from .descriptors import Descriptors
 from .discovery import Discovery
 from .exchanges import Exchanges
@@ -20,7 +20,7 @@
         self.configuration, self.loop, self.limits = configuration, loop, limits
         self.log = Log(configuration.name, limits.log_lines_per_s)
         self.timers = Timers(loop, self.log)
-        descriptors = Descriptors(limits.sockets - limits.reserve)
+        descriptors = Descriptors(limits.sockets - limits.reserve, limits.reserve)
         self.upstream = Upstream(loop, self.timers, self.log, descriptors, limits,
                                  configuration.connect_timeout_s, configuration.upstream_idle_s)  # fmt: skip
         self.exchanges = Exchanges(configuration, loop, self.timers, self.upstream, self.log)
@@ -38,19 +38,18 @@
         self.discovery.on_first = self.get_ready
         self.discovery.start(self.configuration.known)
         self.timers.after(int(self.limits.first_list_s * SECOND), self.get_ready)
-        server = await self.listen(host, port)
+        listener = await self.listen((host, port))
         self.log(f"listening on {host}:{port}")
         await self.door.drained
-        server.close()
+        listener.close()
         self.upstream.close_all()
         self.log("all answered")
 
-    async def listen(self, host: str, port: int) -> asyncio.Server:
+    async def listen(self, address: tuple[str, int]) -> Listener:
         give_up = now() + int(self.limits.bind_s * SECOND)
         while True:
             try:
-                backlog = self.limits.backlog
-                return await self.loop.create_server(self.door.client, host, port, backlog=backlog)
+                return Listener(self.door, address)
             except OSError as wrong:
                 # Guards against a process before this one that has not yet let go of the address.
                 if wrong.errno != errno.EADDRINUSE or now() > give_up:
--- a/basalthoist/net/upstream.py
+++ b/basalthoist/net/upstream.py
@@ -186,7 +186,7 @@
     def submit(self, call: Call) -> None:
         while self.idle:
             connection = self.idle.pop()
-            if connection.usable():
+            if connection.idle_since > now() - self.upstream.idle and connection.usable():
                 return connection.carry(call)
             connection.cut()
         if not self.upstream.descriptors.take():
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -202,12 +202,13 @@
 class Program:
     """`python -m basalthoist`, ready to be asked."""
 
-    def __init__(self, folder, made):
+    def __init__(self, folder, made, files=1024):
         path = folder / "config.json"
         path.write_text(json.dumps(made))
         self.errors = (folder / "log").open("w+")
-        self.process = subprocess.Popen([sys.executable, "-m", "basalthoist"], stderr=self.errors,
-                                        env={"PROXY_CONFIG": str(path), "PATH": ""})  # fmt: skip
+        command = ["/bin/sh", "-c", f'ulimit -n {files}; exec "{sys.executable}" -m basalthoist']
+        environment = {"PROXY_CONFIG": str(path), "PATH": ""}
+        self.process = subprocess.Popen(command, stderr=self.errors, env=environment)
         host, _, port = made["listen"].rpartition(":")
         self.address = host, int(port)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -28,12 +28,14 @@
     """Starts stand-ins with the behaviours named, discovery that lists them, and the program."""
     running = []
 
-    def begin(*behaviours, known=None, wait=True, listed=True, mute=False, one_each=False, **more):
+    def begin(
+        *behaviours, known=None, wait=True, listed=True, mute=False, one_each=False, files=1024, **more
+    ):
         backends = [b if isinstance(b, str) else StandIn(b) for b in behaviours]
         entries = [member(f"s-{i}", b) for i, b in enumerate(backends)]
         discovery = DiscoveryStandIn(entries if listed else [], mute, one_each)
         made = document(discovery.address, entries if known is None else known, **more)
-        program = Program(tmp_path, made)
+        program = Program(tmp_path, made, files)
         running.extend([b for b in backends if not isinstance(b, str)] + [discovery])
         running.append(program)
         return (program.wait_ready() if wait else program), backends, discovery
@@ -302,6 +304,24 @@
     assert program.ask(request()).status == "200"
 
 
+def test_a_crowd_at_once_with_few_descriptors(start):
+    """Each that sent a whole request is answered, be it with a refusal, and the process never runs dry."""
+
+    def slowly(stand_in, sock, asked):
+        wait_for(lambda: gate)
+        reply()(stand_in, sock, asked)
+
+    gate = []
+    program, _, _ = start(slowly, files=96)
+    crowd = [program.connect() for _ in range(150)]
+    for number, sock in enumerate(crowd):
+        sock.sendall(request("pay", ident=str(number)))
+    gate.append(True)
+    statuses = [read_message(sock.makefile("rb")).status for sock in crowd]
+    assert set(statuses) <= {"200", "503"}
+    assert program.ask(request()).status == "200"
+
+
 def test_a_client_that_does_not_end_its_request_is_told(start):
     program, _, _ = start(reply(), limits={"client_read_s": 0.2})
     assert program.ask(b"GET /read HT").status == "408"
