Bodies gathered in one buffer, answers and writes that break, a missing Tenant is refused

By reading: a body that came byte by byte kept a buffer of its own for each read (some 200 bytes a byte; framing.py, add); it is now gathered in one. A connection that breaks while the decisions write to it no longer raises into them (clients.py answer, upstream.py carry); what was being written counts as a reset. A request without Tenant, where there are customers, passed by every share; it is now 400 like an unknown one.

--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -117,8 +117,16 @@
 
     def answer(self, status: int, headers=(), body=b"") -> None:
         self.exchange = None
-        if self.ended:
+        if self.ended or self.transport.is_closing():
             return
+        # Guards against a connection that breaks as it is written to: the decisions are on the way to here.
+        try:
+            self.write(status, headers, body)
+        except Exception as wrong:
+            self.door.log(f"answer not written: {wrong!r}")
+            self.transport.abort()
+
+    def write(self, status: int, headers, body) -> None:
         keep = self.keep and not self.door.leaving
         lines = [b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n" % (status, REASONS[status], len(body))]
         for name, value in headers:
@@ -147,6 +155,8 @@
         """Nothing under way, nor read in part, nor come and not yet read: closing it loses no exchange."""
         if self.exchange is not None or not self.reader.idle() or self.writing or self.ended:
             return False
+        if self.transport is None or self.transport.is_closing():
+            return False
         poller = select.poll()
         poller.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
         return not poller.poll(0)
@@ -210,12 +220,9 @@
             raise BadMessage(400, "no Request-Id")
         number, route = self.routes[first]
         customer = message.get(b"tenant")
-        if customer is None or not self.customers:
-            customer_no = len(self.customers)
-        elif customer in self.customers:
-            customer_no = self.customers[customer]
-        else:
-            raise BadMessage(400, "unknown Tenant")
+        if self.customers and customer not in self.customers:
+            raise BadMessage(400, "unknown Tenant")  # or none named, which would pass by every share
+        customer_no = self.customers[customer] if self.customers else 0
         again = message.get(b"client-retry") == b"1"
         self.exchanges.start(client, message, number, customer_no, self.timeout(message, route), again)
 
--- a/basalthoist/net/framing.py
+++ b/basalthoist/net/framing.py
@@ -24,7 +24,7 @@
     def __init__(self) -> None:
         self.method, self.target, self.status = b"", b"", 0
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body: bytes | memoryview = b""
+        self.body: bytes | memoryview | bytearray = b""
         self.keep_alive, self.came_at = True, 0
 
     def get(self, name: bytes) -> bytes | None:
@@ -50,7 +50,7 @@
     def restart(self) -> None:
         self.message: Message | None = None
         self.searched, self.need, self.have = 0, 0, 0
-        self.parts: list[bytes | memoryview] = []
+        self.body: memoryview | bytearray | None = None  # a slice while it came in one read, then a copy
         self.parser, self.whole, self.followed, self.in_body = None, False, False, False
         self.until_end, self.wants_continue = False, False
 
@@ -70,8 +70,7 @@
 
     def on_body(self, data: bytes) -> None:
         if not self.followed:
-            self.parts.append(data)
-            self.have += len(data)
+            self.gather(data)
 
     def on_message_complete(self) -> None:
         self.whole = True
@@ -95,17 +94,17 @@
             if self.answers and 100 <= self.message.status < 200:
                 self.restart()
         if self.parser is not None:
-            return self.finish(b"".join(self.parts)) if self.whole else None
-        if self.until_end or self.have < self.need:
-            return None
-        return self.finish(self.parts[0] if len(self.parts) == 1 else b"".join(self.parts))
+            return self.finish() if self.whole else None
+        return None if self.until_end or self.have < self.need else self.finish()
 
     def end(self) -> Message | None:
         """The connection has ended in good order: the rest of an answer that is as long as what came."""
-        return self.finish(b"".join(self.parts)) if self.message is not None and self.until_end else None
+        return self.finish() if self.message is not None and self.until_end else None
 
-    def finish(self, body: bytes | memoryview) -> Message:
-        message, message.body, message.came_at = self.message, body, self.came_at
+    def finish(self) -> Message:
+        message, message.came_at = self.message, self.came_at
+        if self.body is not None:
+            message.body = self.body
         self.restart()
         return message
 
@@ -170,14 +169,22 @@
             if self.followed:
                 self.message.keep_alive = False
         elif self.until_end:
-            self.parts.append(data)
-            self.have += len(data)
+            self.gather(data)
             if self.have > self.body_bytes:
                 raise BadMessage(413, "body too large")
         else:
             wanted = self.need - self.have
-            if wanted and data:
-                self.parts.append(memoryview(data)[:wanted])
-                self.have += min(len(data), wanted)
+            if wanted:
+                self.gather(memoryview(data)[:wanted])
             if len(data) > wanted:
                 self.pending += bytes(memoryview(data)[wanted:])
+
+    def gather(self, data: bytes | memoryview) -> None:
+        self.have += len(data)
+        if self.body is None:
+            self.body = memoryview(data)
+            return
+        # Guards against a body that comes byte by byte, each a buffer of its own that is kept.
+        if not isinstance(self.body, bytearray):
+            self.body = bytearray(self.body)
+        self.body += data
--- a/basalthoist/net/upstream.py
+++ b/basalthoist/net/upstream.py
@@ -140,12 +140,21 @@
         if self.cutting or self.transport is None or self.transport.is_closing():
             return False
         poller = select.poll()
-        poller.register(self.sock.fileno(), select.POLLIN | select.POLLRDHUP)
-        return not poller.poll(0)
+        try:
+            poller.register(self.sock.fileno(), select.POLLIN | select.POLLRDHUP)
+            return not poller.poll(0)
+        except (OSError, ValueError):
+            return False  # its socket is already closed
 
     def carry(self, call: Call) -> None:
         self.call, call.connection = call, self
-        self.transport.writelines(call.parts)
+        # Guards against a failing write that ends a decision half-way: some of it may be on its way.
+        try:
+            self.transport.writelines(call.parts)
+        except Exception as wrong:
+            self.pool.upstream.log(f"not written to {self.pool.name}: {wrong!r}")
+            self.cut()
+            call.finish_soon(Outcome.RESET)
 
     def answered(self, answer: Message) -> None:
         call, outcome = self.call, outcome_of(answer)
@@ -170,7 +179,8 @@
         # At once: closing a transport waits for the loop's next turn, and a next try may be written before.
         with suppress(OSError):  # the other side was first
             self.sock.shutdown(socket.SHUT_RDWR)
-        self.transport.abort()
+        if not self.transport.is_closing():
+            self.transport.abort()
 
 
 class Pool:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -87,6 +87,7 @@
         (request().replace(b"/read", b"/pay"), "400"),
         (request().replace(b"Request-Id: 1\r\n", b""), "400"),
         (request().replace(b"acme", b"nobody"), "400"),
+        (request().replace(b"Tenant: acme\r\n", b""), "400"),
         (request().replace(b"800", b"soon"), "400"),
         (request().replace(b"GET", b"CONNECT"), "405"),
         (request().replace(b"GET", b"HEAD"), "405"),
