Answers of streamed routes are passed on as they come, with back-pressure

A route that the settings mark as streaming was buffered whole and cut at 64 KiB. The reader hands the parts of a begun 200 to the client (framing.py, gather; clients.py, start_stream), the decisions are told by on_answer_started, deadlines end with the head, a slow client pauses the backend's connection, and a broken answer ends in a missing last chunk or a reset. 20 MB through a node kept its peak under 60 MB.

No deployment has such a route; tests only.

--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -3,6 +3,7 @@
 import asyncio
 import select
 import socket
+import struct
 
 from basalthoist.configuration import Configuration
 
@@ -31,6 +32,7 @@
         self.since = now()  # when it last fell idle, or began to read or to be written to
         self.keep, self.writing, self.held_back, self.ended = True, False, False, False
         self.asked = False  # whether it has brought a request yet
+        self.version, self.chunked, self.framed = "1.1", False, True
 
     # Called by the event loop.
 
@@ -67,9 +69,11 @@
 
     def pause_writing(self) -> None:
         self.writing, self.since = True, now()
+        self.hold_back(True)
 
     def resume_writing(self) -> None:
         self.writing, self.since = False, now()
+        self.hold_back(False)
         self.advance()
 
     # Stages of what it reads.
@@ -92,6 +96,7 @@
 
     def take(self, message: Message) -> None:
         self.keep, self.asked = message.keep_alive and self.welcome, True
+        self.version = message.version
         try:
             self.door.take(self, message)
         except BadMessage as wrong:
@@ -140,6 +145,54 @@
             # Not at once: an answer may come from within a decision, which a next exchange must not enter.
             self.door.loop.call_soon(self.advance)
 
+    # An answer that is passed on as it comes.
+
+    def start_stream(self, headers, length: int | None):
+        """Writes the head and returns what is to be called with each part of the body."""
+        self.chunked = length is None and self.version != "1.0"
+        self.framed = self.chunked or length is not None
+        self.keep = self.keep and not self.door.leaving and self.framed
+        framing = b"Transfer-Encoding: chunked" if self.chunked else b"Content-Length: %d" % (length or 0)
+        lines = [b"HTTP/1.1 200 OK\r\n"]
+        if self.framed:
+            lines += (framing, b"\r\n")
+        for name, value in headers:
+            lines += (name, b": ", value, b"\r\n")
+        lines.append(b"\r\n" if self.keep else b"Connection: close\r\n\r\n")
+        self.transport.set_write_buffer_limits(high=self.door.limits.body_bytes)
+        self.transport.write(b"".join(lines))
+        return self.pass_on
+
+    def pass_on(self, data) -> None:
+        if self.ended or self.transport.is_closing():
+            return
+        if self.chunked:
+            self.transport.writelines([b"%x\r\n" % len(data), data, b"\r\n"])
+        else:
+            self.transport.write(data)
+
+    def end_stream(self, whole: bool) -> None:
+        self.exchange = None
+        if not whole:
+            if not self.framed:  # only a reset tells the client that it has not got all
+                reset = struct.pack("ii", 1, 0)
+                self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+            self.transport.abort()
+        elif not self.ended and not self.transport.is_closing():
+            if self.chunked:
+                self.transport.write(b"0\r\n\r\n")
+            self.transport.set_write_buffer_limits(high=0)
+            self.since = now()
+            if not self.keep:
+                self.end()
+            elif not self.reader.idle():
+                self.door.loop.call_soon(self.advance)
+
+    def hold_back(self, held: bool) -> None:
+        call = self.exchange.stream if self.exchange is not None else None
+        if call is not None and call.connection is not None:
+            call.connection.hold_back(held)
+
     def end(self) -> None:
         """Nothing more is answered. What still comes is read and dropped until the client has closed too."""
         # Guards against a reset that overtakes the last answer, as closing with bytes unread would send.
@@ -162,9 +215,11 @@
         return not poller.poll(0)
 
     def check_time(self, at: int) -> None:
+        waited = at - self.since
         if self.exchange is not None:
+            if self.writing and waited > self.door.limits.client_read_s * SECOND:
+                self.transport.abort()  # a streamed answer that is not read
             return
-        waited = at - self.since
         if self.reader.idle() and not self.writing and not self.ended:
             if waited > self.door.limits.client_idle_s * SECOND and self.idle():
                 self.close()
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -20,12 +20,26 @@
 class Exchange:
     """An exchange that a client waits for: who asked, what is sent on, and its tries so far."""
 
-    __slots__ = ("id", "client", "head", "body", "deadline", "calls", "out", "open", "timer")
+    __slots__ = (
+        "id",
+        "client",
+        "head",
+        "body",
+        "deadline",
+        "calls",
+        "out",
+        "open",
+        "timer",
+        "streams",
+        "stream",
+    )
 
     def __init__(self, ident: int, client, head: bytes, body, deadline: int) -> None:
         self.id, self.client, self.head, self.body, self.deadline = ident, client, head, body, deadline
         self.calls: list[Call | None] = []
         self.out, self.open, self.timer = 0, True, None
+        self.streams = False  # its route's answers are passed on as they come
+        self.stream: Call | None = None  # the try whose answer is on its way to the client
 
     def parts(self, timeout: int) -> list:
         """The request towards a backend, which is told for how long the node will wait."""
@@ -43,6 +57,7 @@
         self.probe_path = b"/status/load" if configuration.reports else b"/health"
         self.probe_time = int(configuration.limits.probe_s * SECOND)
         self.transit = int(configuration.limits.client_transit_s * SECOND)
+        self.streamed = [route.streaming for route in configuration.routes]
         self.under_way: dict[int, Exchange] = {}
         self.last_id = 0
         self.ask_discovery: Callable[[], None] = lambda: None
@@ -75,6 +90,7 @@
         if len(message.body) or message.method not in (b"GET", b"DELETE"):
             lines.append(b"Content-Length: %d\r\n" % len(message.body))
         xchg = Exchange(self.last_id, client, b"".join(lines), message.body, deadline)
+        xchg.streams = self.streamed[route]
         self.under_way[xchg.id] = client.exchange = xchg
         # Guards against an exchange that the decisions lost by failing: it is answered all the same.
         xchg.timer = self.timers.after(deadline - arrived + OVERDUE, partial(self.overdue, xchg))
@@ -86,6 +102,8 @@
         """Its client has gone away."""
         self.close(xchg)
         self.tell(self.node.on_exchange_gone, xchg.id)
+        if xchg.stream is not None:
+            xchg.stream.give_up(Outcome.CANCELLED)  # a begun answer is not the decisions' to call off
 
     def overdue(self, xchg: Exchange) -> None:
         if xchg.open:
@@ -114,7 +132,10 @@
                   answer: Message | None) -> None:  # fmt: skip
         xchg.out -= 1
         load = load_of(answer.get(b"server-load")) if answer is not None else None
-        if outcome == Outcome.COMPLETED and xchg.open:
+        if xchg.stream is not None and xchg.open:
+            self.close(xchg)
+            xchg.client.end_stream(whole=outcome == Outcome.COMPLETED)
+        elif outcome == Outcome.COMPLETED and xchg.open:
             self.close(xchg)
             xchg.client.answer(200, answer.end_to_end(KEPT_BACK), answer.body)
         if over := not xchg.open:
@@ -123,6 +144,14 @@
         if not self.tell(self.node.on_try_ended, xchg.id, number, outcome, took, over, load) and xchg.open:
             self.end_failed(xchg)
 
+    def answer_begun(self, xchg: Exchange, number: int, answer: Message, length: int | None):
+        if not xchg.open or xchg.stream is not None:
+            return None
+        xchg.timer.stop()
+        xchg.stream = xchg.calls[number]
+        self.tell(self.node.on_answer_started, xchg.id, number)
+        return xchg.client.start_stream(answer.end_to_end(KEPT_BACK), length)
+
     def probe_ended(self, backend: str, began_at: int, outcome: Outcome, answer: Message | None) -> None:
         load = None
         if answer is not None:
@@ -146,7 +175,8 @@
         number, began_at = len(xchg.calls), now()
         ended = partial(self.try_ended, xchg, number, began_at)
         xchg.out += 1
-        call = self.upstream.call(backend, xchg.parts(timeout), timeout, ended)
+        starts = partial(self.answer_begun, xchg, number) if xchg.streams else None
+        call = self.upstream.call(backend, xchg.parts(timeout), timeout, ended, starts)
         if call is None:
             self.loop.call_soon(ended, Outcome.NOT_SENT, None)
         xchg.calls.append(call)
--- a/basalthoist/net/framing.py
+++ b/basalthoist/net/framing.py
@@ -19,10 +19,10 @@
 class Message:
     """One request or answer, whole at `came_at`. `headers` has names in lower case; `body` is a slice."""
 
-    __slots__ = ("method", "target", "status", "headers", "body", "keep_alive", "came_at")
+    __slots__ = ("method", "target", "version", "status", "headers", "body", "keep_alive", "came_at")
 
     def __init__(self) -> None:
-        self.method, self.target, self.status = b"", b"", 0
+        self.method, self.target, self.version, self.status = b"", b"", "1.1", 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.body: bytes | memoryview | bytearray = b""
         self.keep_alive, self.came_at = True, 0
@@ -45,6 +45,9 @@
     def __init__(self, answers: bool, head_bytes: int, body_bytes: int) -> None:
         self.answers, self.head_bytes, self.body_bytes = answers, head_bytes, body_bytes
         self.pending, self.came_at = b"", 0
+        self.on_head = (
+            None  # told of the head of an answer and its length; what it returns gets the body's parts
+        )
         self.restart()
 
     def restart(self) -> None:
@@ -52,7 +55,7 @@
         self.searched, self.need, self.have = 0, 0, 0
         self.body: memoryview | bytearray | None = None  # a slice while it came in one read, then a copy
         self.parser, self.whole, self.followed, self.in_body = None, False, False, False
-        self.until_end, self.wants_continue = False, False
+        self.until_end, self.wants_continue, self.sink = False, False, None
 
     # Called by httptools.
 
@@ -130,9 +133,14 @@
         if self.answers:
             self.message.status = parser.get_status_code()
         else:
-            self.message.method = parser.get_method()
+            self.message.method, self.message.version = parser.get_method(), parser.get_http_version()
         self.whole, self.in_body = False, True
         self.set_framing(parser)
+        if self.on_head is not None and self.message.status >= 200:
+            unknown = self.until_end or self.parser is not None
+            self.sink = self.on_head(self.message, None if unknown else self.need)
+        if self.need > self.body_bytes and self.sink is None:
+            raise BadMessage(413, "body too large")
         if rest:
             self.add(rest)
         return True
@@ -149,8 +157,6 @@
             if len(lengths) > 1 or not lengths[0].isdigit():
                 raise BadMessage(400, "bad Content-Length")
             self.need = int(lengths[0])
-            if self.need > self.body_bytes:
-                raise BadMessage(413, "body too large")
         elif self.answers and self.message.status not in (204, 304) and self.message.status >= 200:
             self.until_end, self.message.keep_alive = True, False
         expect = self.message.get(b"expect")
@@ -164,23 +170,23 @@
                 pass
             except httptools.HttpParserError as wrong:
                 raise BadMessage(400, f"bad chunk: {wrong}") from None
-            if self.have > self.body_bytes:
-                raise BadMessage(413, "body too large")
             if self.followed:
                 self.message.keep_alive = False
         elif self.until_end:
             self.gather(data)
-            if self.have > self.body_bytes:
-                raise BadMessage(413, "body too large")
         else:
             wanted = self.need - self.have
             if wanted:
                 self.gather(memoryview(data)[:wanted])
             if len(data) > wanted:
                 self.pending += bytes(memoryview(data)[wanted:])
+        if self.have > self.body_bytes and self.sink is None:
+            raise BadMessage(413, "body too large")
 
     def gather(self, data: bytes | memoryview) -> None:
         self.have += len(data)
+        if self.sink is not None:
+            return self.sink(data)
         if self.body is None:
             self.body = memoryview(data)
             return
--- a/basalthoist/net/upstream.py
+++ b/basalthoist/net/upstream.py
@@ -44,15 +44,18 @@
 
 
 Done = Callable[[Outcome, Message | None], None]
+Sink = Callable[[bytes], None]
+Starts = Callable[[Message, int | None], Sink | None]
 
 
 class Call:
     """One request on its way to a backend. `done` is told once how it ended, never from within `submit`."""
 
-    __slots__ = ("pool", "parts", "done", "connection", "timer", "over", "began_at")
+    __slots__ = ("pool", "parts", "done", "starts", "connection", "timer", "over", "began_at")
 
-    def __init__(self, pool: "Pool", parts: list[bytes], done: Done) -> None:
+    def __init__(self, pool: "Pool", parts: list[bytes], done: Done, starts: Starts | None = None) -> None:
         self.pool, self.parts, self.done = pool, parts, done
+        self.starts = starts  # for an answer that is passed on as it comes
         self.connection: Connection | None = None
         self.timer, self.over, self.began_at = None, False, now()
 
@@ -92,7 +95,8 @@
         self.reader = Reader(True, limits.head_bytes, limits.body_bytes)
         self.transport: asyncio.Transport | None = None
         self.call: Call | None = None
-        self.writing, self.cutting, self.idle_since = False, False, now()
+        self.reader.on_head, self.held_back = self.answer_begun, False
+        self.writing, self.cutting, self.idle_since, self.heard_at = False, False, now(), now()
 
     # Called by the event loop.
 
@@ -110,7 +114,7 @@
     def data_received(self, data: bytes) -> None:
         if self.cutting:
             return
-        self.pool.heard_at = now()
+        self.pool.heard_at = self.heard_at = now()
         if self.call is None:
             return self.cut()  # an answer that nothing was asked for
         try:
@@ -122,6 +126,14 @@
         if answer is not None:
             self.answered(answer)
 
+    def answer_begun(self, answer: Message, length: int | None) -> Sink | None:
+        call = self.call
+        if call is None or call.starts is None or answer.status != 200:
+            return None
+        call.timer.stop()  # a begun answer has no deadline
+        self.pool.streaming.add(self)
+        return call.starts(answer, length)
+
     def eof_received(self) -> None:
         if self.call is not None and not self.cutting and (answer := self.reader.end()) is not None:
             self.answered(answer)
@@ -135,6 +147,12 @@
 
     # Called by the pool and its calls.
 
+    def hold_back(self, held: bool) -> None:
+        """Whoever gets the answer's parts can take no more for now, or can again."""
+        if not self.cutting and held != self.held_back:
+            self.held_back, self.heard_at = held, now()
+            (self.transport.pause_reading if held else self.transport.resume_reading)()
+
     def usable(self) -> bool:
         """Guards against writing to a connection whose end has come but was not yet read."""
         if self.cutting or self.transport is None or self.transport.is_closing():
@@ -189,6 +207,7 @@
     def __init__(self, upstream: "Upstream", name: str, address: tuple[str, int], started) -> None:
         self.upstream, self.name, self.address, self.started = upstream, name, address, started
         self.idle: list[Connection] = []
+        self.streaming: set[Connection] = set()
         self.waiting: deque[Call] = deque()
         self.opening: set[asyncio.Task] = set()
         self.closed, self.heard_at = False, now()
@@ -241,6 +260,7 @@
             self.waiting.popleft().finish(Outcome.NOT_SENT if scarce else Outcome.CONNECT_FAILED)
 
     def freed(self, connection: Connection) -> None:
+        self.streaming.discard(connection)
         connection.idle_since = now()
         if self.waiting:
             connection.carry(self.waiting.popleft())
@@ -250,6 +270,7 @@
             self.idle.append(connection)
 
     def forget(self, connection: Connection) -> None:
+        self.streaming.discard(connection)
         if connection in self.idle:
             self.idle.remove(connection)
 
@@ -278,7 +299,7 @@
         self.limits, self.connect_timeout_s, self.idle = limits, connect_timeout_s, int(idle_s * SECOND)
         self.pools: dict[str, Pool] = {}
         descriptors.makers_of_room.append(self.close_idlest)
-        timers.every(SECOND, lambda: self.drop_idle(now() - self.idle))
+        timers.every(SECOND, self.sweep)
 
     def learn(self, name: str, address: tuple[str, int], started: int | None) -> None:
         pool = self.pools.get(name)
@@ -299,19 +320,23 @@
         pool.closed = True
         pool.drop_idle(now())
 
-    def call(self, name: str, parts: list[bytes], timeout: int, done: Done) -> Call | None:
+    def call(self, name: str, parts: list[bytes], timeout: int, done: Done, starts=None) -> Call | None:
         """Starts a call that ends within `timeout` tenths; None where the backend is not known."""
         pool = self.pools.get(name)
         if pool is None:
             return None
-        call = Call(pool, parts, done)
+        call = Call(pool, parts, done, starts)
         call.timer = self.timers.after(timeout, lambda: call.give_up(Outcome.TIMED_OUT))
         pool.submit(call)
         return call
 
-    def drop_idle(self, since: int) -> None:
+    def sweep(self) -> None:
+        silent = now() - int(self.limits.stream_silent_s * SECOND)
         for pool in self.pools.values():
-            pool.drop_idle(since)
+            pool.drop_idle(now() - self.idle)
+            # Guards against an answer that was begun and then comes to nothing: no deadline ends it.
+            for connection in [c for c in pool.streaming if c.heard_at < silent and not c.held_back]:
+                connection.fail(Outcome.RESET)
 
     def close_idlest(self) -> bool:
         idle = [pool.idle[0] for pool in self.pools.values() if pool.idle]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -172,6 +172,74 @@
         assert program.ask(request()).body == b"whole"
 
 
+def streamed(steps, head=b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"):
+    """Sends its head and then each part that stands in `steps`; an empty one ends the connection."""
+
+    def behave(stand_in, sock, asked):
+        sock.sendall(head)
+        while wait_for(lambda: steps)[0]:
+            sock.sendall(steps.pop(0))
+        raise EOFError
+
+    return behave
+
+
+def read_head(source):
+    return b"".join(iter(source.readline, b"\r\n"))
+
+
+@pytest.mark.parametrize("last", [b"0\r\n\r\n", b""])
+def test_a_streamed_answer_is_passed_on_as_it_comes_and_past_the_deadline(start, last):
+    steps = []
+    program, _, _ = start(streamed(steps))
+    with program.connect() as sock, sock.makefile("rb") as source:
+        began = time.monotonic()
+        sock.sendall(request("feed", timeout=200))
+        assert b"chunked" in read_head(source)
+        for part in (b"one", b"two"):
+            steps.append(b"3\r\n%s\r\n" % part)
+            assert [source.readline() for _ in range(2)] == [b"3\r\n", part + b"\r\n"]
+            wait_for(lambda: time.monotonic() - began > 0.25)  # the deadline binds a begun answer no more
+        steps += [last, b""]
+        if last:
+            assert [source.readline() for _ in range(2)] == [b"0\r\n", b"\r\n"]
+            sock.sendall(b"GET /ready HTTP/1.1\r\n\r\n")
+            assert read_message(source).status == "200"
+        else:  # it was cut off, and the client can tell
+            assert source.read() == b""
+
+
+def test_a_streamed_answer_larger_than_any_buffer_meets_a_slow_reader(start):
+    size = 20_000_000
+    program, _, _ = start(raw(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + b"x" * size))
+    with program.connect() as sock, sock.makefile("rb") as source:
+        sock.sendall(request("feed", timeout=200))
+        assert b"20000000" in read_head(source)
+        assert len(source.read(size)) == size
+    with open(f"/proc/{program.process.pid}/status") as status:
+        peak = next(int(line.split()[1]) for line in status if line.startswith("VmHWM"))
+    assert peak < 60_000
+
+
+def test_a_streamed_answer_of_no_told_length_that_breaks_is_a_reset_to_an_old_client(start):
+    program, (backend,), _ = start(
+        raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", True)
+    )
+    with program.connect() as sock:
+        sock.sendall(request("feed").replace(b"HTTP/1.1", b"HTTP/1.0"))
+        with pytest.raises(ConnectionResetError):
+            while sock.recv(100):
+                pass
+
+
+def test_a_streamed_answer_whose_client_goes_away_is_called_off(start):
+    program, (backend,), _ = start(raw(b"HTTP/1.1 200 OK\r\n\r\nbegun"))
+    with program.connect() as sock, sock.makefile("rb") as source:
+        sock.sendall(request("feed", timeout=200))
+        assert b"chunked" in read_head(source)
+    assert wait_for(lambda: ended(backend.open[0]))
+
+
 @pytest.mark.parametrize(("route", "status"), [("read", "503"), ("pay", "504")])
 def test_a_silent_backend_is_given_up_in_time(start, route, status):
     program, (backend,), _ = start(silent)
