A log that is not read, a held address at the end, answers before their exchange is closed

By reading the whole network side once more: a full pipe on standard error would have held up the loop (log.py; it is asked first whether it can be written); SIGTERM while the address was still held failed in check_drained and never ended (clients.py); an answer that failed as it was put together left its exchange closed and unanswered (exchanges.py, try_ended; answered first now, so that the timer behind it still acts); blank lines before a request were stripped two at a time.

Tests for the first, second and last.

--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -325,10 +325,12 @@
     def check_drained(self) -> None:
         if not self.lingered or self.clients or self.drained.done():
             return
-        # Guards against closing on a connection that the machine has accepted and the node has not yet seen.
-        self.listener.accept()
-        if not self.listener.tasks:
-            self.drained.set_result(None)
+        if self.listener is not None:
+            # Guards against closing on connections that the machine has accepted and the node has not seen.
+            self.listener.accept()
+            if self.listener.tasks:
+                return
+        self.drained.set_result(None)
 
     def end_all(self) -> None:
         for client in list(self.clients):
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -20,19 +20,7 @@
 class Exchange:
     """An exchange that a client waits for: who asked, what is sent on, and its tries so far."""
 
-    __slots__ = (
-        "id",
-        "client",
-        "head",
-        "body",
-        "deadline",
-        "calls",
-        "out",
-        "open",
-        "timer",
-        "streams",
-        "stream",
-    )
+    __slots__ = "id client head body deadline calls out open timer streams stream".split()
 
     def __init__(self, ident: int, client, head: bytes, body, deadline: int) -> None:
         self.id, self.client, self.head, self.body, self.deadline = ident, client, head, body, deadline
@@ -53,7 +41,7 @@
     def __init__(self, configuration: Configuration, loop, timers: Timers, upstream: Upstream,
                  log: Log) -> None:  # fmt: skip
         self.loop, self.timers, self.upstream, self.log_line = loop, timers, upstream, log
-        self.limits, self.probes = configuration.limits, configuration.told.policy_limits.probes
+        self.probes = configuration.told.policy_limits.probes
         self.probe_path = b"/status/load" if configuration.reports else b"/health"
         self.probe_time = int(configuration.limits.probe_s * SECOND)
         self.transit = int(configuration.limits.client_transit_s * SECOND)
@@ -115,8 +103,8 @@
             if call is not None:
                 call.give_up(Outcome.CANCELLED)
         if xchg.open:
-            self.close(xchg)
             xchg.client.answer(500)
+            self.close(xchg)
             self.tell(self.node.on_exchange_gone, xchg.id)
 
     def close(self, xchg: Exchange) -> None:
@@ -132,13 +120,12 @@
                   answer: Message | None) -> None:  # fmt: skip
         xchg.out -= 1
         load = load_of(answer.get(b"server-load")) if answer is not None else None
-        if xchg.stream is not None and xchg.open:
-            self.close(xchg)
+        over = not xchg.open or xchg.stream is not None or outcome == Outcome.COMPLETED
+        if xchg.open and xchg.stream is not None:
             xchg.client.end_stream(whole=outcome == Outcome.COMPLETED)
-        elif outcome == Outcome.COMPLETED and xchg.open:
-            self.close(xchg)
+        elif xchg.open and over:
             xchg.client.answer(200, answer.end_to_end(KEPT_BACK), answer.body)
-        if over := not xchg.open:
+        if over:
             self.close(xchg)
         took = now() - began_at
         if not self.tell(self.node.on_try_ended, xchg.id, number, outcome, took, over, load) and xchg.open:
@@ -183,15 +170,15 @@
 
     def shed(self, ident: int, retry_after: int) -> None:
         if (xchg := self.open_one(ident)) is not None:
-            self.close(xchg)
             advice = [(b"retry-after", b"%.3f" % (retry_after / SECOND))] if retry_after > 0 else []
             xchg.client.answer(503, advice)
+            self.close(xchg)
 
     def fail(self, ident: int) -> None:
         if (xchg := self.open_one(ident)) is not None:
-            self.close(xchg)
             late = now() >= xchg.deadline - 2 * OVERDUE
             xchg.client.answer(504 if late else 502)
+            self.close(xchg)
 
     def cancel(self, ident: int, try_no: int) -> None:
         xchg = self.under_way.get(ident)
--- a/basalthoist/net/framing.py
+++ b/basalthoist/net/framing.py
@@ -112,8 +112,8 @@
         return message
 
     def read_head(self) -> bool:
-        while self.pending.startswith(b"\r\n"):
-            self.pending = self.pending[2:]
+        if self.pending.startswith(b"\r\n"):
+            self.pending = self.pending.lstrip(b"\r\n")
         end = self.pending.find(b"\r\n\r\n", max(self.searched - 3, 0))
         if end > self.head_bytes or (end < 0 and len(self.pending) > self.head_bytes):
             raise BadMessage(431, "head too large")
--- a/basalthoist/net/log.py
+++ b/basalthoist/net/log.py
@@ -1,5 +1,6 @@
 """Log lines on standard error."""
 
+import select
 import sys
 import time
 from contextlib import suppress
@@ -15,14 +16,24 @@
     def __call__(self, line: str) -> None:
         second = int(time.monotonic())
         if second != self.second:
-            if self.left_out:
+            self.second, self.printed = second, 0
+            if self.left_out and self.writable():
                 self.write(f"{self.left_out} lines left out")
-            self.second, self.printed, self.left_out = second, 0, 0
-        if self.printed >= self.per_second:
+                self.left_out = 0
+        if self.printed >= self.per_second or not self.writable():
             self.left_out += 1
             return
         self.printed += 1
-        self.write(line)
+        self.write(line[:1000])
+
+    def writable(self) -> bool:
+        """Guards against a log that is not read: a full pipe would hold up the node."""
+        try:
+            poller = select.poll()
+            poller.register(sys.stderr.fileno(), select.POLLOUT)
+            return bool(poller.poll(0))
+        except (OSError, ValueError, AttributeError):
+            return True  # no descriptor to ask: not a pipe
 
     def write(self, line: str) -> None:
         # Guards against a log that nobody reads any more: a closed pipe must not end an exchange.
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -39,15 +39,18 @@
         self.discovery.start(self.configuration.known)
         self.timers.after(int(self.limits.first_list_s * SECOND), self.get_ready)
         listener = await self.listen((host, port))
-        self.log(f"listening on {host}:{port}")
+        if listener is not None:
+            self.log(f"listening on {host}:{port}")
         await self.door.drained
-        listener.close()
+        if listener is not None:
+            listener.close()
         self.upstream.close_all()
         self.log("all answered")
 
-    async def listen(self, address: tuple[str, int]) -> Listener:
+    async def listen(self, address: tuple[str, int]) -> Listener | None:
+        """None: it was told to leave before the address was free."""
         give_up = now() + int(self.limits.bind_s * SECOND)
-        while True:
+        while not self.door.drained.done():
             try:
                 return Listener(self.door, address)
             except OSError as wrong:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -105,7 +105,7 @@
     [
         [bytes([b]) for b in request("pay", body=b"body")],
         [request("pay", extra=CHUNKED), b"2\r\nbo\r\n", b"2\r\ndy\r\n0\r\n\r\n"],
-        [b"\r\n\r\n" + request("pay", body=b"body")],
+        [b"\r\n" * 30_000 + request("pay", body=b"body")],
         [request("pay", extra="Upgrade: h2c\r\nConnection: Upgrade\r\n", body=b"body")],
     ],
 )
@@ -405,10 +405,20 @@
     program.errors.close()
 
 
+def test_a_node_told_to_leave_while_its_address_is_held_leaves(start):
+    with socket.create_server(("127.0.0.1", 0)) as held:
+        listen = f"127.0.0.1:{held.getsockname()[1]}"
+        program, _, discovery = start(reply(), wait=False, listen=listen)
+        wait_for(lambda: discovery.watches)
+        program.process.send_signal(signal.SIGTERM)
+        assert program.process.wait(5) == 0
+
+
 def test_an_address_still_held_is_waited_for(tmp_path, start):
     with socket.create_server(("127.0.0.1", 0)) as held:
         listen = f"127.0.0.1:{held.getsockname()[1]}"
         program, _, discovery = start(reply(), wait=False, listen=listen)
         wait_for(lambda: discovery.watches)
+        assert program.process.poll() is None
     assert program.wait_ready().ask(request()).status == "200"
     assert json.loads((tmp_path / "config.json").read_text())["listen"] == listen
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import os
+import signal
 
 import pytest
 import uvloop
@@ -245,6 +247,23 @@
     assert outcome_of(answer) == Outcome(outcome)
 
 
+def test_a_log_that_nobody_reads_holds_up_nothing(monkeypatch):
+    source, sink = os.pipe()
+    with open(source, "rb", buffering=0) as reader, open(sink, "w") as full:
+        monkeypatch.setattr("sys.stderr", full)
+        log, clock = Log("n0", 1 << 20), [5.0]
+        monkeypatch.setattr("time.monotonic", lambda: clock[0])
+        signal.alarm(20)  # a write that blocks would wait for ever
+        for _ in range(3000):
+            log("x" * 100)
+        signal.alarm(0)
+        assert log.left_out > 1000
+        reader.read(1 << 20)
+        clock[0] = 6.0
+        log("last")
+        assert reader.read(1 << 20).endswith(b"lines left out\nn0: last\n")
+
+
 def test_the_log_leaves_lines_out_and_says_so(capsys, monkeypatch):
     clock = [5.0]
     monkeypatch.setattr("time.monotonic", lambda: clock[0])
