--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import socket
+import threading
 import time
 
 import pytest
@@ -348,6 +349,49 @@
             assert program.process.wait(5) == 0
 
 
+def test_no_request_is_lost_over_the_end_of_a_node(start):
+    """Eight clients ask on, with new connections for 0.4 s after SIGTERM."""
+
+    def shortly(stand_in, sock, asked):
+        time.sleep(0.01)
+        reply()(stand_in, sock, asked)
+
+    program, _, _ = start(shortly, limits={"linger_s": 1.5})
+    counts, lost, ending = [0] * 8, [], []
+
+    def ask_on(who):
+        sock = source = None
+        while True:
+            if fresh := sock is None:
+                if ending and time.monotonic() > ending[0] + 0.4:
+                    return
+                sock = program.connect()
+                source = sock.makefile("rb")
+            try:
+                sock.sendall(request("pay", ident=f"{who}-{counts[who]}"))
+                answer = read_message(source)
+            except (OSError, EOFError) as wrong:
+                if fresh:  # one that crosses a close between requests is the client's to send again
+                    lost.append(wrong)
+                sock.close()
+                sock = None
+                continue
+            counts[who] += 1
+            if answer.headers.get("connection") == "close":
+                sock.close()
+                sock = None
+
+    clients = [threading.Thread(target=ask_on, args=(who,)) for who in range(8)]
+    for client in clients:
+        client.start()
+    wait_for(lambda: min(counts) > 3)
+    ending.append(time.monotonic())
+    program.process.send_signal(signal.SIGTERM)
+    for client in clients:
+        client.join(10)
+    assert (lost, program.process.wait(5)) == ([], 0)
+
+
 def test_a_saved_list_serves_while_discovery_is_silent(start):
     program, _, discovery = start(reply(), mute=True, limits={"watch_silent_s": 0.6})
     assert program.ask(request()).status == "200"
