Tests that meet the failing backend for sure; one of bytes that were never written

Seen while adding a test of a reset with bytes unwritten: the rotation gives the first four exchanges to the other backend, so the test of a backend to which no connection comes up never met it. Both ask eight times now and check that the failing one was met. A reset of a 6 MB request while it is written is a failed connect and goes on to another backend; a small one, written whole, is not sent again.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,6 +5,7 @@
 import json
 import os
 import socket
+import struct
 import subprocess
 import sys
 import threading
@@ -92,6 +93,15 @@
                 sock.shutdown(socket.SHUT_RDWR)
 
 
+class ResetUnread(StandIn):
+    """Takes connections and resets each as soon as something has come on it."""
+
+    def serve(self, sock):
+        with sock:
+            sock.recv(1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 class Message:
     def __init__(self, first, headers, body):
         self.first, self.headers, self.body = first, headers, body
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,6 +10,7 @@
 from helpers import (
     DiscoveryStandIn,
     Program,
+    ResetUnread,
     StandIn,
     cut,
     document,
@@ -34,7 +35,7 @@
     def begin(
         *behaviours, known=None, wait=True, listed=True, mute=False, one_each=False, files=1024, **more
     ):
-        backends = [b if isinstance(b, str) else StandIn(b) for b in behaviours]
+        backends = [b if isinstance(b, str | StandIn) else StandIn(b) for b in behaviours]
         entries = [member(f"s-{i}", b) for i, b in enumerate(backends)]
         discovery = DiscoveryStandIn(entries if listed else [], mute, one_each)
         made = document(discovery.address, entries if known is None else known, **more)
@@ -158,10 +159,11 @@
 def test_a_failed_try(start, failing, read, pay, route):
     """Both backends are asked in turn: of two exchanges one meets the one that fails first."""
     program, backends, _ = start(failing, reply())
-    statuses = sorted(program.ask(request(route, ident=str(i))).status for i in range(6))
+    statuses = sorted(program.ask(request(route, ident=str(i))).status for i in range(8))
     wanted = {"read": read, "pay": pay}[route]
     assert set(statuses) <= {"200", wanted}
     idents = [r.headers["request-id"] for r in sent(backends)]
+    assert isinstance(failing, str) or backends[0].seen
     if wanted == "502":
         assert "502" in statuses
         assert len(idents) == len(set(idents))
@@ -261,11 +263,22 @@
             sock.setblocking(False)
             sock.connect_ex(clogged.getsockname())
         program, _, _ = start(address, reply())
-        assert {program.ask(request("pay", ident=str(i))).status for i in range(4)} == {"200"}
+        began = time.monotonic()
+        assert {program.ask(request("pay", ident=str(i))).status for i in range(8)} == {"200"}
+        assert time.monotonic() - began > 0.2  # some did wait for a connection there
         for sock in fillers:
             sock.close()
 
 
+@pytest.mark.parametrize(("size", "statuses"), [(100, {"200", "502"}), (6_000_000, {"200"})])
+def test_a_request_of_which_bytes_are_unwritten_has_not_run(start, size, statuses):
+    """Sent on elsewhere though it must not run twice; one written whole is not, as it may have run."""
+    limits = {"body_bytes": 8_000_000}
+    program, (resets, _), _ = start(ResetUnread(None), reply(), limits=limits)
+    found = {program.ask(request("pay", body=b"x" * size, ident=str(i))).status for i in range(8)}
+    assert found == statuses and resets.open
+
+
 def test_idle_connections_to_a_backend_that_fell_silent_are_dropped(start):
     def until_silent(stand_in, sock, asked):
         if "silent" not in asked.first:
