Network side: one writer of heads, one look at a descriptor, no second list of backends

Written again: header lines were put together in three places (clients.py write and start_stream, exchanges.py start), now framing.head_of; what follows an answer in two, now Client.after_answer; the poll of a descriptor in three (clients, upstream, log), now descriptors.polled; the address family in two, now members.family_of; a slow stand-in in two tests. State that could be derived: Discovery.names was the keys of Upstream.pools. More than needed: a flag argument of Discovery.learn (learn_whole takes its place), addresses of the list read twice, the settings decoded from JSON twice at start, an answer passed to Call.finish that nobody gave, checks for a transport that is always there, a log method around the log.

Rules kept, no fault.

--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -42,9 +42,7 @@
     first_list_s: Positive = 0.3  # how long `/ready` waits for discovery before the saved list has to do
     stream_silent_s: Positive = 60.0  # an answer that was begun and of which nothing more comes
     watch_silent_s: Positive = 4.5
-    watch_retry_s: Positive = (
-        0.4  # before discovery is tried again, spread by half of it either way; it doubles
-    )
+    watch_retry_s: Positive = 0.4  # before discovery is tried again; it doubles, spread by half either way
     watch_retry_most_s: Positive = 2.0
     linger_s: Positive = 0.55  # after SIGTERM new connections are still taken for this long
     bind_s: Positive = 5.0  # how long the address may still be held by a process before this one
@@ -82,7 +80,7 @@
 
 
 class Document(msgspec.Struct):
-    settings: msgspec.Raw
+    settings: dict
     seed: str
     name: str = ""
     listen: str = ""
@@ -136,12 +134,11 @@
     except msgspec.DecodeError as wrong:
         raise ConfigurationError(f"not JSON: {wrong}") from None
     try:
-        told = msgspec.json.decode(document.settings, type=Told)
-        nested = msgspec.json.decode(document.settings, type=dict)
+        told = msgspec.convert(document.settings, Told)
     except msgspec.ValidationError as wrong:
         raise ConfigurationError(str(wrong).replace("`$", "`$.settings")) from None
     try:
-        settings = flat_map(nested)
+        settings = flat_map(document.settings)
     except (TypeError, ValueError) as wrong:
         raise ConfigurationError(f"settings.{wrong}") from None
     return Configuration(document, told, settings, environment, open_files)
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -7,10 +7,11 @@
 
 from basalthoist.configuration import Configuration
 
-from .descriptors import Descriptors
+from .descriptors import Descriptors, polled
 from .exchanges import Exchange, Exchanges
-from .framing import BadMessage, Message, Reader
+from .framing import BadMessage, Message, Reader, head_of
 from .log import Log
+from .members import family_of
 from .timers import SECOND, Timers, now
 
 REASONS = {
@@ -143,14 +144,18 @@
             self.transport.abort()
 
     def write(self, status: int, headers, body) -> None:
-        keep = self.keep and not self.door.leaving
-        lines = [b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n" % (status, REASONS[status], len(body))]
-        for name, value in headers:
-            lines += (name, b": ", value, b"\r\n")
-        lines.append(b"\r\n" if keep else b"Connection: close\r\n\r\n")
-        self.transport.writelines([b"".join(lines), body] if len(body) else [b"".join(lines)])
+        self.keep = self.keep and not self.door.leaving
+        head = self.head(status, [(b"Content-Length", b"%d" % len(body)), *headers])
+        self.transport.writelines([head, body] if len(body) else [head])
+        self.after_answer()
+
+    def head(self, status: int, headers) -> bytes:
+        closing = b"" if self.keep else b"Connection: close\r\n"
+        return head_of(b"HTTP/1.1 %d %b" % (status, REASONS[status]), headers) + closing + b"\r\n"
+
+    def after_answer(self) -> None:
         self.since = now()
-        if not keep:
+        if not self.keep:
             self.end()
         elif not self.reader.idle():
             # Not at once: an answer may come from within a decision, which a next exchange must not enter.
@@ -163,15 +168,12 @@
         self.chunked = length is None and self.version != "1.0"
         self.framed = self.chunked or length is not None
         self.keep = self.keep and not self.door.leaving and self.framed
-        framing = b"Transfer-Encoding: chunked" if self.chunked else b"Content-Length: %d" % (length or 0)
-        lines = [b"HTTP/1.1 200 OK\r\n"]
-        if self.framed:
-            lines += (framing, b"\r\n")
-        for name, value in headers:
-            lines += (name, b": ", value, b"\r\n")
-        lines.append(b"\r\n" if self.keep else b"Connection: close\r\n\r\n")
+        if self.chunked:
+            headers = [(b"Transfer-Encoding", b"chunked"), *headers]
+        elif self.framed:
+            headers = [(b"Content-Length", b"%d" % length), *headers]
         self.transport.set_write_buffer_limits(high=self.door.limits.body_bytes)
-        self.transport.write(b"".join(lines))
+        self.transport.write(self.head(200, headers))
         return self.pass_on
 
     def pass_on(self, data) -> None:
@@ -193,11 +195,7 @@
             if self.chunked:
                 self.transport.write(b"0\r\n\r\n")
             self.transport.set_write_buffer_limits(high=0)
-            self.since = now()
-            if not self.keep:
-                self.end()
-            elif not self.reader.idle():
-                self.door.loop.call_soon(self.advance)
+            self.after_answer()
 
     def hold_back(self, held: bool) -> None:
         call = self.exchange.stream if self.exchange is not None else None
@@ -219,11 +217,9 @@
         """Nothing under way, nor read in part, nor come and not yet read: closing it loses no exchange."""
         if self.exchange is not None or not self.reader.idle() or self.writing or self.ended:
             return False
-        if self.transport is None or self.transport.is_closing():
+        if self.transport.is_closing():
             return False
-        poller = select.poll()
-        poller.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poller.poll(0)
+        return not polled(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
 
     def check_time(self, at: int) -> None:
         waited = at - self.since
@@ -243,7 +239,7 @@
     def drop(self) -> None:
         if self.writing or self.ended:
             self.transport.abort()
-        elif self.exchange is None:
+        else:
             self.refuse(408)
 
 
@@ -356,8 +352,7 @@
 
     def __init__(self, door: Door, address: tuple[str, int]) -> None:
         self.door, self.loop, self.listening = door, door.loop, True
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self.sock = socket.create_server(address, family=family, backlog=door.limits.backlog)
+        self.sock = socket.create_server(address, family=family_of(address), backlog=door.limits.backlog)
         self.sock.setblocking(False)
         self.tasks: set[asyncio.Task] = set()
         door.listener = self
@@ -381,7 +376,6 @@
             if not welcome:
                 descriptors.take_anyway()
             sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             # A task for a connection, not for an exchange: the loop has no other form of this.
             task = self.loop.create_task(self.take_over(sock, welcome))
             self.tasks.add(task)
--- a/basalthoist/net/descriptors.py
+++ b/basalthoist/net/descriptors.py
@@ -1,8 +1,16 @@
 """One budget for all descriptors, so that the process never comes to the end of them."""
 
+import select
 from collections.abc import Callable
 
 
+def polled(descriptor: int, events: int) -> bool:
+    """Whether any of these events, or its end, is there to be had on a descriptor, without waiting."""
+    poller = select.poll()
+    poller.register(descriptor, events)
+    return bool(poller.poll(0))
+
+
 class Descriptors:
     """`most` may be in use, and half of `reserve` on top of it by those that are let in to be turned away."""
 
--- a/basalthoist/net/discovery.py
+++ b/basalthoist/net/discovery.py
@@ -10,7 +10,7 @@
 
 from .exchanges import Exchanges
 from .log import Log
-from .members import Member, MemberList, Translator, address_of
+from .members import MemberList, Translator, address_of
 from .timers import SECOND, Timers, now
 from .upstream import Upstream
 
@@ -80,14 +80,13 @@
             *lines, self.text = self.text.split(b"\n")
             for line in lines:
                 if line.strip():
-                    self.discovery.learn(LINE.decode(line), first=False)
+                    self.discovery.learn(LINE.decode(line))
 
     def on_message_complete(self) -> None:
         if self.watching:
             raise ValueError("the watch was ended")
         text, self.text = self.text, b""
-        self.discovery.learn(LINE.decode(text), first=True)
-        self.discovery.listed = True
+        self.discovery.learn_whole(LINE.decode(text))
         if self.parser.should_keep_alive():
             self.watch()
         else:
@@ -106,7 +105,6 @@
         # Guards against a whole tier that comes back to discovery in step.
         self.chance = random.Random(configuration.seed)
         self.revision, self.watch, self.opening, self.waiting = 0, None, None, None
-        self.names: set[str] = set()
         self.listed, self.failures = False, 0  # listed: the next thing to ask for is the watch
         self.on_first = lambda: None
         self.silent = int(self.limits.watch_silent_s * SECOND)
@@ -114,7 +112,7 @@
 
     def start(self, known: MemberList) -> None:
         known.complete = True
-        self.learn(known, first=False)
+        self.learn(known)
         self.connect()
 
     def connect(self) -> None:
@@ -160,31 +158,32 @@
             self.failures = min(self.failures + 1, 20)
             self.waiting = self.timers.after(int(wait * SECOND), self.connect)
 
-    def learn(self, said: MemberList, first: bool) -> None:
+    def learn_whole(self, said: MemberList) -> None:
+        """A list that was asked for has come."""
+        self.learn(said)
+        self.listed, self.failures = True, 0
+        self.on_first()
+
+    def learn(self, said: MemberList) -> None:
         self.revision = said.revision
-        present: list[Member] = []
+        entries, present, left = [], set(), set()
         for member in said.members:
-            try:
-                address_of(member.host_port)
-            except ValueError as wrong:
-                if member.phase != "gone":
+            listed = self.translator.listed(member)
+            if listed.state == "gone":
+                left.add(member.id)
+            else:
+                try:
+                    address = address_of(member.host_port)
+                except ValueError as wrong:
                     # Guards against one entry that makes no sense and costs the node all the others.
                     self.log(f"{member.id} left out: {wrong}")
                     continue
-            present.append(member)
-        entries = [self.translator.listed(member) for member in present]
-        for member, listed in zip(present, entries, strict=True):
-            if listed.state != "gone":
-                self.names.add(member.id)
-                self.upstream.learn(member.id, address_of(member.host_port), listed.started)
-        left = {m.id for m in present if m.phase == "gone"}
+                present.add(member.id)
+                self.upstream.learn(member.id, address, listed.started)
+            entries.append(listed)
         if said.complete:
-            left |= self.names - {m.id for m in present}
+            left |= self.upstream.pools.keys() - present
         self.exchanges.on_list(entries, said.complete)
         for name in left:
-            self.names.discard(name)
             self.upstream.remove(name)
             self.translator.forget(name)
-        if first:
-            self.failures = 0
-            self.on_first()
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -7,7 +7,7 @@
 from basalthoist.decisions.host import Listed, Outcome
 from basalthoist.decisions.policy import Node
 
-from .framing import Message
+from .framing import Message, head_of
 from .log import Log
 from .timers import SECOND, Timers, now
 from .upstream import Call, Upstream, load_of
@@ -40,7 +40,7 @@
 
     def __init__(self, configuration: Configuration, loop, timers: Timers, upstream: Upstream,
                  log: Log) -> None:  # fmt: skip
-        self.loop, self.timers, self.upstream, self.log_line = loop, timers, upstream, log
+        self.loop, self.timers, self.upstream, self.log = loop, timers, upstream, log
         self.probes = configuration.told.policy_limits.probes
         self.probe_path = b"/status/load" if configuration.reports else b"/health"
         self.probe_time = int(configuration.limits.probe_s * SECOND)
@@ -60,7 +60,7 @@
             step = wrong.__traceback__
             while step.tb_next is not None:
                 step = step.tb_next
-            self.log_line(f"{happened.__name__} failed: {wrong!r} at line {step.tb_lineno}")
+            self.log(f"{happened.__name__} failed: {wrong!r} at line {step.tb_lineno}")
             return False
 
     # What clients bring.
@@ -71,13 +71,11 @@
         self.last_id += 1
         arrived = now()
         deadline = message.came_at + timeout_ms * 10 - self.transit
-        host = message.get(b"host") or b""
-        lines = [message.method, b" ", message.target, b" HTTP/1.1\r\nHost: ", host, b"\r\n"]
-        for name, value in message.end_to_end(OWN_HEADERS):
-            lines += (name, b": ", value, b"\r\n")
+        headers = [(b"Host", message.get(b"host") or b""), *message.end_to_end(OWN_HEADERS)]
         if len(message.body) or message.method not in (b"GET", b"DELETE"):
-            lines.append(b"Content-Length: %d\r\n" % len(message.body))
-        xchg = Exchange(self.last_id, client, b"".join(lines), message.body, deadline)
+            headers.append((b"Content-Length", b"%d" % len(message.body)))
+        head = head_of(b"%b %b HTTP/1.1" % (message.method, message.target), headers)
+        xchg = Exchange(self.last_id, client, head, message.body, deadline)
         xchg.streams = self.streamed[route]
         self.under_way[xchg.id] = client.exchange = xchg
         # Guards against an exchange that the decisions lost by failing: it is answered all the same.
@@ -95,7 +93,7 @@
 
     def overdue(self, xchg: Exchange) -> None:
         if xchg.open:
-            self.log_line(f"exchange {xchg.id} was left unanswered")
+            self.log(f"exchange {xchg.id} was left unanswered")
             self.end_failed(xchg)
 
     def end_failed(self, xchg: Exchange) -> None:
@@ -205,6 +203,3 @@
         # Guards against a failing wake that takes those behind it along: what is due is looked at again.
         if not self.tell(self.node.on_wake, tag) and tag != "tick":
             self.wake(10, tag)
-
-    def log(self, line: str) -> None:
-        self.log_line(line)
--- a/basalthoist/net/framing.py
+++ b/basalthoist/net/framing.py
@@ -1,5 +1,7 @@
 """HTTP/1.1 messages cut out of what a connection reads. Heads go through httptools; bodies stay slices."""
 
+from collections.abc import Iterable
+
 import httptools
 
 HOP_BY_HOP = frozenset(
@@ -39,15 +41,19 @@
         return [(k, v) for k, v in self.headers if k not in HOP_BY_HOP and k not in but and k not in named]
 
 
+def head_of(first: bytes, headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """First line and headers as they are written; the blank line that ends a head is left to the caller."""
+    return b"".join([first, b"\r\n", *(b"%b: %b\r\n" % header for header in headers)])
+
+
 class Reader:
     """Fed with what a connection reads, `next()` gives message after message, or None until more has come."""
 
     def __init__(self, answers: bool, head_bytes: int, body_bytes: int) -> None:
         self.answers, self.head_bytes, self.body_bytes = answers, head_bytes, body_bytes
         self.pending, self.came_at = b"", 0
-        self.on_head = (
-            None  # told of the head of an answer and its length; what it returns gets the body's parts
-        )
+        # Told of the head of an answer and its length; what it returns gets the body's parts.
+        self.on_head = None
         self.restart()
 
     def restart(self) -> None:
--- a/basalthoist/net/log.py
+++ b/basalthoist/net/log.py
@@ -5,6 +5,8 @@
 import time
 from contextlib import suppress
 
+from .descriptors import polled
+
 
 class Log:
     """Prints at most `per_second` lines each second and says how many it left out."""
@@ -29,9 +31,7 @@
     def writable(self) -> bool:
         """Guards against a log that is not read: a full pipe would hold up the node."""
         try:
-            poller = select.poll()
-            poller.register(sys.stderr.fileno(), select.POLLOUT)
-            return bool(poller.poll(0))
+            return polled(sys.stderr.fileno(), select.POLLOUT)
         except (OSError, ValueError, AttributeError):
             return True  # no descriptor to ask: not a pipe
 
--- a/basalthoist/net/members.py
+++ b/basalthoist/net/members.py
@@ -1,5 +1,7 @@
 """The list of backends in discovery's form, and what the decisions are told of it."""
 
+import socket
+
 import msgspec
 
 from basalthoist.decisions.host import Listed
@@ -33,6 +35,10 @@
     return host, int(port)
 
 
+def family_of(address: tuple[str, int]) -> socket.AddressFamily:
+    return socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+
+
 class Translator:
     """Members become `Listed`: names of locations and kinds turn into the settings' numbers."""
 
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -41,8 +41,7 @@
         listener = await self.listen((host, port))
         if listener is not None:
             self.log(f"listening on {host}:{port}")
-        await self.door.drained
-        if listener is not None:
+            await self.door.drained
             listener.close()
         self.upstream.close_all()
         self.log("all answered")
--- a/basalthoist/net/upstream.py
+++ b/basalthoist/net/upstream.py
@@ -11,9 +11,10 @@
 from basalthoist.decisions.host import Load, Outcome
 from basalthoist.terms import FIELDS
 
-from .descriptors import Descriptors
+from .descriptors import Descriptors, polled
 from .framing import BadMessage, Message, Reader
 from .log import Log
+from .members import family_of
 from .timers import SECOND, Timers, now
 
 NO_MORE_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
@@ -59,10 +60,10 @@
         self.connection: Connection | None = None
         self.timer, self.over, self.began_at = None, False, now()
 
-    def finish(self, outcome: Outcome, answer: Message | None = None) -> None:
+    def finish(self, outcome: Outcome) -> None:
         if not self.over:
             self.release()
-            self.done(outcome, answer)
+            self.done(outcome, None)
 
     def finish_soon(self, outcome: Outcome) -> None:
         if not self.over:
@@ -141,9 +142,7 @@
     def connection_lost(self, wrong: Exception | None) -> None:
         self.pool.lost(self)
         if self.call is not None:
-            call, self.call = self.call, None
-            call.connection = None
-            call.finish(Outcome.CONNECT_FAILED if self.writing else Outcome.RESET)
+            self.call.finish(Outcome.CONNECT_FAILED if self.writing else Outcome.RESET)
 
     # Called by the pool and its calls.
 
@@ -155,12 +154,10 @@
 
     def usable(self) -> bool:
         """Guards against writing to a connection whose end has come but was not yet read."""
-        if self.cutting or self.transport is None or self.transport.is_closing():
+        if self.cutting or self.transport.is_closing():
             return False
-        poller = select.poll()
         try:
-            poller.register(self.sock.fileno(), select.POLLIN | select.POLLRDHUP)
-            return not poller.poll(0)
+            return not polled(self.sock.fileno(), select.POLLIN | select.POLLRDHUP)
         except (OSError, ValueError):
             return False  # its socket is already closed
 
@@ -175,19 +172,17 @@
             call.finish_soon(Outcome.RESET)
 
     def answered(self, answer: Message) -> None:
-        call, outcome = self.call, outcome_of(answer)
+        call = self.call
+        call.release()
         if answer.keep_alive and self.reader.idle() and not self.writing:
-            call.release()
             self.pool.freed(self)
         else:
             self.cut()
-            call.release()
-        call.done(outcome, answer)
+        call.done(outcome_of(answer), answer)
 
     def fail(self, outcome: Outcome) -> None:
-        call = self.call
         self.cut()
-        call.finish(outcome)
+        self.call.finish(outcome)
 
     def cut(self) -> None:
         if self.cutting:
@@ -228,11 +223,9 @@
         task.add_done_callback(self.opened)
 
     async def open(self) -> Connection:
-        family = socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock = socket.socket(family_of(self.address), socket.SOCK_STREAM)
         try:
             sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             loop = self.upstream.loop
             await asyncio.wait_for(loop.sock_connect(sock, self.address), self.upstream.connect_timeout_s)
             _, connection = await loop.create_connection(lambda: Connection(self, sock), sock=sock)
@@ -246,9 +239,7 @@
         wrong = None if task.cancelled() else task.exception()
         if not task.cancelled() and wrong is None:
             connection = task.result()
-            if connection.transport.is_closing():
-                wrong = ConnectionError("lost while it came up")
-            else:
+            if not connection.transport.is_closing():  # else it was lost as it came up
                 self.heard_at = now()
                 return self.freed(connection)
         else:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -13,6 +13,7 @@
 
 from basalthoist.decisions.host import Listed
 from basalthoist.decisions.policy import Node
+from basalthoist.net.members import address_of
 
 SECOND = 10_000
 NOW = 100 * SECOND
@@ -63,7 +64,7 @@
     """A small server on a free port of 127.0.0.1: `behave(stand_in, sock, request)` answers each request."""
 
     def __init__(self, behave):
-        self.behave, self.seen, self.open, self.closing = behave, [], [], False
+        self.behave, self.seen, self.open = behave, [], []
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         threading.Thread(target=self.accept, daemon=True).start()
@@ -79,8 +80,7 @@
         with contextlib.suppress(OSError, EOFError), sock, sock.makefile("rb") as source:
             while True:
                 request = read_message(source)
-                if request.path != "/health":
-                    self.seen.append(request)
+                self.seen.append(request)
                 self.behave(self, sock, request)
 
     def close(self):
@@ -137,6 +137,16 @@
     return behave
 
 
+def once_open(gate):
+    """Answers as soon as there is something in `gate`."""
+
+    def behave(stand_in, sock, request):
+        wait_for(lambda: gate)
+        reply()(stand_in, sock, request)
+
+    return behave
+
+
 def cut(_, sock, request):
     raise EOFError
 
@@ -216,8 +226,7 @@
         command = ["/bin/sh", "-c", f'ulimit -n {files}; exec "{sys.executable}" -m basalthoist']
         environment = {"PROXY_CONFIG": str(path), "PATH": ""}
         self.process = subprocess.Popen(command, stderr=self.errors, env=environment)
-        host, _, port = made["listen"].rpartition(":")
-        self.address = host, int(port)
+        self.address = address_of(made["listen"])
 
     def log(self):
         self.errors.seek(0)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,6 +15,7 @@
     cut,
     document,
     member,
+    once_open,
     own_address,
     raw,
     read_message,
@@ -339,11 +340,7 @@
 def test_sigterm_answers_what_is_held_and_what_still_comes(start):
     gate = []
 
-    def slowly(stand_in, sock, asked):
-        wait_for(lambda: gate)
-        reply()(stand_in, sock, asked)
-
-    program, (backend,), _ = start(slowly)
+    program, (backend,), _ = start(once_open(gate))
     with program.connect() as sock, sock.makefile("rb") as source, program.connect() as kept:
         sock.sendall(request("pay", ident="held"))
         wait_for(lambda: backend.seen)
@@ -449,12 +446,8 @@
 def test_a_crowd_at_once_with_few_descriptors(start):
     """Each that sent a whole request is answered, be it with a refusal, and the process never runs dry."""
 
-    def slowly(stand_in, sock, asked):
-        wait_for(lambda: gate)
-        reply()(stand_in, sock, asked)
-
     gate = []
-    program, _, _ = start(slowly, files=96)
+    program, _, _ = start(once_open(gate), files=96)
     crowd = [program.connect() for _ in range(150)]
     for number, sock in enumerate(crowd):
         sock.sendall(request("pay", ident=str(number)))
