SIGHUP reads the configuration again and moves to the discovery it names

Cause: __main__.py set handlers for SIGTERM and SIGINT only. Ruled out: nothing else ended the node (log has no other line). Now Service.reload reads the file, a faulty one is logged and changes nothing; a discovery changed in the file goes before PROXY_DISCOVERY. Discovery.move drops the old watch, a connect on its way and the back-off, and is no failed list.

--- a/basalthoist/__main__.py
+++ b/basalthoist/__main__.py
@@ -15,10 +15,13 @@
     service = Service(configuration, loop)
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, service.leave)
+    loop.add_signal_handler(signal.SIGHUP, service.reload)
     await service.serve()
 
 
 def main() -> int:
+    # Guards against one that comes before there is a node: the file is about to be read anyway.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         configuration = load()
     except ConfigurationError as wrong:
--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -93,12 +93,19 @@
     """The node's name, addresses, limits and saved list, and `settings` for the decisions."""
 
     def __init__(self, document: Document, told: Told, settings: dict, environment: Mapping,
-                 open_files: int) -> None:  # fmt: skip
+                 open_files: int, before: "Configuration | None") -> None:  # fmt: skip
+        self.document = document
         self.name = environment.get("PROXY_NAME") or document.name or "node"
         listen = environment.get("PROXY_LISTEN") or document.listen
         self.listen = address("listen (PROXY_LISTEN)", listen)
-        discovery = environment.get("PROXY_DISCOVERY") or document.discovery
-        self.discovery = address("discovery (PROXY_DISCOVERY)", discovery)
+        if before is None:
+            discovery = environment.get("PROXY_DISCOVERY") or document.discovery
+            self.discovery = address("discovery (PROXY_DISCOVERY)", discovery)
+        elif document.discovery == before.document.discovery:
+            self.discovery = before.discovery
+        else:
+            # Guards against a move that the environment hides: nobody can change that of a running process.
+            self.discovery = address("discovery", document.discovery)
         try:
             self.seed = int(document.seed, 16)
         except ValueError:
@@ -118,6 +125,11 @@
         keepalive_s = told.policy_limits.keepalive / 1e6 or 10.0
         self.upstream_idle_s = keepalive_s * document.limits.upstream_idle_part
 
+    def waits_for_restart(self, before: "Configuration") -> list[str]:
+        """The keys that were changed in the file and that a running node can't take up."""
+        keys = ("name", "listen", "seed", "limits", "settings")
+        return [key for key in keys if getattr(self.document, key) != getattr(before.document, key)]
+
 
 def address(key: str, text: str) -> tuple[str, int]:
     try:
@@ -126,7 +138,8 @@
         raise ConfigurationError(f"{key}: {wrong}") from None
 
 
-def decode(data: bytes, environment: Mapping[str, str], open_files: int = 1 << 20) -> Configuration:
+def decode(data: bytes, environment: Mapping[str, str], open_files: int = 1 << 20,
+           before: Configuration | None = None) -> Configuration:  # fmt: skip
     try:
         document = msgspec.json.decode(data, type=Document)
     except msgspec.ValidationError as wrong:
@@ -141,10 +154,11 @@
         settings = flat_map(document.settings)
     except (TypeError, ValueError) as wrong:
         raise ConfigurationError(f"settings.{wrong}") from None
-    return Configuration(document, told, settings, environment, open_files)
+    return Configuration(document, told, settings, environment, open_files, before)
 
 
-def load(environment: Mapping[str, str] = os.environ) -> Configuration:
+def load(environment: Mapping[str, str] = os.environ, before: Configuration | None = None) -> Configuration:
+    """`before`: what a running node goes by, where the file is read again."""
     path = environment.get("PROXY_CONFIG")
     if not path:
         raise ConfigurationError("PROXY_CONFIG: not set; it names the JSON file with the settings")
@@ -154,4 +168,4 @@
     except OSError as wrong:
         raise ConfigurationError(f"PROXY_CONFIG: {wrong}") from None
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return decode(data, environment, 1 << 20 if allowed == resource.RLIM_INFINITY else allowed)
+    return decode(data, environment, 1 << 20 if allowed == resource.RLIM_INFINITY else allowed, before)
--- a/basalthoist/net/discovery.py
+++ b/basalthoist/net/discovery.py
@@ -25,6 +25,7 @@
 
     def __init__(self, discovery: "Discovery") -> None:
         self.discovery, self.limit = discovery, discovery.limits.list_bytes
+        self.address = discovery.address
         self.transport: asyncio.Transport | None = None
         self.heard_at, self.watching, self.closed = now(), False, False
         self.text = b""
@@ -32,7 +33,9 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
-        if self.discovery.listed:
+        if self.left():
+            self.leave()
+        elif self.discovery.listed:
             self.watch()
         else:
             self.ask("/v1/endpoints")
@@ -42,11 +45,11 @@
         self.ask(f"/v1/endpoints?stream=1&index={self.discovery.revision}")
 
     def ask(self, path: str) -> None:
-        host = "{}:{}".format(*self.discovery.address)
+        host = "{}:{}".format(*self.address)
         self.transport.write(f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
 
     def data_received(self, data: bytes) -> None:
-        if self.closed:
+        if self.closed or self.left():
             return
         self.heard_at = now()
         try:
@@ -60,8 +63,17 @@
     def connection_lost(self, wrong: Exception | None) -> None:
         self.fail(f"ended: {wrong or 'closed'}")
 
+    def left(self) -> bool:
+        """Whether discovery has moved since: what the old agent says, or that it ends, counts no more."""
+        return self.address is not self.discovery.address
+
+    def leave(self) -> None:
+        self.closed = True
+        if self.transport is not None:
+            self.transport.abort()
+
     def fail(self, why: str) -> None:
-        if not self.closed:
+        if not self.closed and not self.left():
             self.closed = True
             self.discovery.listed = self.discovery.listed and not self.watching
             if self.transport is not None:
@@ -115,6 +127,18 @@
         self.learn(known)
         self.connect()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Another agent, as planned: no failure. The whole list first, as its revisions may be others."""
+        self.address, self.listed, self.revision, self.failures = address, False, 0, 0
+        if self.opening is not None:
+            self.opening.cancel()
+            self.opening = None
+        if self.watch is not None:
+            self.watch.leave()
+            self.watch = None
+        self.log("discovery moves to {}:{}".format(*address))
+        self.connect()
+
     def connect(self) -> None:
         """At once, where there is neither a watch nor one on its way."""
         if self.waiting is not None:
@@ -129,6 +153,10 @@
         return (await asyncio.wait_for(opening, self.limits.watch_silent_s))[1]
 
     def opened(self, task: asyncio.Task) -> None:
+        if task is not self.opening:  # discovery has moved since
+            if not task.cancelled() and task.exception() is None:
+                task.result().leave()
+            return
         self.opening = None
         if task.cancelled():
             return
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -3,7 +3,7 @@
 import asyncio
 import errno
 
-from basalthoist.configuration import Configuration
+from basalthoist.configuration import Configuration, ConfigurationError, load
 
 from .clients import Door, Listener
 from .descriptors import Descriptors
@@ -61,6 +61,19 @@
     def get_ready(self) -> None:
         self.door.ready = True
 
+    def reload(self) -> None:
+        """The file is read again. A new address of discovery counts at once; the rest waits for a restart."""
+        try:
+            read = load(before=self.configuration)
+        except ConfigurationError as wrong:
+            # Guards against a faulty file that would take a serving node along.
+            return self.log(f"configuration not taken: {wrong}")
+        waits = read.waits_for_restart(self.configuration)
+        self.configuration = read
+        self.log("configuration read again" + (f", at the next start: {', '.join(waits)}" if waits else ""))
+        if read.discovery != self.discovery.address:
+            self.discovery.move(read.discovery)
+
     def leave(self) -> None:
         if not self.door.leaving:
             self.log(f"told to leave, {len(self.exchanges.under_way)} exchanges under way")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import os
+import signal
 import socket
 import struct
 import subprocess
@@ -219,15 +220,19 @@
 class Program:
     """`python -m basalthoist`, ready to be asked."""
 
-    def __init__(self, folder, made, files=1024):
-        path = folder / "config.json"
-        path.write_text(json.dumps(made))
+    def __init__(self, folder, made, files=1024, **environment):
+        self.path, self.made = folder / "config.json", made
+        self.path.write_text(json.dumps(made))
         self.errors = (folder / "log").open("w+")
         command = ["/bin/sh", "-c", f'ulimit -n {files}; exec "{sys.executable}" -m basalthoist']
-        environment = {"PROXY_CONFIG": str(path), "PATH": ""}
+        environment |= {"PROXY_CONFIG": str(self.path), "PATH": ""}
         self.process = subprocess.Popen(command, stderr=self.errors, env=environment)
         self.address = address_of(made["listen"])
 
+    def reload(self, text):
+        self.path.write_text(text)
+        self.process.send_signal(signal.SIGHUP)
+
     def log(self):
         self.errors.seek(0)
         return self.errors.read()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -34,13 +34,14 @@
     running = []
 
     def begin(
-        *behaviours, known=None, wait=True, listed=True, mute=False, one_each=False, files=1024, **more
-    ):
+        *behaviours, known=None, wait=True, listed=True, mute=False, one_each=False, files=1024, told=(),
+        **more,
+    ):  # fmt: skip
         backends = [b if isinstance(b, str | StandIn) else StandIn(b) for b in behaviours]
         entries = [member(f"s-{i}", b) for i, b in enumerate(backends)]
         discovery = DiscoveryStandIn(entries if listed else [], mute, one_each)
         made = document(discovery.address, entries if known is None else known, **more)
-        program = Program(tmp_path, made, files)
+        program = Program(tmp_path, made, files, **{v: discovery.address for v in told})
         running.extend([b for b in backends if not isinstance(b, str)] + [discovery])
         running.append(program)
         return (program.wait_ready() if wait else program), backends, discovery
@@ -410,6 +411,26 @@
     wait_for(lambda: discovery.watches)
 
 
+@pytest.mark.parametrize(("told", "mute"), [((), False), (["PROXY_DISCOVERY"], False), ((), True)])
+def test_sighup_moves_to_another_discovery_and_a_faulty_file_changes_nothing(start, told, mute):
+    other = StandIn(reply(200, b"other"))
+    program, _, discovery = start(reply(200, b"one"), told=told, mute=mute)
+    wait_for(lambda: discovery.watches or mute and discovery.seen)
+    for faulty in ("{", json.dumps(program.made | {"discovery": "nowhere"})):
+        program.reload(faulty)
+        wait_for(lambda: "configuration not taken: " in program.log())
+        assert program.ask(request()).body == b"one"
+    second = DiscoveryStandIn([member("s-9", other)])
+    program.reload(json.dumps(program.made | {"discovery": second.address, "name": "n1"}))
+    wait_for(lambda: second.watches)
+    wait_for(lambda: program.ask(request()).body == b"other")
+    assert all(ended(sock) for sock in discovery.watches)
+    assert [r.path for r in second.seen][0] == "/v1/endpoints"
+    assert "at the next start: name" in program.log() and "discovery ended" not in program.log()
+    second.close()
+    other.close()
+
+
 def test_a_discovery_that_closes_after_the_list_is_watched_on_another_connection(start):
     program, _, discovery = start(reply(), one_each=True)
     wait_for(lambda: discovery.watches)
