--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -33,10 +33,13 @@
     backlog: Count = 512
     client_idle_s: Positive = 120.0  # a client's connection between exchanges
     client_fresh_s: Positive = 0.1  # a connection as new as this is about to bring its first request
-    client_read_s: Positive = 10.0  # from the first byte of a request to its last; an answer not read
-    client_close_s: Positive = 2.0  # how long a client has to close after the last answer
+    client_first_s: Positive = 2.4  # from connecting to the end of the first request
+    client_read_s: Positive = 2.2  # from the first byte of a request to its last; an answer not read
+    client_close_s: Positive = 1.0  # how long a client has to close after the last answer
+    client_errors: Count = 8  # requests in error after which a connection is ended
     client_transit_s: Annotated[float, msgspec.Meta(ge=0)] = 0.001  # from a client's send to its arrival here
     upstream_idle_part: Annotated[float, msgspec.Meta(gt=0, lt=1)] = 0.5  # of the backend's own keep-alive
+    upstream_rest_s: Annotated[float, msgspec.Meta(ge=0)] = 0.003  # quiet between two exchanges
     connect_s: Positive = 1.0  # where the settings give no time for it
     probe_s: Positive = 0.1
     first_list_s: Positive = 0.3  # how long `/ready` waits for discovery before the saved list has to do
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -16,8 +16,8 @@
 
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
-    413: b"Content Too Large", 431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
-    502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
+    409: b"Conflict", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
 LAST_RECEIVED = struct.Struct("I")  # tcpi_last_data_recv of Linux' struct tcp_info, milliseconds
 METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))
@@ -31,7 +31,8 @@
         self.reader = Reader(False, door.limits.head_bytes, door.limits.body_bytes)
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
-        self.since = now()  # when it last fell idle, or began to read or to be written to
+        self.born = self.since = now()  # since: when it last fell idle, or began to read or to be written to
+        self.errors, self.dropped = 0, 0  # requests in error; bytes read after the last answer
         self.keep, self.writing, self.held_back, self.ended = True, False, False, False
         self.asked = False  # whether it has brought a request yet
         self.version, self.chunked, self.framed = "1.1", False, True
@@ -41,11 +42,11 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
         transport.set_write_buffer_limits(high=0)  # answers go out at once, and one at a time
-        self.door.clients.add(self)
+        self.door.clients[self] = None
 
     def connection_lost(self, wrong: Exception | None) -> None:
         self.ended = True
-        self.door.clients.discard(self)
+        self.door.clients.pop(self, None)
         self.door.descriptors.give_back()
         if self.exchange is not None:
             xchg, self.exchange = self.exchange, None
@@ -54,9 +55,13 @@
 
     def data_received(self, data: bytes) -> None:
         if self.ended:
+            # Guards against reading on and on what nobody wants, such as a body of many megabytes.
+            self.dropped += len(data)
+            if self.dropped > self.door.limits.body_bytes:
+                self.transport.pause_reading()
             return
         if self.reader.idle() and self.exchange is None:
-            self.since = now()
+            self.touch()
         try:
             self.reader.feed(data, now() - self.lain())
         except Exception as wrong:
@@ -69,6 +74,12 @@
             return
         self.advance()
 
+    def touch(self) -> None:
+        """`clients` is in the order of `since`: whose has been idle for longest comes first."""
+        self.since = now()
+        if self.door.clients.pop(self, self) is None:
+            self.door.clients[self] = None
+
     def lain(self) -> int:
         """For how long what is read now lay in the machine's buffer, where that is more than a moment."""
         # Guards against a node that stood still and then believes that a request was sent only now.
@@ -80,11 +91,13 @@
         return lain_ms * 10 if 10 <= lain_ms < 60_000 else 0  # it is counted by the kernel's ticks
 
     def pause_writing(self) -> None:
-        self.writing, self.since = True, now()
+        self.writing = True
+        self.touch()
         self.hold_back(True)
 
     def resume_writing(self) -> None:
-        self.writing, self.since = False, now()
+        self.writing = False
+        self.touch()
         self.hold_back(False)
         self.advance()
 
@@ -112,6 +125,8 @@
         try:
             self.door.take(self, message)
         except BadMessage as wrong:
+            self.errors += 1
+            self.keep = self.keep and self.errors < self.door.limits.client_errors
             self.answer(wrong.status)
         except Exception as wrong:
             # Guards against one request that breaks something here and takes the connection's others along.
@@ -154,7 +169,7 @@
         return head_of(b"HTTP/1.1 %d %b" % (status, REASONS[status]), headers) + closing + b"\r\n"
 
     def after_answer(self) -> None:
-        self.since = now()
+        self.touch()
         if not self.keep:
             self.end()
         elif not self.reader.idle():
@@ -205,7 +220,8 @@
     def end(self) -> None:
         """Nothing more is answered. What still comes is read and dropped until the client has closed too."""
         # Guards against a reset that overtakes the last answer, as closing with bytes unread would send.
-        self.ended, self.since = True, now()
+        self.ended = True
+        self.touch()
         self.transport.resume_reading()
         self.transport.write_eof()
 
@@ -227,12 +243,15 @@
             if self.writing and waited > self.door.limits.client_read_s * SECOND:
                 self.transport.abort()  # a streamed answer that is not read
             return
+        # Guards against crowds that connect and say nothing, or never bring their first request whole.
+        slow = not self.asked and at - self.born > self.door.limits.client_first_s * SECOND
         if self.reader.idle() and not self.writing and not self.ended:
-            if waited > self.door.limits.client_idle_s * SECOND and self.idle():
+            if (slow or waited > self.door.limits.client_idle_s * SECOND) and self.idle():
                 self.close()
-        elif self.ended and waited > self.door.limits.client_close_s * SECOND:
-            self.transport.abort()
-        elif waited > self.door.limits.client_read_s * SECOND:
+        elif self.ended:
+            if waited > self.door.limits.client_close_s * SECOND:
+                self.transport.abort()
+        elif slow or waited > self.door.limits.client_read_s * SECOND:
             # Guards against requests that never come whole and answers that are never read.
             self.drop()
 
@@ -253,7 +272,7 @@
         self.limits = configuration.limits
         self.routes = {r.name.encode(): (i, r) for i, r in enumerate(configuration.routes)}
         self.customers = {name.encode(): i for i, name in enumerate(configuration.customers)}
-        self.clients: set[Client] = set()
+        self.clients: dict[Client, None] = {}
         self.listener: Listener | None = None
         self.for_upstream = int(descriptors.most * self.limits.upstream_part)
         self.fresh = int(self.limits.client_fresh_s * SECOND)
@@ -261,7 +280,7 @@
         self.ready, self.leaving, self.lingered = False, False, False
         self.drained: asyncio.Future = loop.create_future()
         descriptors.makers_of_room.append(self.close_idlest)
-        timers.every(SECOND, self.sweep)
+        timers.every(SECOND // 4, self.sweep)
 
     def take(self, client: Client, message: Message) -> None:
         if not client.welcome:
@@ -302,16 +321,19 @@
             client.check_time(at)
 
     def close_idlest(self) -> bool:
-        free = sorted((c for c in self.clients if c.exchange is None), key=lambda c: c.since)
-        for client in free:
-            if (client.asked or now() - client.since > self.fresh) and client.idle():
+        at, waiting = now(), None
+        for client in self.clients:
+            if client.exchange is not None or client.transport.is_closing():
+                continue
+            if (client.asked or at - client.since > self.fresh) and client.idle():
                 client.close()
                 return True
+            if waiting is None and at - client.since > SECOND:
+                waiting = client
         # Guards against many clients that each begin a request and do not end it.
-        waiting = [c for c in free if now() - c.since > SECOND]
-        if waiting:
-            waiting[0].drop()
-        return bool(waiting)
+        if waiting is not None:
+            waiting.drop()
+        return waiting is not None
 
     # The end of the node: late arrivals are still taken, everything is answered, then it is drained.
 
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -7,7 +7,7 @@
 from basalthoist.decisions.host import Listed, Outcome
 from basalthoist.decisions.policy import Node
 
-from .framing import Message, head_of
+from .framing import BadMessage, Message, head_of
 from .log import Log
 from .timers import SECOND, Timers, now
 from .upstream import Call, Upstream, load_of
@@ -20,9 +20,10 @@
 class Exchange:
     """An exchange that a client waits for: who asked, what is sent on, and its tries so far."""
 
-    __slots__ = "id client head body deadline calls out open timer streams stream".split()
+    __slots__ = "id name client head body deadline calls out open timer streams stream".split()
 
-    def __init__(self, ident: int, client, head: bytes, body, deadline: int) -> None:
+    def __init__(self, ident: int, name: bytes, client, head: bytes, body, deadline: int) -> None:
+        self.name = name  # its Request-Id
         self.id, self.client, self.head, self.body, self.deadline = ident, client, head, body, deadline
         self.calls: list[Call | None] = []
         self.out, self.open, self.timer = 0, True, None
@@ -47,6 +48,7 @@
         self.transit = int(configuration.limits.client_transit_s * SECOND)
         self.streamed = [route.streaming for route in configuration.routes]
         self.under_way: dict[int, Exchange] = {}
+        self.named: dict[bytes, Exchange] = {}
         self.last_id = 0
         self.ask_discovery: Callable[[], None] = lambda: None
         self.node = Node(self, configuration.seed, configuration.settings, now())
@@ -68,6 +70,10 @@
     def start(self, client, message: Message, route: int, customer: int, timeout_ms: int,
               again: bool) -> Exchange:  # fmt: skip
         """Takes an exchange. Its time counts from when the client sent it, not from when it is looked at."""
+        name = message.get(b"request-id") or b""
+        # Guards against a second copy of one that is open, or of which a try may still run, under its id.
+        if name in self.named:
+            raise BadMessage(409, "an open request has this Request-Id")
         self.last_id += 1
         arrived = now()
         deadline = message.came_at + timeout_ms * 10 - self.transit
@@ -75,9 +81,9 @@
         if len(message.body) or message.method not in (b"GET", b"DELETE"):
             headers.append((b"Content-Length", b"%d" % len(message.body)))
         head = head_of(b"%b %b HTTP/1.1" % (message.method, message.target), headers)
-        xchg = Exchange(self.last_id, client, head, message.body, deadline)
+        xchg = Exchange(self.last_id, name, client, head, message.body, deadline)
         xchg.streams = self.streamed[route]
-        self.under_way[xchg.id] = client.exchange = xchg
+        self.under_way[xchg.id] = self.named[name] = client.exchange = xchg
         # Guards against an exchange that the decisions lost by failing: it is answered all the same.
         xchg.timer = self.timers.after(deadline - arrived + OVERDUE, partial(self.overdue, xchg))
         if not self.tell(self.node.on_exchange, xchg.id, route, customer, max(deadline - arrived, 1), again):
@@ -110,7 +116,11 @@
         xchg.open = False
         xchg.timer.stop()
         if not xchg.out:
-            self.under_way.pop(xchg.id, None)
+            self.forget(xchg)
+
+    def forget(self, xchg: Exchange) -> None:
+        if self.under_way.pop(xchg.id, None) is not None:
+            del self.named[xchg.name]
 
     # How tries and probes end.
 
@@ -190,7 +200,7 @@
     def probe(self, backend: str) -> None:
         parts = [b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (self.probe_path, backend.encode())]
         ended = partial(self.probe_ended, backend, now())
-        if not self.probes or self.upstream.call(backend, parts, self.probe_time, ended) is None:
+        if not self.probes or self.upstream.call(backend, parts, self.probe_time, ended, tells=True) is None:
             self.loop.call_soon(ended, Outcome.NOT_SENT, None)
 
     def subscribe(self) -> None:
--- a/basalthoist/net/framing.py
+++ b/basalthoist/net/framing.py
@@ -136,10 +136,11 @@
         except httptools.HttpParserError as wrong:
             raise BadMessage(400, f"bad head: {wrong}") from None
         self.message.keep_alive = parser.should_keep_alive()
+        self.message.version = parser.get_http_version()
         if self.answers:
             self.message.status = parser.get_status_code()
         else:
-            self.message.method, self.message.version = parser.get_method(), parser.get_http_version()
+            self.message.method = parser.get_method()
         self.whole, self.in_body = False, True
         self.set_framing(parser)
         if self.on_head is not None and self.message.status >= 200:
@@ -164,6 +165,10 @@
                 raise BadMessage(400, "bad Content-Length")
             self.need = int(lengths[0])
         elif self.answers and self.message.status not in (204, 304) and self.message.status >= 200:
+            # Guards against a head that lost its length: the answer would be waited for until its deadline.
+            closes = b"close" in (self.message.get(b"connection") or b"").lower()
+            if not closes and self.message.version != "1.0":
+                raise BadMessage(400, "neither a length nor an end")
             self.until_end, self.message.keep_alive = True, False
         expect = self.message.get(b"expect")
         self.wants_continue = expect is not None and expect.lower() == b"100-continue" and not self.answers
--- a/basalthoist/net/upstream.py
+++ b/basalthoist/net/upstream.py
@@ -52,10 +52,12 @@
 class Call:
     """One request on its way to a backend. `done` is told once how it ended, never from within `submit`."""
 
-    __slots__ = ("pool", "parts", "done", "starts", "connection", "timer", "over", "began_at")
+    __slots__ = ("pool", "parts", "done", "starts", "tells", "connection", "timer", "over", "began_at")
 
-    def __init__(self, pool: "Pool", parts: list[bytes], done: Done, starts: Starts | None = None) -> None:
+    def __init__(self, pool: "Pool", parts: list[bytes], done: Done, starts: Starts | None = None,
+                 tells: bool = False) -> None:  # fmt: skip
         self.pool, self.parts, self.done = pool, parts, done
+        self.tells = tells  # a probe: nobody is served with its answer, and it may be lost
         self.starts = starts  # for an answer that is passed on as it comes
         self.connection: Connection | None = None
         self.timer, self.over, self.began_at = None, False, now()
@@ -201,18 +203,15 @@
 
     def __init__(self, upstream: "Upstream", name: str, address: tuple[str, int], started) -> None:
         self.upstream, self.name, self.address, self.started = upstream, name, address, started
-        self.idle: list[Connection] = []
+        self.idle: list[Connection] = []  # in the order in which they fell idle
         self.streaming: set[Connection] = set()
         self.waiting: deque[Call] = deque()
         self.opening: set[asyncio.Task] = set()
         self.closed, self.heard_at = False, now()
 
     def submit(self, call: Call) -> None:
-        while self.idle:
-            connection = self.idle.pop()
-            if connection.idle_since > now() - self.upstream.idle and connection.usable():
-                return connection.carry(call)
-            connection.cut()
+        if (connection := self.sound(0 if call.tells else self.upstream.rest)) is not None:
+            return connection.carry(call)
         if not self.upstream.descriptors.take(self.upstream.close_idlest):
             self.upstream.log(f"no descriptor left for a connection to {self.name}")
             return call.finish_soon(Outcome.NOT_SENT)
@@ -222,6 +221,20 @@
         self.opening.add(task)
         task.add_done_callback(self.opened)
 
+    def sound(self, rest: int) -> Connection | None:
+        """The one that fell idle last, but has been quiet for `rest` since."""
+        # Guards against serving the next exchange with what comes behind an answer, a second copy of it or
+        # noise, and against writing to a connection that the backend closes right after its answer.
+        at = now()
+        for connection in reversed(self.idle[:]):
+            if connection.idle_since > at - rest:
+                continue
+            self.idle.remove(connection)
+            if connection.idle_since > at - self.upstream.idle and connection.usable():
+                return connection
+            connection.cut()
+        return None
+
     async def open(self) -> Connection:
         sock = socket.socket(family_of(self.address), socket.SOCK_STREAM)
         try:
@@ -241,6 +254,8 @@
             connection = task.result()
             if not connection.transport.is_closing():  # else it was lost as it came up
                 self.heard_at = now()
+                if self.waiting:
+                    return connection.carry(self.waiting.popleft())
                 return self.freed(connection)
         else:
             self.upstream.descriptors.give_back()
@@ -253,12 +268,18 @@
     def freed(self, connection: Connection) -> None:
         self.streaming.discard(connection)
         connection.idle_since = now()
+        if self.closed and not self.waiting:
+            return connection.cut()
+        self.idle.append(connection)
         if self.waiting:
+            self.upstream.timers.after(self.upstream.rest, self.serve)
+
+    def serve(self) -> None:
+        """Who still waits for a new connection takes one that has fallen free meanwhile."""
+        while self.waiting and (connection := self.sound(self.upstream.rest)) is not None:
             connection.carry(self.waiting.popleft())
-        elif self.closed:
-            connection.cut()
-        else:
-            self.idle.append(connection)
+        if self.closed and not self.waiting:
+            self.drop_idle(now())
 
     def forget(self, connection: Connection) -> None:
         self.streaming.discard(connection)
@@ -288,6 +309,7 @@
                  idle_s: float) -> None:  # fmt: skip
         self.loop, self.timers, self.log, self.descriptors = loop, timers, log, descriptors
         self.limits, self.connect_timeout_s, self.idle = limits, connect_timeout_s, int(idle_s * SECOND)
+        self.rest = int(limits.upstream_rest_s * SECOND)
         self.pools: dict[str, Pool] = {}
         descriptors.makers_of_room.append(self.close_idlest)
         timers.every(SECOND, self.sweep)
@@ -311,12 +333,13 @@
         pool.closed = True
         pool.drop_idle(now())
 
-    def call(self, name: str, parts: list[bytes], timeout: int, done: Done, starts=None) -> Call | None:
+    def call(self, name: str, parts: list[bytes], timeout: int, done: Done, starts=None,
+             tells=False) -> Call | None:  # fmt: skip
         """Starts a call that ends within `timeout` tenths; None where the backend is not known."""
         pool = self.pools.get(name)
         if pool is None:
             return None
-        call = Call(pool, parts, done, starts)
+        call = Call(pool, parts, done, starts, tells)
         call.timer = self.timers.after(timeout, lambda: call.give_up(Outcome.TIMED_OUT))
         pool.submit(call)
         return call
