--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -1,14 +1,14 @@
 """Every decision of basalthoist.
 
 How to call it: one `Node(host, seed, settings, now)` a process start, then its `on_...` method for each thing
-that happens. It calls its host, whose interface is in host.py. `settings`: {"routes.0.value": 3.0, ...}.
-"""
+that happens. It calls its host, whose interface is in host.py. `settings`: {"routes.0.value": 3.0, ...}."""
 
 from bisect import insort
 from heapq import heappop, heappush
 from itertools import groupby
 from math import inf, log
 
+from .chance import Lcg
 from .host import NEVER_RAN, Host, Listed, Load, Outcome
 
 SECOND = 10_000  # times are whole tenths of a millisecond
@@ -22,15 +22,6 @@
 LEAST = 6  # warm backends' worth that a node uses at the least, where there are as many
 
 
-class Lcg:
-    def __init__(self, seed: int) -> None:
-        self.state = seed & (2**64 - 1)
-
-    def uniform(self) -> float:
-        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (2**64 - 1)
-        return (self.state >> 33) / 2**31
-
-
 def service_time(rate: float, time: float, cores: float) -> float:
     return time / (1 + rate * time / SECOND / cores)
 
@@ -51,10 +42,9 @@
         self.slot_time, self.slots, self.pace = 0.0, 0.0, 1.0  # times, exchanges held; its kind's pace
         self.fails, self.doubt, self.out_until, self.last_answer = 0.0, 0.0, 0, now  # doubt: the test's sum
         self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0  # as it reports itself
-        self.full_until, self.budget = 0, 0.0
+        self.full_until, self.budget, self.stage, self.held_rate = 0, 0.0, 0, 0.0  # stage: see `step`
         # Guards against hundreds of nodes with a send each while it is cold: they start with a part of one.
         self.tokens, self.tokens_at = chance.uniform(), now
-        self.stage, self.held_rate = 0, 0.0  # stage 0: no stepwise profiling; 1, 2: its rates
 
     def close_window(self, now: int, limit: float) -> bool:
         span = now - self.window_from
@@ -103,8 +93,7 @@
 
 class Route:
     def __init__(self, settings: dict, number: int) -> None:
-        def get(name, default):
-            return settings.get(f"routes.{number}.{name}", default)
+        def get(name, default): return settings.get(f"routes.{number}.{name}", default)  # fmt: skip
 
         self.semantics, self.group = get("semantics", "non-retriable"), get("group", "pod")
         self.value, self.late_value, self.usual_grace = get("value", 1.0), get("overdue_value", 0.0), 0
@@ -165,12 +154,11 @@
         host.wake(SECOND, "tick")
 
     def may_try(self, xchg: Exchange, backend: Backend, now: int) -> bool:
-        tries, route = xchg.tries, xchg.route
+        get, tries, route = self.settings.get, xchg.tries, xchg.route
         if xchg.over or xchg.streaming or now >= xchg.deadline or not backend.usable:
             return False
-        if tries and len(tries) >= self.settings.get("policy_limits.max_upstream_tries", 1):
-            return False
-        if any(t.outcome is None for t in tries) and not self.settings.get("policy_limits.parallel_tries"):
+        most, parallel = get("policy_limits.max_upstream_tries", 1), get("policy_limits.parallel_tries")
+        if tries and (len(tries) >= most or not parallel and any(t.outcome is None for t in tries)):
             return False
         ran, group = [t for t in tries if t.outcome not in NEVER_RAN], route.group
         if not ran or route.semantics == "retriable":
@@ -180,8 +168,8 @@
         return group == "all" or getattr(backend, group, None) == getattr(ran[0].backend, group, self)
 
     def may_shed(self, xchg: Exchange) -> bool:
-        kind, group = xchg.route.semantics, xchg.route.group
-        harmless = kind == "retriable" or (kind == "deduped" and group == "all")
+        route = xchg.route
+        harmless = route.semantics == "retriable" or route.semantics == "deduped" and route.group == "all"
         return harmless or all(t.outcome in NEVER_RAN for t in xchg.tries)
 
     def cold_allows(self, backend: Backend, now: int) -> bool:
@@ -194,11 +182,10 @@
         get, push = self.settings.get, 0.5 * self.settings.get("rules.fall_multiple", 1.0) / SECOND
         warm, start = max(get("rules.warm_within", 0), 1), get("rules.cold_from", 0.1)
         # Guards against hundreds of nodes with too few exchanges each to learn of, or rank, a whole fleet.
-        size = max(LEAST, self.demand * WINDOW_MOST / SECOND / SAMPLES) / max(self.fleet, 1)
-        before, self.usable = self.usable, []
+        rate, before, self.usable = max(self.demand, self.arrivals), self.usable, []
+        size = max(LEAST, rate * WINDOW_MOST / SECOND / SAMPLES) / max(self.fleet, 1)
 
-        def worth(backend):
-            return 1 - (1 - start) * max(backend.warm_at - now, 0) / warm
+        def worth(b: Backend) -> float: return 1 - (1 - start) * max(b.warm_at - now, 0) / warm  # fmt: skip
 
         for group in self.groups:
             room = size * len(group)
@@ -223,6 +210,10 @@
         route, self.welcome = self.routes[route_no], min(self.welcome + 0.002, 1.0)
         aim_at = now + route.objective
         self.arrivals += not again
+        # Guards against a busy node that starts and crowds the few that a quiet one would do with.
+        if not self.demand and len(self.usable) < self.fleet:
+            self.choose(now)
+            self.solve(now)
         route.usual_grace = max(route.usual_grace, 0 if again else grace)
         if again and grace < route.usual_grace:
             aim_at -= route.timeout - grace  # the client's earlier tries have used up part of its objective
@@ -464,8 +455,7 @@
 
     def ahead(self, backend: Backend, now: int) -> float:
         # Guards against taking one last heard of as crowded for empty: it drains no faster than it works.
-        heard = backend.held - (now - backend.held_at) / self.slot if self.asks else 0.0
-        return max(float(len(backend.out)), heard)
+        return max(len(backend.out), backend.held - (now - backend.held_at) / self.slot if self.asks else 0.0)
 
     def expected(self, backend: Backend, now: int) -> float:
         slot = (backend.slot_time + PRIOR * self.slot * backend.pace) / (backend.slots + PRIOR)
@@ -503,7 +493,7 @@
         return best
 
     def step(self, now: int, backend: Backend) -> None:
-        """Stepwise profiling: a first low rate, a second near 0.8 of the objective, then the solve."""
+        """Stepwise profiling: a first low rate (stage 1), one near 0.8 of the objective (2), the solve."""
         if not backend.points and now >= backend.warm_at:
             backend.stage = 0  # too few exchanges here to profile it by: it counts as its kind's mean
         if not backend.stage or not backend.points:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,8 +1,9 @@
 import pytest
 from helpers import NOW, SECOND, listed, node
 
+from basalthoist.decisions.chance import Lcg
 from basalthoist.decisions.host import Load, Outcome
-from basalthoist.decisions.policy import EJECT, LEAST, Backend, Exchange, Lcg, UpstreamTry
+from basalthoist.decisions.policy import EJECT, LEAST, Backend, Exchange, UpstreamTry
 
 
 def profiled(name, *points):
@@ -156,6 +157,15 @@
     assert len({b.name for b in node(fleet[:5])[0].usable}) == 5  # a small fleet is used whole
 
 
+@pytest.mark.parametrize(("exchanges", "whole"), [(2, False), (60, True)])
+def test_a_busy_node_that_starts_uses_the_whole_fleet_before_its_first_second_is_over(exchanges, whole):
+    made, _ = node([listed(f"s-{i}", location=i % 3) for i in range(30)])
+    for ident in range(exchanges):
+        made.on_exchange(NOW + ident, ident, 0, 0, 8000, False)
+    assert (len(made.usable) == 30) is whole
+    assert all(b.share > 0.0 for b in made.usable)
+
+
 def test_a_backend_without_samples_is_foretold_and_profiled_by_its_kind():
     made, _ = node([listed("a", kind=0), listed("b", kind=1), listed("c", kind=1)])
     for name, time in (("a", 500.0), ("b", 1500.0)):
