--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -99,7 +99,6 @@
         self.value, self.late_value, self.usual_grace = get("value", 1.0), get("overdue_value", 0.0), 0
         self.window, self.timeout = get("dedup_window", 0), get("overall_timeout", 10 * SECOND)
         self.objective = get("latency_objective", 0) or int(0.8 * self.timeout)
-        self.asked, self.served, self.standing = 0.0, 0.0, 1.0  # exchanges; served in time; see `weigh`
 
 
 class Customer:  # its share at this node, as a bucket that fills at the share's rate
@@ -119,7 +118,7 @@
     def __init__(self, ident: int, route: Route, now: int, deadline: int, aim_at: int, surplus: bool) -> None:
         self.id, self.route, self.deadline, self.aim_at = ident, route, deadline, aim_at
         self.surplus, self.held, self.over, self.streaming = surplus, False, False, False
-        self.asked, self.settled, self.order = 0, False, (surplus, -route.standing, now, ident)
+        self.asked, self.settled, self.order = 0, False, (surplus, -route.value, now, ident)
         self.tries: list[UpstreamTry] = []
 
 
@@ -136,7 +135,7 @@
         self.routes = [Route(settings, i) for i in range(get("routes.count", 1))]
         quotas = [get(f"customers.{i}.quota_per_s", 0.0) for i in range(get("customers.count", 0))]
         self.customers = [Customer(quota / self.nodes) for quota in quotas]
-        self.weigh()
+        self.top_value = max(r.value for r in self.routes)
         self.objective, self.crossing = min(r.objective for r in self.routes), get("prices.cross_zone", 0.0)
         self.advice = get("policy_limits.max_retry_after", 0) // 2 if get("policy_limits.retry_after") else 0
         # Asking backends before a send pays where they report their load and a probe costs little.
@@ -154,16 +153,6 @@
             host.subscribe()
         host.wake(SECOND, "tick")
 
-    def weigh(self) -> None:
-        """What one exchange of a route counts for: its value, and more while its route is served worst."""
-        get, offered = self.settings.get, sum(r.value * r.asked for r in self.routes) or 1.0
-        # Guards against a route of low value bearing all the loss, where the worst-served one counts by itself.
-        worst = min(self.routes, key=lambda r: (r.served + 1.0) / (r.asked + 1.0))
-        for r in self.routes:
-            r.standing, r.asked, r.served = r.value * get("goal.whole", 1.0) / offered, 0.99 * r.asked, 0.99 * r.served
-        worst.standing += get("goal.worst_class", 0.0) / (worst.asked + 1.0)
-        self.top = max(r.standing for r in self.routes)
-
     def may_try(self, xchg: Exchange, backend: Backend, now: int) -> bool:
         get, tries, route = self.settings.get, xchg.tries, xchg.route
         if xchg.over or xchg.streaming or now >= xchg.deadline or not backend.usable:
@@ -220,7 +209,7 @@
     def on_exchange(self, now: int, ident: int, route_no: int, customer_no: int, grace: int, again: bool):
         route, self.welcome = self.routes[route_no], min(self.welcome + 0.002, 1.0)
         aim_at = now + route.objective
-        self.arrivals, route.asked = self.arrivals + (not again), route.asked + (not again)
+        self.arrivals += not again
         # Guards against a busy node that starts and crowds the few that a quiet one would do with.
         if not self.demand and len(self.usable) < self.fleet:
             self.choose(now)
@@ -325,7 +314,6 @@
         if warm := sum(now >= b.warm_at for b in self.usable):
             self.usual += (self.sends / warm - self.usual) * (0.2 if self.usual else 1.0)
         self.arrivals = self.sends = 0
-        self.weigh()
         # Guards against hundreds of nodes that each forget a slow backend in seconds and try it in turn.
         fade = min(0.97 ** (self.demand / max(len(self.usable), 1)), 0.85 if self.asks else 0.95)
         for backend in self.usable:
@@ -478,7 +466,7 @@
 
     def pick(self, now: int, xchg: Exchange) -> Backend | None:
         fit, left = self.turns(now, xchg), xchg.aim_at - now
-        share = 0.35 if xchg.surplus else 0.5 + 0.25 * xchg.route.standing / self.top
+        share = 0.35 if xchg.surplus else 0.5 + 0.25 * xchg.route.value / self.top_value
         bound = share * left if left > 0 else 0.3 * xchg.route.objective
         most = max(2.0, 2.0 * sum(len(b.out) for b in fit) / len(fit)) if fit else 0.0
         asking = self.asks and not xchg.settled
@@ -530,7 +518,6 @@
         backend = upstream.backend
         if outcome == Outcome.COMPLETED:
             backend.last_answer = now
-            upstream.xchg.route.served += now <= upstream.xchg.aim_at
             self.welcome *= 1.0 if upstream.xchg.surplus or now <= upstream.xchg.aim_at else 0.8
             backend.slot_time = backend.slot_time * 0.9 + elapsed
             backend.slots = backend.slots * 0.9 + upstream.ahead + 1.0
