--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -42,6 +42,7 @@
         self.slot_time, self.slots, self.pace = 0.0, 0.0, 1.0  # times, exchanges held; its kind's pace
         self.fails, self.doubt, self.out_until, self.last_answer = 0.0, 0.0, 0, now  # doubt: the test's sum
         self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0  # as it reports itself
+        self.refusals = 0  # tries turned away since the last answer
         self.full_until, self.budget, self.stage, self.held_rate = 0, 0.0, 0, 0.0  # stage: see `step`
         # Guards against hundreds of nodes with a send each while it is cold: they start with a part of one.
         self.tokens, self.tokens_at = chance.uniform(), now
@@ -232,12 +233,13 @@
         upstream = xchg.tries[try_no]
         backend, upstream.outcome = upstream.backend, outcome
         backend.out = [t for t in backend.out if t is not upstream]
-        self.measure(now, upstream, outcome, took)
         if load is not None and load.inflight is not None:
             backend.held, backend.held_at = load.inflight, now
+        self.measure(now, upstream, outcome, took)
         if over or xchg.over:
             self.finish(xchg)
         elif not any(t.outcome is None for t in xchg.tries):
+            xchg.asked, xchg.settled = 0, False  # what was heard before that try is old
             (self.give_up if now >= xchg.aim_at else self.place)(now, xchg)
         self.drain(now)
 
@@ -517,7 +519,7 @@
     def measure(self, now: int, upstream: UpstreamTry, outcome: Outcome, elapsed: int) -> None:
         backend = upstream.backend
         if outcome == Outcome.COMPLETED:
-            backend.last_answer = now
+            backend.last_answer, backend.refusals = now, 0
             self.welcome *= 1.0 if upstream.xchg.surplus or now <= upstream.xchg.aim_at else 0.8
             backend.slot_time = backend.slot_time * 0.9 + elapsed
             backend.slots = backend.slots * 0.9 + upstream.ahead + 1.0
@@ -526,10 +528,14 @@
             # Guards against a backend that fails fast and would draw traffic by its short times.
             self.verdict(now, upstream, True, upstream.xchg.route.timeout)
         elif outcome == Outcome.REJECTED:
+            backend.refusals += 1
+            # Guards against passing by idle backends that turn some away: one or two in a row are no queue.
+            full = backend.refusals > 2 or backend.held_at < now or backend.held > CROWD
             # Guards against full backends that keep the good profile of the few that they did take.
-            backend.full_until = now + int(self.slot)
-            backend.count, backend.total = backend.count + 1, backend.total + upstream.xchg.route.timeout
-            backend.slot_time = backend.slot_time * 0.9 + self.objective
+            backend.full_until = now + full * int(self.slot)
+            time = upstream.xchg.route.timeout if full else elapsed
+            backend.count, backend.total = backend.count + 1, backend.total + time
+            backend.slot_time = backend.slot_time * 0.9 + (self.objective if full else elapsed)
             backend.slots = backend.slots * 0.9 + 1.0
 
     def look_again(self, now: int, backend: Backend) -> None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -124,6 +124,24 @@
                 prices__probe=0.005, **kw)  # fmt: skip
 
 
+@pytest.mark.parametrize(
+    ("inflight", "in_a_row", "full"), [(0.0, 1, False), (0.0, 3, True), (9.0, 1, True), (None, 1, True)]
+)
+def test_a_backend_with_room_that_turns_a_try_away_is_not_taken_for_full(inflight, in_a_row, full):
+    made, host = asking("ab")
+    load = inflight if inflight is None else Load(inflight, 0.0, 0.5)
+    made.on_exchange(NOW, 1, 0, 0, 8000, False)
+    for name in "ab":
+        made.on_probe_ended(NOW + 5, name, Outcome.COMPLETED, 5, Load(0.0, 0.0, 0.0))
+    (_, _, name, _) = host.take("send")[0]
+    backend = made.backends[name]
+    backend.refusals = in_a_row - 1
+    made.on_try_ended(NOW + 100, 1, 0, Outcome.REJECTED, 95, False, load)
+    assert (backend.full_until > NOW + 100) is full
+    assert (backend.slot_time == made.objective) is full
+    assert host.take("probe")  # for this exchange it is asked anew
+
+
 def test_held_exchanges_ask_others_than_the_crowded_few():
     made, host = asking("abcd")
     made.on_exchange(NOW, 1, 0, 0, 8000, False)
