--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -42,10 +42,10 @@
         self.slot_time, self.slots, self.pace = 0.0, 0.0, 1.0  # times, exchanges held; its kind's pace
         self.fails, self.doubt, self.out_until, self.last_answer = 0.0, 0.0, 0, now  # doubt: the test's sum
         self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0  # as it reports itself
-        self.refusals = 0  # tries turned away since the last answer
-        self.full_until, self.budget, self.stage, self.held_rate = 0, 0.0, 0, 0.0  # stage: see `step`
+        self.full_until, self.refusals, self.budget = 0, 0, 0.0  # refusals: in a row
         # Guards against hundreds of nodes with a send each while it is cold: they start with a part of one.
         self.tokens, self.tokens_at = chance.uniform(), now
+        self.stage, self.held_rate = 0, 0.0  # stage 0: no stepwise profiling; 1, 2: its rates
 
     def close_window(self, now: int, limit: float) -> bool:
         span = now - self.window_from
@@ -533,14 +533,13 @@
             full = backend.refusals > 2 or backend.held_at < now or backend.held > CROWD
             # Guards against full backends that keep the good profile of the few that they did take.
             backend.full_until = now + full * int(self.slot)
-            time = upstream.xchg.route.timeout if full else elapsed
-            backend.count, backend.total = backend.count + 1, backend.total + time
+            backend.total += upstream.xchg.route.timeout if full else elapsed
             backend.slot_time = backend.slot_time * 0.9 + (self.objective if full else elapsed)
-            backend.slots = backend.slots * 0.9 + 1.0
+            backend.slots, backend.count = backend.slots * 0.9 + 1.0, backend.count + 1
 
     def look_again(self, now: int, backend: Backend) -> None:
         # Guards against spending exchanges on backends dead or cut off: where it may, a probe goes first.
-        if self.settings.get("policy_limits.probes") and not backend.probe_at:
+        if self.settings.get("policy_limits.probes") and not backend.probe_at and backend.doubt > TRIAL:
             backend.out_until = now + AWAY_MOST
             self.probe(now, backend)
 
@@ -549,6 +548,8 @@
         backend.count, backend.total = backend.count + 1, backend.total + time
         backend.fails += (failed - backend.fails) * 0.2
         backend.judge(failed, self.failing)
+        if not failed and now < backend.out_until:  # it only stood still: back, with one try at a time
+            backend.out_until, backend.doubt = now, EJECT - 1.0
         gone = sum(now < b.out_until for b in self.usable) if backend.doubt >= EJECT else inf
         if now >= backend.out_until and gone < len(self.usable) // 2:
             away = int(backend.away * (0.75 + 0.5 * self.chance.uniform()))
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -3,7 +3,7 @@
 
 from basalthoist.decisions.chance import Lcg
 from basalthoist.decisions.host import Load, Outcome
-from basalthoist.decisions.policy import EJECT, LEAST, Backend, Exchange, UpstreamTry
+from basalthoist.decisions.policy import EJECT, LEAST, TRIAL, Backend, Exchange, UpstreamTry
 
 
 def profiled(name, *points):
@@ -119,6 +119,25 @@
     assert backend.out_until == back
 
 
+def test_an_answer_brings_a_backend_that_only_stood_still_back_at_once():
+    made, host = node([listed("a"), listed("b")], policy_limits__probes=True)
+    backend = made.backends["a"]
+    xchg = Exchange(1, made.routes[0], NOW, NOW + 8000, NOW + 3000, False)
+    tries = [UpstreamTry(xchg, backend, NOW + 1, 0.0) for _ in range(3)]
+    for upstream in tries:
+        made.check_overdue(NOW + 1000, upstream)
+    away = backend.out_until
+    assert away > NOW + 1000
+    made.measure(NOW + 1100, tries[0], Outcome.COMPLETED, 1099)
+    assert backend.out_until <= NOW + 1100
+    assert backend.doubt > TRIAL  # one try at a time until it has answered some
+    for upstream in tries * 3:
+        made.measure(NOW + 1200, upstream, Outcome.COMPLETED, 1199)
+    host.take()
+    made.look_again(away, backend)
+    assert (host.take("probe"), backend.out_until <= NOW + 1200) == ([], True)
+
+
 def asking(names, **kw):
     return node([listed(n) for n in names], policy_limits__probes=True, feedback__fields=["inflight"],
                 prices__probe=0.005, **kw)  # fmt: skip
