--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -548,7 +548,7 @@
         backend.count, backend.total = backend.count + 1, backend.total + time
         backend.fails += (failed - backend.fails) * 0.2
         backend.judge(failed, self.failing)
-        if not failed and now < backend.out_until:  # it only stood still: back, with one try at a time
+        if self.asks and not failed and now < backend.out_until:  # it only stood still: back, a try at a time
             backend.out_until, backend.doubt = now, EJECT - 1.0
         gone = sum(now < b.out_until for b in self.usable) if backend.doubt >= EJECT else inf
         if now >= backend.out_until and gone < len(self.usable) // 2:
