--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -539,7 +539,7 @@
 
     def look_again(self, now: int, backend: Backend) -> None:
         # Guards against spending exchanges on backends dead or cut off: where it may, a probe goes first.
-        if self.settings.get("policy_limits.probes") and not backend.probe_at and backend.doubt > TRIAL:
+        if self.settings.get("policy_limits.probes") and not backend.probe_at:
             backend.out_until = now + AWAY_MOST
             self.probe(now, backend)
 
