--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -42,7 +42,7 @@
         self.slot_time, self.slots, self.pace = 0.0, 0.0, 1.0  # times, exchanges held; its kind's pace
         self.fails, self.doubt, self.out_until, self.last_answer = 0.0, 0.0, 0, now  # doubt: the test's sum
         self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0  # as it reports itself
-        self.full_until, self.refusals, self.budget = 0, 0, 0.0  # refusals: in a row
+        self.full_until, self.refusals, self.turned, self.budget = 0, 0, 0.0, 0.0  # in a row; share, not full
         # Guards against hundreds of nodes with a send each while it is cold: they start with a part of one.
         self.tokens, self.tokens_at = chance.uniform(), now
         self.stage, self.held_rate = 0, 0.0  # stage 0: no stepwise profiling; 1, 2: its rates
@@ -447,9 +447,9 @@
         fit = [b for b in self.usable if now >= b.out_until and not (b.doubt > TRIAL and b.out)]
         fit = [b for b in fit if now >= b.full_until and (now >= b.warm_at or self.cold_allows(b, now))]
         if xchg.tries:
-            tried = [t.backend for t in xchg.tries]
             fit = [b for b in fit if self.may_try(xchg, b, now)]
-            fit = [b for b in fit if b not in tried] or fit
+            fit = [b for b in fit if b not in [t.backend for t in xchg.tries]] or fit
+            fit = [b for b in fit if b.turned < 0.05] or fit  # or its time goes by in being turned away
         if xchg.surplus and self.crossing > self.settings.get("surplus_value", 0.0):
             fit = [b for b in fit if b.location == self.location]
         fit.sort(key=lambda b: -(b.credit + b.share))
@@ -519,7 +519,7 @@
     def measure(self, now: int, upstream: UpstreamTry, outcome: Outcome, elapsed: int) -> None:
         backend = upstream.backend
         if outcome == Outcome.COMPLETED:
-            backend.last_answer, backend.refusals = now, 0
+            backend.last_answer, backend.refusals, backend.turned = now, 0, 0.9 * backend.turned
             self.welcome *= 1.0 if upstream.xchg.surplus or now <= upstream.xchg.aim_at else 0.8
             backend.slot_time = backend.slot_time * 0.9 + elapsed
             backend.slots = backend.slots * 0.9 + upstream.ahead + 1.0
@@ -532,7 +532,7 @@
             # Guards against passing by idle backends that turn some away: one or two in a row are no queue.
             full = backend.refusals > 2 or backend.held_at < now or backend.held > CROWD
             # Guards against full backends that keep the good profile of the few that they did take.
-            backend.full_until = now + full * int(self.slot)
+            backend.full_until, backend.turned = now + full * int(self.slot), backend.turned + 0.1 * (not full)
             backend.total += upstream.xchg.route.timeout if full else elapsed
             backend.slot_time = backend.slot_time * 0.9 + (self.objective if full else elapsed)
             backend.slots, backend.count = backend.slots * 0.9 + 1.0, backend.count + 1
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -160,6 +160,18 @@
     assert host.take("probe")  # for this exchange it is asked anew
 
 
+def test_a_second_try_goes_to_backends_that_turn_few_away():
+    made, _ = node([listed(n) for n in "abc"])
+    made.backends["a"].turned = made.backends["b"].turned = 0.2
+    xchg = Exchange(1, made.routes[0], NOW, NOW + 8000, NOW + 3000, False)
+    assert len(made.turns(NOW, xchg)) == 3
+    xchg.tries.append(UpstreamTry(xchg, made.backends["a"], NOW, 0.0))
+    xchg.tries[0].outcome = Outcome.REJECTED
+    assert [b.name for b in made.turns(NOW, xchg)] == ["c"]
+    made.backends["c"].turned = 0.2
+    assert {b.name for b in made.turns(NOW, xchg)} == {"b", "c"}
+
+
 def test_held_exchanges_ask_others_than_the_crowded_few():
     made, host = asking("abcd")
     made.on_exchange(NOW, 1, 0, 0, 8000, False)
