--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -532,7 +532,7 @@
             # Guards against passing by idle backends that turn some away: one or two in a row are no queue.
             full = backend.refusals > 2 or backend.held_at < now or backend.held > CROWD
             # Guards against full backends that keep the good profile of the few that they did take.
-            backend.full_until, backend.turned = now + full * int(self.slot), backend.turned + 0.1 * (not full)
+            backend.turned, backend.full_until = backend.turned + 0.1 - 0.1 * full, now + int(full * self.slot)
             backend.total += upstream.xchg.route.timeout if full else elapsed
             backend.slot_time = backend.slot_time * 0.9 + (self.objective if full else elapsed)
             backend.slots, backend.count = backend.slots * 0.9 + 1.0, backend.count + 1
