A resting connection is waited for; what may not be tried again is answered at once

Rest is 1 ms now, one that rests is waited for, a probe leaves it to an exchange. Seen in a trace: an unsafe exchange whose try was reset was held for 0.3 of its objective and then failed (on_try_ended placed it though no backend was left that it might try): failed at once now. Also: a request with two ids is refused. The test of a kept connection that the backend closed now waits for a shutdown that has happened; it saw the descriptor gone before (a trace showed the answer re-used 1 to 6 ms before the end came).

--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -39,7 +39,7 @@
     client_errors: Count = 8  # requests in error after which a connection is ended
     client_transit_s: Annotated[float, msgspec.Meta(ge=0)] = 0.001  # from a client's send to its arrival here
     upstream_idle_part: Annotated[float, msgspec.Meta(gt=0, lt=1)] = 0.5  # of the backend's own keep-alive
-    upstream_rest_s: Annotated[float, msgspec.Meta(ge=0)] = 0.003  # quiet between two exchanges
+    upstream_rest_s: Annotated[float, msgspec.Meta(ge=0)] = 0.001  # quiet between two exchanges
     connect_s: Positive = 1.0  # where the settings give no time for it
     probe_s: Positive = 0.1
     first_list_s: Positive = 0.3  # how long `/ready` waits for discovery before the saved list has to do
--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -239,8 +239,8 @@
         if over or xchg.over:
             self.finish(xchg)
         elif not any(t.outcome is None for t in xchg.tries):
-            xchg.asked, xchg.settled = 0, False  # what was heard before that try is old
-            (self.give_up if now >= xchg.aim_at else self.place)(now, xchg)
+            xchg.asked, xchg.settled, hope = 0, False, any(self.may_try(xchg, b, now) for b in self.usable)
+            (self.place if hope and now < xchg.aim_at else self.give_up)(now, xchg)  # and asks anew
         self.drain(now)
 
     def on_probe_ended(self, now: int, name: str, outcome: Outcome, elapsed: int, load: Load | None) -> None:
@@ -532,7 +532,7 @@
             # Guards against passing by idle backends that turn some away: one or two in a row are no queue.
             full = backend.refusals > 2 or backend.held_at < now or backend.held > CROWD
             # Guards against full backends that keep the good profile of the few that they did take.
-            backend.turned, backend.full_until = backend.turned + 0.1 - 0.1 * full, now + int(full * self.slot)
+            backend.turned, backend.full_until = backend.turned + 0.1 - full / 10, now + int(full * self.slot)
             backend.total += upstream.xchg.route.timeout if full else elapsed
             backend.slot_time = backend.slot_time * 0.9 + (self.objective if full else elapsed)
             backend.slots, backend.count = backend.slots * 0.9 + 1.0, backend.count + 1
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -297,8 +297,9 @@
             raise BadMessage(400, "Request-Class is not the path's")
         if first not in self.routes:
             raise BadMessage(404, "unknown route")
-        if not message.get(b"request-id"):
-            raise BadMessage(400, "no Request-Id")
+        # Guards against a request of two ids, one of which is another's that is open.
+        if len([v for k, v in message.headers if k == b"request-id" and v]) != 1:
+            raise BadMessage(400, "not one Request-Id")
         number, route = self.routes[first]
         customer = message.get(b"tenant")
         if self.customers and customer not in self.customers:
--- a/basalthoist/net/upstream.py
+++ b/basalthoist/net/upstream.py
@@ -210,12 +210,23 @@
         self.closed, self.heard_at = False, now()
 
     def submit(self, call: Call) -> None:
-        if (connection := self.sound(0 if call.tells else self.upstream.rest)) is not None:
+        connection = self.sound(self.upstream.rest)
+        if connection is None and call.tells and not self.waiting:
+            connection = self.sound(0)
+        if connection is not None:
             return connection.carry(call)
+        self.waiting.append(call)
+        # Guards against a new connection, which costs the backend work, for want of a moment's rest.
+        if len(self.idle) + len(self.opening) >= len(self.waiting):
+            self.serve_soon()
+        else:
+            self.open_one()
+
+    def open_one(self) -> None:
+        """For the one that waits without a prospect."""
         if not self.upstream.descriptors.take(self.upstream.close_idlest):
             self.upstream.log(f"no descriptor left for a connection to {self.name}")
-            return call.finish_soon(Outcome.NOT_SENT)
-        self.waiting.append(call)
+            return self.waiting.pop().finish_soon(Outcome.NOT_SENT)
         # A task for a connection, which many calls use in turn: the loop offers no callback for opening one.
         task = self.upstream.loop.create_task(self.open())
         self.opening.add(task)
@@ -262,7 +273,8 @@
         scarce = isinstance(wrong, OSError) and wrong.errno in NO_MORE_DESCRIPTORS
         if scarce:
             self.upstream.log(f"no connection to {self.name}: {wrong}")
-        while len(self.waiting) > len(self.opening):
+        self.serve_soon()
+        while len(self.waiting) > len(self.opening) + len(self.idle):
             self.waiting.popleft().finish(Outcome.NOT_SENT if scarce else Outcome.CONNECT_FAILED)
 
     def freed(self, connection: Connection) -> None:
@@ -271,13 +283,19 @@
         if self.closed and not self.waiting:
             return connection.cut()
         self.idle.append(connection)
-        if self.waiting:
+        self.serve_soon()
+
+    def serve_soon(self) -> None:
+        if self.waiting and self.idle:
             self.upstream.timers.after(self.upstream.rest, self.serve)
 
     def serve(self) -> None:
-        """Who still waits for a new connection takes one that has fallen free meanwhile."""
+        """Who waits takes a connection that has rested by now; where it has gone, a new one is opened."""
         while self.waiting and (connection := self.sound(self.upstream.rest)) is not None:
             connection.carry(self.waiting.popleft())
+        for _ in range(len(self.waiting) - len(self.opening) - len(self.idle)):
+            self.open_one()
+        self.serve_soon()
         if self.closed and not self.waiting:
             self.drop_idle(now())
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -92,6 +92,7 @@
         (request("none"), "404"),
         (request().replace(b"/read", b"/pay"), "400"),
         (request().replace(b"Request-Id: 1\r\n", b""), "400"),
+        (request(extra="Request-Id: 2\r\n"), "400"),
         (request().replace(b"acme", b"nobody"), "400"),
         (request().replace(b"Tenant: acme\r\n", b""), "400"),
         (request().replace(b"800", b"soon"), "400"),
@@ -329,14 +330,28 @@
 
 
 def test_a_kept_connection_that_the_backend_closed_is_not_written_to(start):
+    shut = []
+
     def last_one(stand_in, sock, asked):
         reply()(stand_in, sock, asked)
-        raise EOFError
+        sock.shutdown(socket.SHUT_RDWR)
+        shut.append(asked)
 
     program, (backend,), _ = start(last_one)
     for number in range(20):
         assert program.ask(request("pay", ident=str(number))).status == "200"
-        wait_for(lambda: all(sock.fileno() < 0 for sock in backend.open))
+        wait_for(lambda done=number: len(shut) > done)
+
+
+def test_an_exchange_that_may_not_be_tried_again_is_answered_at_once(start):
+    program, (backend,), _ = start(cut)
+    program.ask(request("pay", ident="first"))
+    began = time.monotonic()
+    for number in range(10):  # each would be held for 0.09 s, a part of its objective, for nothing
+        assert program.ask(request("pay", ident=str(number))).status in ("502", "503")
+        if backend.seen[-1].headers["request-id"] != str(number):
+            break  # it is out by now
+    assert time.monotonic() - began < 0.09
 
 
 def test_sigterm_answers_what_is_held_and_what_still_comes(start):
@@ -536,6 +551,14 @@
         assert [read_message(source).body for _ in range(20)] == [b"%d" % n for n in range(20)]
 
 
+def test_a_connection_that_rests_is_waited_for_instead_of_a_new_one(start):
+    program, (backend,), _ = start(reply())
+    with program.connect() as sock, sock.makefile("rb") as source:
+        sock.sendall(b"".join(request(ident=str(number)) for number in range(20)))
+        assert [read_message(source).status for _ in range(20)] == ["200"] * 20
+    assert len(backend.open) == 1
+
+
 def test_a_faulty_configuration_ends_the_start(tmp_path):
     made = document("127.0.0.1:1")
     made["settings"]["routes"][1]["overall_timeout"] = "long"
