--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -32,6 +32,7 @@
     log_lines_per_s: Count = 20
     backlog: Count = 512
     client_idle_s: Positive = 120.0  # a client's connection between exchanges
+    client_kept_part: Annotated[float, msgspec.Meta(gt=0, lt=1)] = 0.2  # of the descriptors, by idle clients
     client_fresh_s: Positive = 0.1  # a connection as new as this is about to bring its first request
     client_first_s: Positive = 2.4  # from connecting to the end of the first request
     client_read_s: Positive = 2.2  # from the first byte of a request to its last; an answer not read
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -47,6 +47,7 @@
     def connection_lost(self, wrong: Exception | None) -> None:
         self.ended = True
         self.door.clients.pop(self, None)
+        self.door.kept.pop(self, None)
         self.door.descriptors.give_back()
         if self.exchange is not None:
             xchg, self.exchange = self.exchange, None
@@ -62,6 +63,7 @@
             return
         if self.reader.idle() and self.exchange is None:
             self.touch()
+            self.door.kept.pop(self, None)
         try:
             self.reader.feed(data, now() - self.lain())
         except Exception as wrong:
@@ -175,6 +177,8 @@
         elif not self.reader.idle():
             # Not at once: an answer may come from within a decision, which a next exchange must not enter.
             self.door.loop.call_soon(self.advance)
+        else:
+            self.door.keep(self)
 
     # An answer that is passed on as it comes.
 
@@ -273,6 +277,8 @@
         self.routes = {r.name.encode(): (i, r) for i, r in enumerate(configuration.routes)}
         self.customers = {name.encode(): i for i, name in enumerate(configuration.customers)}
         self.clients: dict[Client, None] = {}
+        self.kept: dict[Client, None] = {}  # asked and idle, in the order in which they fell idle
+        self.most_kept = int(self.limits.sockets * self.limits.client_kept_part)
         self.listener: Listener | None = None
         self.for_upstream = int(descriptors.most * self.limits.upstream_part)
         self.fresh = int(self.limits.client_fresh_s * SECOND)
@@ -316,6 +322,16 @@
             raise BadMessage(400, "bad Request-Timeout-Ms")
         return int(text)
 
+    def keep(self, client: Client) -> None:
+        """It is answered and stays; beyond a part of the descriptors the one idle for longest goes for it."""
+        # Guards against clients that ask once and keep their connection: those that come find none left.
+        self.kept[client] = None
+        while len(self.kept) > self.most_kept:
+            oldest = next(iter(self.kept))
+            del self.kept[oldest]
+            if oldest.idle():
+                oldest.close()
+
     def sweep(self) -> None:
         at = now()
         for client in list(self.clients):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -508,6 +508,20 @@
         assert time.monotonic() - began < 3
 
 
+def test_clients_that_ask_once_and_stay_do_not_use_up_the_connections(start):
+    program, _, _ = start(reply(), limits={"sockets": 96})  # a fifth of them may stay
+    crowd = []
+    for number in range(30):
+        crowd.append(program.connect())
+        crowd[-1].sendall(request(ident=str(number)))
+        assert read_message(crowd[-1].makefile("rb")).status == "200"
+        crowd[-1].setblocking(False)
+    wait_for(lambda: sum(ended(sock) for sock in crowd) >= 11)
+    assert not any(ended(sock) for sock in crowd[-19:])
+    for sock in crowd:
+        sock.close()
+
+
 def test_a_body_of_many_megabytes_is_turned_away_and_not_read(start):
     program, backends, _ = start(reply())
     with program.connect() as sock:
