--- a/basalthoist/net/upstream.py
+++ b/basalthoist/net/upstream.py
@@ -211,16 +211,12 @@
 
     def submit(self, call: Call) -> None:
         connection = self.sound(self.upstream.rest)
-        if connection is None and call.tells and not self.waiting:
+        if connection is None and call.tells:
             connection = self.sound(0)
         if connection is not None:
             return connection.carry(call)
         self.waiting.append(call)
-        # Guards against a new connection, which costs the backend work, for want of a moment's rest.
-        if len(self.idle) + len(self.opening) >= len(self.waiting):
-            self.serve_soon()
-        else:
-            self.open_one()
+        self.open_one()
 
     def open_one(self) -> None:
         """For the one that waits without a prospect."""
