--- /dev/null
+++ b/basalthoist/net/peers.py
@@ -0,0 +1,66 @@
+"""Datagrams between the nodes of a tier: what `Node` has to tell, and what it is told."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+
+from basalthoist.decisions.host import Word
+from basalthoist.hearsay import decode, encode
+
+from .log import Log
+from .timers import SECOND, Timers
+
+Told = Callable[[int, Word, int, int], None]
+
+
+class Peers(asyncio.DatagramProtocol):
+    """One socket at `peer_listen`. A datagram may come late, twice or never; none is answered."""
+
+    def __init__(self, peers: list[tuple[str, int]], everyone: tuple[str, int] | None, own: tuple[str, int],
+                 told: Told, timers: Timers, log: Log) -> None:  # fmt: skip
+        self.numbers = {address: number for number, address in enumerate(peers)}
+        self.others = [everyone] if everyone else [address for address in peers if address != own]
+        self.told, self.log = told, log
+        self.transport: asyncio.DatagramTransport | None = None
+        self.malformed, self.strangers, self.unsent = 0, 0, 0
+        timers.every(10 * SECOND, self.report)
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        self.transport = transport
+
+    def tell(self, word: Word, key: int, figure: int) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        data = encode(word, key, figure)
+        for address in self.others:
+            try:
+                self.transport.sendto(data, address)
+            except OSError:
+                self.unsent += 1  # hearsay may be lost
+
+    def datagram_received(self, data: bytes, sender: tuple) -> None:
+        number = self.numbers.get(sender[:2])
+        if number is None:
+            # Guards against words from outside the tier.
+            self.strangers += 1
+            return
+        try:
+            word, key, figure = decode(data)
+        except ValueError:
+            self.malformed += 1
+            return
+        self.told(number, word, key, figure)
+
+    def error_received(self, wrong: OSError) -> None:
+        self.unsent += 1
+
+    def report(self) -> None:
+        if self.malformed or self.strangers or self.unsent:
+            counts = f"{self.malformed} malformed, {self.strangers} from strangers, {self.unsent} unsent"
+            self.log(f"peers: {counts}")
+            self.malformed = self.strangers = self.unsent = 0
+
+    def close(self) -> None:
+        if self.transport is not None:
+            with suppress(OSError):
+                self.transport.close()
