Nodes tell one another sends, reports and ejections where asking backends costs too much

Later half of what comes is shed with 40 usable backends and 0.5 tries out: the time held includes others' queues, passes the bound and stays there. Sick backends are found by each node for itself (2,900 failed connects on herd+vast). Ruled out: CPU (5% of a core), descriptors, cold budgets (7 of 50 backends held back). Change: datagrams of 1 + 3 bytes a word; they move turns, held counts and pauses, never profiles. One peer's word puts nothing out; the budget is 3 hundredths of the result by prices.peer.

--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -70,6 +70,7 @@
     connect_timeout: Annotated[int, msgspec.Meta(ge=0)] = 0
     keepalive: Annotated[int, msgspec.Meta(ge=0)] = 0
     probes: bool = False
+    peers: bool = False
 
 
 class Told(msgspec.Struct):
@@ -89,6 +90,9 @@
     name: str = ""
     listen: str = ""
     discovery: str = ""
+    peer_listen: str = ""
+    peers: list[str] = []
+    peers_all: str = ""
     limits: Limits = msgspec.field(default_factory=Limits)
     known: MemberList = msgspec.field(default_factory=lambda: MemberList(0, [], True))
 
@@ -120,6 +124,9 @@
         sockets = min(document.limits.sockets, open_files)
         reserve = min(document.limits.reserve, sockets // 3)
         self.limits = msgspec.structs.replace(document.limits, sockets=sockets, reserve=reserve)
+        self.peer_listen = address("peer_listen", document.peer_listen) if document.peer_listen else None
+        self.peers = [address(f"peers.{number}", peer) for number, peer in enumerate(document.peers)]
+        self.peers_all = address("peers_all", document.peers_all) if document.peers_all else None
         self.known, self.settings = document.known, settings
         self.routes, self.told = told.routes, told
         self.longest_s = max(route.overall_timeout for route in told.routes) / 1e6 or 1.0
@@ -131,7 +138,7 @@
 
     def waits_for_restart(self, before: "Configuration") -> list[str]:
         """The keys that were changed in the file and that a running node can't take up."""
-        keys = ("name", "listen", "seed", "limits", "settings")
+        keys = ("name", "listen", "seed", "limits", "settings", "peer_listen", "peers", "peers_all")
         return [key for key in keys if getattr(self.document, key) != getattr(before.document, key)]
 
 
--- a/basalthoist/decisions/host.py
+++ b/basalthoist/decisions/host.py
@@ -38,6 +38,14 @@
     util: float | None
 
 
+class Word(IntEnum):
+    """What nodes tell one another, each about one backend."""
+
+    SENT = 0  # an exchange has just been sent to it
+    HOLDS = 1  # it has just reported that it holds so many exchanges
+    OUT = 2  # it failed here until nothing more is sent to it
+
+
 class Host(Protocol):
     """The few things that decisions can make happen. Exchange ids are those that `Node` was handed."""
 
@@ -46,6 +54,7 @@
     def fail(self, xchg: int) -> None: ...
     def cancel(self, xchg: int, try_no: int) -> None: ...
     def probe(self, backend: str) -> None: ...
+    def tell(self, words: list[tuple[Word, int, int]]) -> None: ...  # to all peers: word, key, figure
     def subscribe(self) -> None: ...
     def wake(self, after: int, tag: str) -> None: ...
     def log(self, line: str) -> None: ...
--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -7,9 +7,10 @@
 from heapq import heappop, heappush
 from itertools import groupby
 from math import inf, log
+from zlib import crc32
 
 from .chance import Lcg
-from .host import NEVER_RAN, Host, Listed, Load, Outcome
+from .host import NEVER_RAN, Host, Listed, Load, Outcome, Word
 
 SECOND = 10_000  # times are whole tenths of a millisecond
 WINDOW, WINDOW_MOST = 2 * SECOND, 8 * SECOND  # a profile window is lengthened until it holds SAMPLES
@@ -29,6 +30,7 @@
 class Backend:
     def __init__(self, listed: Listed, now: int, chance: Lcg) -> None:
         self.name, self.out, self.away = listed.name, [], AWAY
+        self.key, self.rumours = crc32(listed.name.encode()) & 0xFFFF, {}  # for peers; who says it is sick
         self.place, self.credit, self.share, self.cost = chance.uniform(), 0.0, 0.0, 0.0  # place: in `choose`
         self.forget(now, chance)
 
@@ -142,6 +144,12 @@
         # Asking backends before a send pays where they report their load and a probe costs little.
         useful = get("policy_limits.probes", False) and "inflight" in get("feedback.fields", ())
         self.asks = min(int(0.01 / max(get("prices.probe", 0.0), 1e-6)), 4) if useful else 0
+        # Where asking costs too much, nodes tell one another what they send and what backends report, for 3
+        # hundredths of the result and a twentieth of the processor at the most.
+        tells = useful and not self.asks and get("policy_limits.peers", False) and self.nodes > 1
+        price = max(get("prices.peer", 0.0) * (self.nodes - 1) * 16 / 256, 1e-6)  # of 16 bytes an exchange
+        self.telling = self.telling_most = min(0.03 / price, 1.0) if tells else 0.0
+        self.hears, self.keyed, self.news = bool(self.asks or tells), {}, {}  # news: reports not yet told
         self.probe_trip, self.heard_at, self.due_seq, self.woken_for = 10.0, -SECOND, 0, 0
         self.backends, self.exchanges, self.usable, self.held, self.due = {}, {}, [], [], []
         self.groups, self.fleet, self.users, self.total = [], 0, 1.0, 1.0  # groups: usable ones by location
@@ -234,7 +242,10 @@
         backend, upstream.outcome = upstream.backend, outcome
         backend.out = [t for t in backend.out if t is not upstream]
         if load is not None and load.inflight is not None:
-            backend.held, backend.held_at = load.inflight, now
+            held = load.inflight - (1.0 if self.telling and load.inflight else 0.0)  # it counts this one
+            if self.telling and abs(held - self.ahead(backend, now)) > 0.7:  # others reckon with as much
+                self.news[backend] = now
+            backend.held, backend.held_at = held, now
         self.measure(now, upstream, outcome, took)
         if over or xchg.over:
             self.finish(xchg)
@@ -264,6 +275,33 @@
         if ident in self.exchanges:
             self.exchanges[ident].streaming = True
 
+    def on_told(self, now: int, peer: int, words: list[tuple[Word, int, int]]) -> None:
+        """Hearsay: it moves turns and pauses, never a profile, and one peer alone puts nothing out."""
+        for word, key, figure in words if self.hears else ():
+            if (backend := self.keyed.get(key)) is None:
+                continue
+            if word == Word.OUT:
+                backend.rumours[peer] = now
+                others = sum(now - when < AWAY for when in backend.rumours.values())
+                # Guards against forty nodes that each spend exchanges to find the same backend dead or sick.
+                backend.doubt = max(backend.doubt, TRIAL + 0.1 if others < 2 else EJECT)
+                self.put_out(now, backend)
+            else:
+                held = figure if word == Word.HOLDS else self.ahead(backend, now) + 1.0
+                backend.held, backend.held_at = held, now
+
+    def tell(self, now: int, word: Word, backend: Backend) -> None:
+        """At once, and what backends have just reported with it."""
+        if self.telling and (word == Word.OUT or self.chance.uniform() < self.telling):
+            fresh = [b for b, at in self.news.items() if now - at < self.slot / 2 and b is not backend][-4:]
+            words = [(Word.HOLDS, b.key, round(self.ahead(b, now))) for b in fresh]
+            self.host.tell([(word, backend.key, 0), *words])
+            self.news.clear()
+
+    def retry(self, now: int, xchg: Exchange) -> None:
+        if xchg.held and not self.try_send(now, xchg):
+            self.at(now + int(self.slot / 4) + 10, self.retry, xchg)
+
     def on_list_failed(self, now: int) -> None:
         self.list_failures += 1
         self.ask_again = now + int(SECOND * min(2**self.list_failures, 8) * (0.5 + self.chance.uniform()))
@@ -284,6 +322,7 @@
         for name in list(self.backends if whole else named):
             if named.get(name, "gone") == "gone":
                 self.backends.pop(name).usable = False
+        self.keyed = {b.key: b for b in self.backends.values()}
         fit = sorted((b for b in self.backends.values() if b.usable), key=lambda b: (b.location, b.place))
         self.fleet, self.groups = len(fit), [list(g) for _, g in groupby(fit, lambda b: b.location)]
         self.choose(now)
@@ -316,8 +355,10 @@
         if warm := sum(now >= b.warm_at for b in self.usable):
             self.usual += (self.sends / warm - self.usual) * (0.2 if self.usual else 1.0)
         self.arrivals = self.sends = 0
+        cpu = self.settings.get("policy_limits.cpu_us_per_s", 1e6) / 20 / 25  # datagrams of 25 us each
+        self.telling = min(self.telling_most, cpu / max(self.nodes * self.demand, 1.0))
         # Guards against hundreds of nodes that each forget a slow backend in seconds and try it in turn.
-        fade = min(0.97 ** (self.demand / max(len(self.usable), 1)), 0.85 if self.asks else 0.95)
+        fade = min(0.97 ** (self.demand / max(len(self.usable), 1)), 0.85 if self.hears else 0.95)
         for backend in self.usable:
             if backend.close_window(now, 4.0 * (self.objective if backend.doubt else self.mean_time)):
                 self.step(now, backend)
@@ -340,7 +381,8 @@
             if self.asks and not xchg.asked:
                 self.ask(now, xchg)
                 self.at(now + int(3 * self.probe_trip) + 10, self.settle, xchg)
-        self.try_send(now, xchg)
+        if not self.try_send(now, xchg) and self.telling:
+            self.at(now + int(self.slot / 4) + 10, self.retry, xchg)
         self.arm(now)
 
     def ask(self, now: int, xchg: Exchange) -> None:
@@ -372,13 +414,17 @@
             return False
         self.unhold(xchg)
         upstream = UpstreamTry(xchg, backend, now, self.ahead(backend, now))
+        if self.telling:
+            backend.held, backend.held_at = upstream.ahead, now
+            self.tell(now, Word.SENT, backend)
         xchg.tries.append(upstream)
         backend.out.append(upstream)
         backend.sent, backend.held = backend.sent + 1, backend.held + 1
         backend.tokens -= now < backend.warm_at
         self.sends += now >= backend.warm_at
         self.host.send(xchg.id, backend.name, xchg.deadline - now)
-        self.at(now + min(int(4 * self.mean_time), self.objective), self.check_overdue, upstream)
+        silent = int(8 * self.slot) if self.telling else min(int(4 * self.mean_time), self.objective)
+        self.at(now + silent, self.check_overdue, upstream)
         return True
 
     def unhold(self, xchg: Exchange) -> None:
@@ -457,7 +503,8 @@
 
     def ahead(self, backend: Backend, now: int) -> float:
         # Guards against taking one last heard of as crowded for empty: it drains no faster than it works.
-        return max(len(backend.out), backend.held - (now - backend.held_at) / self.slot if self.asks else 0.0)
+        held = backend.held - (now - backend.held_at) / self.slot if self.hears else 0.0
+        return max(len(backend.out), held)
 
     def expected(self, backend: Backend, now: int) -> float:
         slot = (backend.slot_time + PRIOR * self.slot * backend.pace) / (backend.slots + PRIOR)
@@ -469,6 +516,7 @@
     def pick(self, now: int, xchg: Exchange) -> Backend | None:
         fit, left = self.turns(now, xchg), xchg.aim_at - now
         share = 0.35 if xchg.surplus else 0.5 + 0.25 * xchg.route.value / self.top_value
+        share += 0.2 * bool(self.telling)
         bound = share * left if left > 0 else 0.3 * xchg.route.objective
         most = max(2.0, 2.0 * sum(len(b.out) for b in fit) / len(fit)) if fit else 0.0
         asking = self.asks and not xchg.settled
@@ -481,9 +529,10 @@
                 continue
             time, cost = self.expected(backend, now), backend.cost
             # Guards against crowding a backend until it turns slower: a few times its idle time is enough.
-            if backend.out and not self.asks and time > max(CROWD * backend.line[0][1], 0.2 * self.objective):
+            most_time = max(CROWD * backend.line[0][1], 0.2 * self.objective)
+            if backend.out and not self.hears and time > most_time:
                 continue
-            near = 1.5 * self.slot if self.asks else max(self.equal_time - cost, 1.5 * self.slot)
+            near = 1.5 * self.slot if self.hears else max(self.equal_time - cost, 1.5 * self.slot)
             if time <= min(near, bound):
                 best = backend
                 break
@@ -548,8 +597,15 @@
         backend.count, backend.total = backend.count + 1, backend.total + time
         backend.fails += (failed - backend.fails) * 0.2
         backend.judge(failed, self.failing)
-        if self.asks and not failed and now < backend.out_until:  # it only stood still: back, a try at a time
+        if self.hears and not failed and now < backend.out_until:  # it only stood still: a try at a time
             backend.out_until, backend.doubt = now, EJECT - 1.0
+        if self.put_out(now, backend):
+            self.tell(now, Word.OUT, backend)
+        elif not failed and backend.doubt == 0.0 and backend.away > AWAY:
+            backend.away = AWAY
+            self.host.log(f"trusted again {backend.name}")
+
+    def put_out(self, now: int, backend: Backend) -> bool:
         gone = sum(now < b.out_until for b in self.usable) if backend.doubt >= EJECT else inf
         if now >= backend.out_until and gone < len(self.usable) // 2:
             away = int(backend.away * (0.75 + 0.5 * self.chance.uniform()))
@@ -558,6 +614,5 @@
             self.at(backend.out_until, self.look_again, backend)
             figures = f"{len(backend.out)} unanswered, fleet fails {self.failing:.0%}"
             self.host.log(f"out {backend.name}: {figures}, back in {away / SECOND:.1f} s")
-        elif not failed and backend.doubt == 0.0 and backend.away > AWAY:
-            backend.away = AWAY
-            self.host.log(f"trusted again {backend.name}")
+            return True
+        return False
--- a/basalthoist/hearsay.py
+++ b/basalthoist/hearsay.py
@@ -1,22 +1,31 @@
-"""What nodes tell one another, as bytes: the one codec for sockets and for the simulation bench."""
+"""What nodes tell one another, as bytes: the one codec for sockets and for the simulation bench.
+
+A byte with the version, then three bytes a word: the backend's key in two and a figure, of which the two
+highest stand for the words that have none.
+"""
 
 from .decisions.host import Word
 
 VERSION = 1
-HEAD = 3  # version and word, then the backend's key in two bytes; a figure follows where the word has one
-MOST_FIGURE = 255
+MOST_BYTES = 256
+MARKS = {Word.SENT: 254, Word.OUT: 255}
+MARKED = {mark: word for word, mark in MARKS.items()}
+MOST_HELD = 253
 
 
-def encode(word: Word, key: int, figure: int) -> bytes:
-    head = bytes((VERSION << 4 | word, key >> 8, key & 255))
-    return head + bytes((min(max(figure, 0), MOST_FIGURE),)) if word == Word.HOLDS else head
+def encode(words: list[tuple[Word, int, int]]) -> bytes:
+    data = bytearray((VERSION,))
+    for word, key, figure in words[: (MOST_BYTES - 1) // 3]:
+        data += bytes((key >> 8, key & 255, MARKS.get(word, min(max(figure, 0), MOST_HELD))))
+    return bytes(data)
 
 
-def decode(data: bytes) -> tuple[Word, int, int]:
+def decode(data: bytes) -> list[tuple[Word, int, int]]:
     """Raises ValueError for what no node of this version has written."""
-    if len(data) < HEAD or data[0] >> 4 != VERSION:
-        raise ValueError("not of this version")
-    word = Word(data[0] & 15)
-    if len(data) != HEAD + (word == Word.HOLDS):
-        raise ValueError("of another length than its word has")
-    return word, data[1] << 8 | data[2], data[3] if word == Word.HOLDS else 0
+    if not data or data[0] != VERSION or len(data) % 3 != 1 or len(data) > MOST_BYTES:
+        raise ValueError("not of this version or length")
+    words = []
+    for at in range(1, len(data), 3):
+        word = MARKED.get(data[at + 2], Word.HOLDS)
+        words.append((word, data[at] << 8 | data[at + 1], data[at + 2] if word == Word.HOLDS else 0))
+    return words
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -9,6 +9,7 @@
 
 from .framing import BadMessage, Message, head_of
 from .log import Log
+from .peers import Words
 from .timers import SECOND, Timers, now
 from .upstream import Call, Upstream, load_of
 
@@ -37,7 +38,7 @@
 
 
 class Exchanges:
-    """Implements the `Host` of the decisions; every call on `Node` goes through `tell`."""
+    """Implements the `Host` of the decisions; every call on `Node` goes through `report`."""
 
     def __init__(self, configuration: Configuration, loop, timers: Timers, upstream: Upstream,
                  log: Log) -> None:  # fmt: skip
@@ -51,9 +52,10 @@
         self.named: dict[bytes, Exchange] = {}
         self.last_id = 0
         self.ask_discovery: Callable[[], None] = lambda: None
+        self.tell_peers: Callable[[Words], None] = lambda words: None
         self.node = Node(self, configuration.seed, configuration.settings, now())
 
-    def tell(self, happened: Callable, *what) -> bool:
+    def report(self, happened: Callable, *what) -> bool:
         """Guards against a failing decision: it is logged and ends no more than the exchange it was about."""
         try:
             happened(now(), *what)
@@ -86,14 +88,15 @@
         self.under_way[xchg.id] = self.named[name] = client.exchange = xchg
         # Guards against an exchange that the decisions lost by failing: it is answered all the same.
         xchg.timer = self.timers.after(deadline - arrived + OVERDUE, partial(self.overdue, xchg))
-        if not self.tell(self.node.on_exchange, xchg.id, route, customer, max(deadline - arrived, 1), again):
+        grace = max(deadline - arrived, 1)
+        if not self.report(self.node.on_exchange, xchg.id, route, customer, grace, again):
             self.end_failed(xchg)
         return xchg
 
     def gone(self, xchg: Exchange) -> None:
         """Its client has gone away."""
         self.close(xchg)
-        self.tell(self.node.on_exchange_gone, xchg.id)
+        self.report(self.node.on_exchange_gone, xchg.id)
         if xchg.stream is not None:
             xchg.stream.give_up(Outcome.CANCELLED)  # a begun answer is not the decisions' to call off
 
@@ -109,7 +112,7 @@
         if xchg.open:
             xchg.client.answer(500)
             self.close(xchg)
-            self.tell(self.node.on_exchange_gone, xchg.id)
+            self.report(self.node.on_exchange_gone, xchg.id)
 
     def close(self, xchg: Exchange) -> None:
         """It is answered, or its client is gone; it stays known until its last try has ended."""
@@ -136,7 +139,7 @@
         if over:
             self.close(xchg)
         took = now() - began_at
-        if not self.tell(self.node.on_try_ended, xchg.id, number, outcome, took, over, load) and xchg.open:
+        if not self.report(self.node.on_try_ended, xchg.id, number, outcome, took, over, load) and xchg.open:
             self.end_failed(xchg)
 
     def answer_begun(self, xchg: Exchange, number: int, answer: Message, length: int | None):
@@ -144,22 +147,27 @@
             return None
         xchg.timer.stop()
         xchg.stream = xchg.calls[number]
-        self.tell(self.node.on_answer_started, xchg.id, number)
+        self.report(self.node.on_answer_started, xchg.id, number)
         return xchg.client.start_stream(answer.end_to_end(KEPT_BACK), length)
 
     def probe_ended(self, backend: str, began_at: int, outcome: Outcome, answer: Message | None) -> None:
         load = None
         if answer is not None:
             load = load_of(answer.get(b"server-load")) or load_of(bytes(answer.body[:256]))
-        self.tell(self.node.on_probe_ended, backend, outcome, now() - began_at, load)
+        self.report(self.node.on_probe_ended, backend, outcome, now() - began_at, load)
 
     # What discovery says.
 
     def on_list(self, entries: list[Listed], whole: bool) -> None:
-        self.tell(self.node.on_list, entries, whole)
+        self.report(self.node.on_list, entries, whole)
 
     def on_list_failed(self) -> None:
-        self.tell(self.node.on_list_failed)
+        self.report(self.node.on_list_failed)
+
+    # What peers say.
+
+    def on_told(self, peer: int, words: Words) -> None:
+        self.report(self.node.on_told, peer, words)
 
     # The host's side of the decisions; an id of an exchange that is over is no mistake.
 
@@ -203,6 +211,9 @@
         if not self.probes or self.upstream.call(backend, parts, self.probe_time, ended, tells=True) is None:
             self.loop.call_soon(ended, Outcome.NOT_SENT, None)
 
+    def tell(self, words: Words) -> None:
+        self.tell_peers(words)
+
     def subscribe(self) -> None:
         self.ask_discovery()
 
@@ -211,5 +222,5 @@
 
     def woken(self, tag: str) -> None:
         # Guards against a failing wake that takes those behind it along: what is due is looked at again.
-        if not self.tell(self.node.on_wake, tag) and tag != "tick":
+        if not self.report(self.node.on_wake, tag) and tag != "tick":
             self.wake(10, tag)
--- a/basalthoist/net/peers.py
+++ b/basalthoist/net/peers.py
@@ -10,14 +10,14 @@
 from .log import Log
 from .timers import SECOND, Timers
 
-Told = Callable[[int, Word, int, int], None]
+Words = list[tuple[Word, int, int]]
 
 
 class Peers(asyncio.DatagramProtocol):
     """One socket at `peer_listen`. A datagram may come late, twice or never; none is answered."""
 
     def __init__(self, peers: list[tuple[str, int]], everyone: tuple[str, int] | None, own: tuple[str, int],
-                 told: Told, timers: Timers, log: Log) -> None:  # fmt: skip
+                 told: Callable[[int, Words], None], timers: Timers, log: Log) -> None:  # fmt: skip
         self.numbers = {address: number for number, address in enumerate(peers)}
         self.others = [everyone] if everyone else [address for address in peers if address != own]
         self.told, self.log = told, log
@@ -28,10 +28,10 @@
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
         self.transport = transport
 
-    def tell(self, word: Word, key: int, figure: int) -> None:
+    def tell(self, words: Words) -> None:
         if self.transport is None or self.transport.is_closing():
             return
-        data = encode(word, key, figure)
+        data = encode(words)
         for address in self.others:
             try:
                 self.transport.sendto(data, address)
@@ -45,11 +45,11 @@
             self.strangers += 1
             return
         try:
-            word, key, figure = decode(data)
+            words = decode(data)
         except ValueError:
             self.malformed += 1
             return
-        self.told(number, word, key, figure)
+        self.told(number, words)
 
     def error_received(self, wrong: OSError) -> None:
         self.unsent += 1
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -10,6 +10,7 @@
 from .discovery import Discovery
 from .exchanges import Exchanges
 from .log import Log
+from .peers import Peers
 from .timers import SECOND, Timers, now
 from .upstream import Upstream
 
@@ -38,6 +39,7 @@
         self.discovery.on_first = self.get_ready
         self.discovery.start(self.configuration.known)
         self.timers.after(int(self.limits.first_list_s * SECOND), self.get_ready)
+        await self.join_peers()
         listener = await self.listen((host, port))
         if listener is not None:
             self.log(f"listening on {host}:{port}")
@@ -46,6 +48,20 @@
         self.upstream.close_all()
         self.log("all answered")
 
+    async def join_peers(self) -> None:
+        """Where the settings allow talk among nodes and the file names the addresses for it."""
+        told = self.configuration
+        if not told.told.policy_limits.peers or told.peer_listen is None or not told.peers:
+            return
+        own = told.peer_listen
+        peers = Peers(told.peers, told.peers_all, own, self.exchanges.on_told, self.timers, self.log)
+        try:
+            await self.loop.create_datagram_endpoint(lambda: peers, local_addr=own)
+            self.exchanges.tell_peers = peers.tell
+        except OSError as wrong:
+            # Guards against a node that does not serve because it cannot gossip.
+            self.log(f"no talk with peers: {wrong}")
+
     async def listen(self, address: tuple[str, int]) -> Listener | None:
         """None: it was told to leave before the address was free."""
         give_up = now() + int(self.limits.bind_s * SECOND)
--- a/basalthoist/simulator/adapter.py
+++ b/basalthoist/simulator/adapter.py
@@ -1,9 +1,11 @@
 """Wire events become calls on one `Node` an instance; what the node asks of its host becomes wire lines."""
 
 import sys
+from base64 import b64decode, b64encode
 
-from basalthoist.decisions.host import Load, Outcome
+from basalthoist.decisions.host import Load, Outcome, Word
 from basalthoist.decisions.policy import Node
+from basalthoist.hearsay import decode, encode
 from basalthoist.terms import plain_map, tenths
 
 from .codec import Reader, WireError
@@ -42,6 +44,10 @@
     def probe(self, backend: str) -> None:
         self.out.append(f"POLL{self.prefix}\t{backend}\n")
 
+    def tell(self, words: list[tuple[Word, int, int]]) -> None:
+        blob = b64encode(encode(words)).decode()
+        self.out.append(f"POST{self.prefix}\tall\t{blob}\n")
+
     def subscribe(self) -> None:
         self.out.append(f"OBSERVE{self.prefix}\t1\n")
 
@@ -72,6 +78,12 @@
         elif name == "PROBED":
             _, _, backend, outcome, rtt, row = parts
             node.on_probe_ended(now, backend, OUTCOMES[outcome], tenths(int(rtt)), self.load(row))
+        elif name == "MESSAGE":
+            try:
+                words = decode(b64decode("" if parts[3] == "-" else parts[3]))
+            except ValueError:
+                return  # what no node has written is dropped
+            node.on_told(now, int(parts[2]), words)
         elif name == "ALARM":
             node.on_wake(now, parts[2])
         elif name == "ABORTED":
