Sets on one circle, words to those who use a backend; watches go on from their revision

Discovery.fail asked anew for the list after each break, and Node.tick by a second clock. Now a watch goes on from the known revision, also at a start; waits grow with the tier; a wait that has begun is not cut short. Only an answer that cannot be read on from (not 429 or 5xx) asks for the list. Sets now lie on one circle by key and node number, so a node knows who uses a backend and tells only these; sets are a third as large. Ruled out: cold budgets (no cold backend held back many), CPU (13% of a core with words to all).

--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -48,6 +48,7 @@
     watch_silent_s: Positive = 4.5
     watch_retry_s: Positive = 0.4  # before discovery is tried again; it doubles, spread by half either way
     watch_retry_most_s: Positive = 2.0
+    watch_retry_node_s: Annotated[float, msgspec.Meta(ge=0)] = 0.1  # that most, for each node of the tier
     linger_s: Positive = 0.55  # after SIGTERM new connections are still taken for this long
     bind_s: Positive = 5.0  # how long the address may still be held by a process before this one
 
@@ -77,6 +78,7 @@
     """Those of the settings that the network side needs itself, in their own words and microseconds."""
 
     routes: Annotated[list[Route], msgspec.Meta(min_length=1)]
+    siblings: Annotated[int, msgspec.Meta(ge=0)] = 1
     accounts: list[Account] = []
     zones: list[str] = []
     kinds: list[str] = []
@@ -92,7 +94,6 @@
     discovery: str = ""
     peer_listen: str = ""
     peers: list[str] = []
-    peers_all: str = ""
     limits: Limits = msgspec.field(default_factory=Limits)
     known: MemberList = msgspec.field(default_factory=lambda: MemberList(0, [], True))
 
@@ -126,8 +127,8 @@
         self.limits = msgspec.structs.replace(document.limits, sockets=sockets, reserve=reserve)
         self.peer_listen = address("peer_listen", document.peer_listen) if document.peer_listen else None
         self.peers = [address(f"peers.{number}", peer) for number, peer in enumerate(document.peers)]
-        self.peers_all = address("peers_all", document.peers_all) if document.peers_all else None
         self.known, self.settings = document.known, settings
+        self.nodes = told.siblings
         self.routes, self.told = told.routes, told
         self.longest_s = max(route.overall_timeout for route in told.routes) / 1e6 or 1.0
         self.customers = [account.name for account in told.accounts]
@@ -138,7 +139,7 @@
 
     def waits_for_restart(self, before: "Configuration") -> list[str]:
         """The keys that were changed in the file and that a running node can't take up."""
-        keys = ("name", "listen", "seed", "limits", "settings", "peer_listen", "peers", "peers_all")
+        keys = ("name", "listen", "seed", "limits", "settings", "peer_listen", "peers")
         return [key for key in keys if getattr(self.document, key) != getattr(before.document, key)]
 
 
--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -135,6 +135,7 @@
     def __init__(self, host: Host, seed: int, settings: dict, now: int) -> None:
         self.host, self.settings, self.chance, get = host, settings, Lcg(seed), settings.get
         self.nodes, self.location = max(get("nodes", 1), 1), get("location", 0)
+        self.me = get("me", 0) % self.nodes
         self.routes = [Route(settings, i) for i in range(get("routes.count", 1))]
         quotas = [get(f"customers.{i}.quota_per_s", 0.0) for i in range(get("customers.count", 0))]
         self.customers = [Customer(quota / self.nodes) for quota in quotas]
@@ -147,9 +148,10 @@
         # Where asking costs too much, nodes tell one another what they send and what backends report, for 3
         # hundredths of the result and a twentieth of the processor at the most.
         tells = useful and not self.asks and get("policy_limits.peers", False) and self.nodes > 1
-        price = max(get("prices.peer", 0.0) * (self.nodes - 1) * 16 / 256, 1e-6)  # of 16 bytes an exchange
-        self.telling = self.telling_most = min(0.03 / price, 1.0) if tells else 0.0
-        self.hears, self.keyed, self.news = bool(self.asks or tells), {}, {}  # news: reports not yet told
+        self.telling, self.hears, self.keyed = float(tells), bool(self.asks or tells), {}
+        self.news, self.audiences = {}, {}  # reports not yet told; by backend the peers that use it
+        # Spread evenly whatever the order of the numbers is: a location's nodes do not sit side by side.
+        self.spots = [i * 0.618034 % 1.0 for i in range(self.nodes if tells else 0)]
         self.probe_trip, self.heard_at, self.due_seq, self.woken_for = 10.0, -SECOND, 0, 0
         self.backends, self.exchanges, self.usable, self.held, self.due = {}, {}, [], [], []
         self.groups, self.fleet, self.users, self.total = [], 0, 1.0, 1.0  # groups: usable ones by location
@@ -192,18 +194,25 @@
         warm, start = max(get("rules.warm_within", 0), 1), get("rules.cold_from", 0.1)
         # Guards against hundreds of nodes with too few exchanges each to learn of, or rank, a whole fleet.
         rate, before, self.usable = max(self.demand, self.arrivals), self.usable, []
-        size = max(LEAST, rate * WINDOW_MOST / SECOND / SAMPLES) / max(self.fleet, 1)
+        samples = SAMPLES * (3 if self.spots else 1)  # who hears of the others needs no more than a part
+        size = max(LEAST, rate * WINDOW_MOST / SECOND / samples) / max(self.fleet, 1)
 
         def worth(b: Backend) -> float: return 1 - (1 - start) * max(b.warm_at - now, 0) / warm  # fmt: skip
 
         for group in self.groups:
             room = size * len(group)
-            for backend in group:
+            first = int(self.spots[self.me] * len(group)) if self.spots else 0
+            for backend in group[first:] + group[:first]:
                 if room <= 0.0:
                     break
                 self.usable.append(backend)
                 room -= worth(backend)
         self.users = max(self.nodes * len(self.usable) / max(self.fleet, 1), 1.0)  # nodes that use a backend
+        if self.spots:
+            price = max(get("prices.peer", 0.0) * self.users * 16 / 256, 1e-6)  # of 16 bytes an exchange
+            cpu = get("policy_limits.cpu_us_per_s", 1e6) / 20 / 25  # datagrams of 25 us each
+            self.telling = min(0.03 / price, cpu / max(self.users * rate, 1.0), 1.0)
+            self.audiences.clear()
         for backend in self.usable:
             if backend not in before:  # joins at a turn by chance, or all nodes would rush to it
                 backend.credit = -self.chance.uniform() * self.total
@@ -243,7 +252,7 @@
         backend.out = [t for t in backend.out if t is not upstream]
         if load is not None and load.inflight is not None:
             held = load.inflight - (1.0 if self.telling and load.inflight else 0.0)  # it counts this one
-            if self.telling and abs(held - self.ahead(backend, now)) > 0.7:  # others reckon with as much
+            if self.telling and abs(held - self.ahead(backend, now)) > 0.4:  # others reckon with as much
                 self.news[backend] = now
             backend.held, backend.held_at = held, now
         self.measure(now, upstream, outcome, took)
@@ -287,17 +296,27 @@
                 backend.doubt = max(backend.doubt, TRIAL + 0.1 if others < 2 else EJECT)
                 self.put_out(now, backend)
             else:
-                held = figure if word == Word.HOLDS else self.ahead(backend, now) + 1.0
+                held = figure / 4 if word == Word.HOLDS else self.ahead(backend, now) + 1.0
                 backend.held, backend.held_at = held, now
 
     def tell(self, now: int, word: Word, backend: Backend) -> None:
         """At once, and what backends have just reported with it."""
         if self.telling and (word == Word.OUT or self.chance.uniform() < self.telling):
-            fresh = [b for b, at in self.news.items() if now - at < self.slot / 2 and b is not backend][-4:]
-            words = [(Word.HOLDS, b.key, round(self.ahead(b, now))) for b in fresh]
-            self.host.tell([(word, backend.key, 0), *words])
+            fresh = [b for b, at in self.news.items() if now - at < 2 * self.slot and b is not backend][-4:]
+            words = [(Word.HOLDS, b.key, round(4 * self.ahead(b, now))) for b in fresh]
+            self.host.tell([(word, backend.key, 0), *words], self.audience(backend))
             self.news.clear()
 
+    def audience(self, backend: Backend) -> list[int]:
+        """The peers whose sets hold it, as sets lie on the same circle at every node."""
+        if backend not in self.audiences:
+            group = next((g for g in self.groups if g[0].location == backend.location), [])
+            used, of = sum(b.location == backend.location for b in self.usable), max(len(group), 1)
+            place = group.index(backend) if backend in group else -1
+            near = [i for i, spot in enumerate(self.spots) if (place - int(spot * of)) % of < used]
+            self.audiences[backend] = [i for i in near if i != self.me and place >= 0]
+        return self.audiences[backend]
+
     def retry(self, now: int, xchg: Exchange) -> None:
         if xchg.held and not self.try_send(now, xchg):
             self.at(now + int(self.slot / 4) + 10, self.retry, xchg)
@@ -313,6 +332,7 @@
             backend = self.backends.get(listed.name)
             if backend is None:
                 backend = self.backends[listed.name] = Backend(listed, now, self.chance)
+                backend.place = backend.key / 65536 if self.spots else backend.place
             elif listed.started is not None and listed.started != backend.started:
                 backend.forget(now, self.chance)
             backend.learn(listed)
@@ -355,8 +375,6 @@
         if warm := sum(now >= b.warm_at for b in self.usable):
             self.usual += (self.sends / warm - self.usual) * (0.2 if self.usual else 1.0)
         self.arrivals = self.sends = 0
-        cpu = self.settings.get("policy_limits.cpu_us_per_s", 1e6) / 20 / 25  # datagrams of 25 us each
-        self.telling = min(self.telling_most, cpu / max(self.nodes * self.demand, 1.0))
         # Guards against hundreds of nodes that each forget a slow backend in seconds and try it in turn.
         fade = min(0.97 ** (self.demand / max(len(self.usable), 1)), 0.85 if self.hears else 0.95)
         for backend in self.usable:
@@ -533,7 +551,8 @@
             if backend.out and not self.hears and time > most_time:
                 continue
             near = 1.5 * self.slot if self.hears else max(self.equal_time - cost, 1.5 * self.slot)
-            if time <= min(near, bound):
+            # Guards against shedding while some are idle, where the time held counts queues of others' work.
+            if time <= near and (time <= bound or self.telling and self.ahead(backend, now) < 0.5):
                 best = backend
                 break
             if not asking and time <= bound and time + cost < best_time:
--- a/basalthoist/net/discovery.py
+++ b/basalthoist/net/discovery.py
@@ -1,4 +1,7 @@
-"""Discovery: the whole list first, then a watch on its changes, kept up for as long as the node lives."""
+"""Discovery: a watch on changes from the revision that is known, kept up for as long as the node lives.
+
+The whole list comes first where there is no revision to go on from, as after a move.
+"""
 
 import asyncio
 import random
@@ -28,6 +31,7 @@
         self.address = discovery.address
         self.transport: asyncio.Transport | None = None
         self.heard_at, self.watching, self.closed = now(), False, False
+        self.begun = False  # an answer has begun; what is wrong with it is then more than that it was refused
         self.text = b""
         self.parser = httptools.HttpResponseParser(self)
 
@@ -58,6 +62,8 @@
                 raise ValueError("a list too large")
         except (httptools.HttpParserError, ValueError) as wrong:
             cause = wrong.__context__ or wrong
+            # Guards against going on from a revision that discovery cannot read on from.
+            self.discovery.listed &= not (self.watching and self.begun)
             self.fail(f"not understood: {cause}")
 
     def connection_lost(self, wrong: Exception | None) -> None:
@@ -75,7 +81,6 @@
     def fail(self, why: str) -> None:
         if not self.closed and not self.left():
             self.closed = True
-            self.discovery.listed = self.discovery.listed and not self.watching
             if self.transport is not None:
                 self.transport.abort()
             self.discovery.failed(self, why)
@@ -83,8 +88,10 @@
     # Called by httptools.
 
     def on_headers_complete(self) -> None:
-        if self.parser.get_status_code() != 200:
-            raise ValueError(f"status {self.parser.get_status_code()}")
+        status = self.parser.get_status_code()
+        self.begun = status != 429 and status < 500
+        if status != 200:
+            raise ValueError(f"status {status}")
 
     def on_body(self, data: bytes) -> None:
         self.text += data
@@ -93,6 +100,7 @@
             for line in lines:
                 if line.strip():
                     self.discovery.learn(LINE.decode(line))
+                self.discovery.heard()
 
     def on_message_complete(self) -> None:
         if self.watching:
@@ -120,11 +128,15 @@
         self.listed, self.failures = False, 0  # listed: the next thing to ask for is the watch
         self.on_first = lambda: None
         self.silent = int(self.limits.watch_silent_s * SECOND)
+        # Guards against a large tier that asks faster than discovery, which does not grow with it, answers.
+        limits, nodes = self.limits, configuration.nodes
+        self.most_wait_s = max(limits.watch_retry_most_s, limits.watch_retry_node_s * nodes)
         timers.every(SECOND // 2, self.check)
 
     def start(self, known: MemberList) -> None:
         known.complete = True
         self.learn(known)
+        self.listed = known.revision > 0  # then a watch from there brings all that a list would
         self.connect()
 
     def move(self, address: tuple[str, int]) -> None:
@@ -181,15 +193,24 @@
 
     def later(self) -> None:
         if self.waiting is None:
-            longer = min(self.limits.watch_retry_s * 2**self.failures, self.limits.watch_retry_most_s)
+            longer = min(self.limits.watch_retry_s * 2**self.failures, self.most_wait_s)
             wait = longer * (0.5 + self.chance.random())
             self.failures = min(self.failures + 1, 20)
             self.waiting = self.timers.after(int(wait * SECOND), self.connect)
 
+    def ask(self) -> None:
+        """The decisions want it followed. A wait that has begun goes on: two clocks would ask twice."""
+        if self.waiting is None:
+            self.connect()
+
     def learn_whole(self, said: MemberList) -> None:
         """A list that was asked for has come."""
         self.learn(said)
-        self.listed, self.failures = True, 0
+        self.listed = True
+        self.heard()
+
+    def heard(self) -> None:
+        self.failures = 0
         self.on_first()
 
     def learn(self, said: MemberList) -> None:
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -52,7 +52,7 @@
         self.named: dict[bytes, Exchange] = {}
         self.last_id = 0
         self.ask_discovery: Callable[[], None] = lambda: None
-        self.tell_peers: Callable[[Words], None] = lambda words: None
+        self.tell_peers: Callable[[Words, list[int]], None] = lambda words, peers: None
         self.node = Node(self, configuration.seed, configuration.settings, now())
 
     def report(self, happened: Callable, *what) -> bool:
@@ -211,8 +211,8 @@
         if not self.probes or self.upstream.call(backend, parts, self.probe_time, ended, tells=True) is None:
             self.loop.call_soon(ended, Outcome.NOT_SENT, None)
 
-    def tell(self, words: Words) -> None:
-        self.tell_peers(words)
+    def tell(self, words: Words, peers: list[int]) -> None:
+        self.tell_peers(words, peers)
 
     def subscribe(self) -> None:
         self.ask_discovery()
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -27,7 +27,7 @@
         self.exchanges = Exchanges(configuration, loop, self.timers, self.upstream, self.log)
         self.door = Door(configuration, loop, self.timers, self.exchanges, descriptors, self.log)
         self.discovery = Discovery(configuration, loop, self.timers, self.exchanges, self.upstream, self.log)
-        self.exchanges.ask_discovery = self.discovery.connect
+        self.exchanges.ask_discovery = self.discovery.ask
         loop.set_exception_handler(self.unforeseen)
 
     def unforeseen(self, loop, context: dict) -> None:
@@ -54,7 +54,7 @@
         if not told.told.policy_limits.peers or told.peer_listen is None or not told.peers:
             return
         own = told.peer_listen
-        peers = Peers(told.peers, told.peers_all, own, self.exchanges.on_told, self.timers, self.log)
+        peers = Peers(told.peers, own, self.exchanges.on_told, self.timers, self.log)
         try:
             await self.loop.create_datagram_endpoint(lambda: peers, local_addr=own)
             self.exchanges.tell_peers = peers.tell
--- a/basalthoist/simulator/adapter.py
+++ b/basalthoist/simulator/adapter.py
@@ -44,9 +44,9 @@
     def probe(self, backend: str) -> None:
         self.out.append(f"POLL{self.prefix}\t{backend}\n")
 
-    def tell(self, words: list[tuple[Word, int, int]]) -> None:
+    def tell(self, words: list[tuple[Word, int, int]], peers: list[int]) -> None:
         blob = b64encode(encode(words)).decode()
-        self.out.append(f"POST{self.prefix}\tall\t{blob}\n")
+        self.out += [f"POST{self.prefix}\t{peer}\t{blob}\n" for peer in peers]
 
     def subscribe(self) -> None:
         self.out.append(f"OBSERVE{self.prefix}\t1\n")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -169,12 +169,15 @@
 
     def __init__(self, members, mute=False, one_each=False):
         self.members, self.mute, self.watches, self.lists = members, mute, [], 0
+        self.refuses = None  # a status that every call is answered with
         self.one_each = one_each
         super().__init__(type(self).answer)
 
     def answer(self, sock, request):
         if self.mute:
             return
+        if self.refuses:
+            return sock.sendall(b"HTTP/1.1 %d No\r\nContent-Length: 0\r\n\r\n" % self.refuses)
         close = b"Connection: close\r\n" if self.one_each else b""
         text = json.dumps({"revision": 1, "complete": True, "members": self.members}).encode()
         if "stream=1" in request.path:
@@ -196,14 +199,14 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-def document(discovery, known=(), **more):
+def document(discovery, known=(), revision=0, **more):
     """A node's configuration: routes `read` (retriable), `pay` (non-retriable), `feed` (streamed)."""
     usual = {"group": "all", "latency_objective": 300000, "overall_timeout": 900000, "value": 1.0}
     kinds = ("read", "idempotent", False), ("pay", "at_most_once", False), ("feed", "idempotent", True)
     routes = [usual | {"name": n, "semantics": s, "streaming": streamed} for n, s, streamed in kinds]
     limits = {"connect_timeout": 200000, "keepalive": 10000000, "max_upstream_tries": 3, "cancel": True}
     made = {"name": "n0", "seed": "5f", "listen": own_address(), "discovery": discovery,
-            "known": {"revision": 0, "complete": True, "members": list(known)}, "settings": {
+            "known": {"revision": revision, "complete": True, "members": list(known)}, "settings": {
                 "routes": routes, "accounts": [{"name": "acme", "quota_per_s": 1000.0}], "zones": ["a"],
                 "kinds": ["m"], "zone": 0, "siblings": 1, "policy_limits": limits, "tick": 1000,
                 "discovery": "pushed"}}  # fmt: skip
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -469,6 +469,41 @@
     wait_for(lambda: discovery.lists == 2)
 
 
+def ends_watches(discovery):
+    seen = len(discovery.seen)
+    for sock in discovery.watches:
+        sock.shutdown(socket.SHUT_RDWR)
+    wait_for(lambda: len(discovery.seen) > seen)
+    return discovery.seen[seen:]
+
+
+def test_a_watch_that_breaks_goes_on_from_the_revision_it_had_reached(start):
+    program, (backend,), discovery = start(reply(), limits={"watch_retry_s": 0.01})
+    wait_for(lambda: discovery.watches)
+    discovery.tell(member("s-0", backend))
+    assert program.ask(request()).status == "200"
+    asked = ends_watches(discovery)
+    assert "index=2" in asked[0].path and discovery.lists == 1
+
+
+def test_a_node_that_knows_a_revision_asks_for_no_list(start):
+    program, _, discovery = start(reply(), revision=41)
+    wait_for(lambda: discovery.watches)
+    assert discovery.lists == 0 and "index=41" in discovery.seen[0].path
+
+
+@pytest.mark.parametrize(("status", "lists"), [(503, 0), (429, 0), (410, 1)])
+def test_only_a_revision_that_is_gone_makes_it_ask_for_the_whole_list(start, status, lists):
+    program, (backend,), discovery = start(reply(), limits={"watch_retry_s": 0.01})
+    wait_for(lambda: discovery.watches)
+    discovery.lists, discovery.refuses = 0, status
+    ends_watches(discovery)
+    discovery.refuses = None
+    before = len(discovery.watches)
+    wait_for(lambda: len(discovery.watches) > before)
+    assert discovery.lists == lists
+
+
 def test_more_clients_than_descriptors(start):
     program, _, _ = start(reply(), limits={"sockets": 96})
     crowd = [program.connect() for _ in range(150)]
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,236 @@
+"""What nodes tell one another: the codec, what the decisions make of it, and real datagrams."""
+
+import io
+import socket
+
+import pytest
+from helpers import (
+    NOW,
+    SECOND,
+    DiscoveryStandIn,
+    Program,
+    StandIn,
+    document,
+    listed,
+    member,
+    node,
+    own_address,
+    reply,
+    request,
+    wait_for,
+)  # fmt: skip
+
+from basalthoist.decisions.host import Load, Outcome, Word
+from basalthoist.hearsay import MOST_BYTES, decode, encode
+from basalthoist.net.members import address_of
+from basalthoist.simulator.adapter import serve
+
+TALKS = {
+    "nodes": 40, "policy_limits__probes": True, "policy_limits__peers": True, "prices__probe": 0.08,
+    "prices__peer": 0.01, "feedback.fields": ["inflight"],
+}  # fmt: skip
+
+
+def talking(*names, **more):
+    return node([listed(name) for name in names], **(TALKS | more))
+
+
+def failing(made, now, name, times):
+    for ident in range(times):
+        made.on_exchange(now, ident, 0, 0, 8000, False)
+        made.on_try_ended(now, ident, 0, Outcome.ERROR, 10, True, None)
+    return made.backends[name]
+
+
+@pytest.mark.parametrize(
+    "words",
+    [[], [(Word.SENT, 0, 0)], [(Word.OUT, 65535, 0)], [(Word.SENT, 258, 0), (Word.HOLDS, 7, 253)]],
+)
+def test_words_come_through_as_they_were_told(words):
+    assert decode(encode(words)) == words
+
+
+def test_a_long_queue_is_told_as_the_most_that_fits_and_a_datagram_stays_within_its_limit():
+    assert decode(encode([(Word.HOLDS, 1, 4000)])) == [(Word.HOLDS, 1, 253)]
+    assert len(encode([(Word.SENT, 1, 0)] * 500)) <= MOST_BYTES
+
+
+@pytest.mark.parametrize("data", [b"", b"\2", b"\x01\x00", b"\x01\x00\x00", b"\x00abc", b"\1" + 90 * b"abc"])
+def test_what_no_node_has_written_is_refused(data):
+    with pytest.raises(ValueError):
+        decode(data)
+
+
+def test_a_backend_that_peers_keep_busy_is_passed_over():
+    made, host = talking("a", "b")
+    for peer in range(3):
+        made.on_told(NOW, peer, [(Word.SENT, made.backends["a"].key, 0)])
+    for ident in range(2):
+        made.on_exchange(NOW, ident, 0, 0, 8000, False)
+        made.on_try_ended(NOW, ident, 0, Outcome.COMPLETED, 10, True, None)
+    assert [call[2] for call in host.take("send")] == ["b", "b"]
+    assert made.backends["a"].count == 0  # no sample: a profile is learned from own tries alone
+
+
+def test_what_peers_sent_wears_off_as_the_backend_works():
+    made, _ = talking("a", "b")
+    backend = made.backends["a"]
+    made.on_told(NOW, 1, [(Word.SENT, backend.key, 0)] * 2)
+    assert made.ahead(backend, NOW) == 2.0
+    assert made.ahead(backend, NOW + int(made.slot)) == pytest.approx(1.0, abs=0.01)
+    assert made.ahead(backend, NOW + SECOND) == 0.0
+
+
+@pytest.mark.parametrize(
+    ("peers", "out"),
+    [((1,), False), ((1, 1, 1), False), ((1, 2), True)],
+)
+def test_one_peer_alone_puts_nothing_out(peers, out):
+    made, _ = talking("a", "b", "c", "d")
+    backend = made.backends["a"]
+    for peer in peers:
+        made.on_told(NOW, peer, [(Word.OUT, backend.key, 0)])
+    assert (backend.out_until > NOW) == out
+
+
+def test_peers_that_speak_ill_of_all_put_out_half_of_the_fleet_at_the_most():
+    made, _ = talking(*"abcdef")
+    for backend in made.backends.values():
+        for peer in range(5):
+            made.on_told(NOW, peer, [(Word.OUT, backend.key, 0)])
+    assert sum(b.out_until > NOW for b in made.backends.values()) == 3
+
+
+def test_old_words_do_not_add_up():
+    made, _ = talking("a", "b", "c", "d")
+    backend = made.backends["a"]
+    made.on_told(NOW, 1, [(Word.OUT, backend.key, 0)])
+    backend.doubt = 0.0
+    made.on_told(NOW + 60 * SECOND, 2, [(Word.OUT, backend.key, 0)])
+    assert backend.out_until <= NOW
+
+
+def test_after_one_peers_word_an_own_failure_is_enough_and_is_told():
+    made, host = talking("a", "b", "c", "d")
+    for backend in made.backends.values():
+        made.on_told(NOW, 1, [(Word.OUT, backend.key, 0)])
+    made.on_exchange(NOW, 1, 0, 0, 8000, False)
+    [sent] = [call[2] for call in host.take("send")]
+    made.on_try_ended(NOW, 1, 0, Outcome.ERROR, 10, True, None)
+    assert made.backends[sent].out_until > NOW
+    assert (Word.OUT, made.backends[sent].key, 0) in [w for call in host.take("tell") for w in call[1]]
+
+
+def test_what_a_backend_reports_is_told_with_the_next_send():
+    made, host = talking("a", "b")
+    made.on_exchange(NOW, 1, 0, 0, 8000, False)
+    [first] = [call[2] for call in host.take("send")]
+    made.on_try_ended(NOW, 1, 0, Outcome.COMPLETED, 10, True, Load(4.0, None, None))
+    made.on_exchange(NOW, 2, 0, 0, 8000, False)
+    [told] = host.take("tell")
+    other = "b" if first == "a" else "a"
+    # Four with the one that it has just answered: three are left.
+    assert told[1] == [(Word.SENT, made.backends[other].key, 0), (Word.HOLDS, made.backends[first].key, 12)]
+
+
+@pytest.mark.parametrize(
+    "more",
+    [{"policy_limits__peers": False}, {"nodes": 1}, {"prices__probe": 0.0001}, {"feedback.fields": []}],
+)
+def test_nothing_is_told_where_it_is_not_allowed_or_asking_is_cheap(more):
+    made, host = talking("a", "b", **more)
+    made.on_exchange(NOW, 1, 0, 0, 8000, False)
+    assert not host.take("tell")
+
+
+@pytest.mark.parametrize(
+    ("nodes", "price", "least", "most"),
+    [(40, 0.01, 200, 200), (500, 0.01, 5, 60), (40, 1.0, 0, 10)],
+)
+def test_talk_stays_within_its_budget_at_any_size(nodes, price, least, most):
+    made, host = talking("a", "b", nodes=nodes, prices__peer=price)
+    for ident in range(200):
+        made.on_exchange(NOW, ident, 0, 0, 8000, False)
+        made.on_try_ended(NOW, ident, 0, Outcome.COMPLETED, 10, True, None)
+    assert least <= len(host.take("tell")) <= most
+
+
+def test_two_backends_with_one_key_and_unknown_keys_do_no_harm():
+    made, _ = talking("a", "b")
+    made.on_told(NOW, 1, [(Word.OUT, 1, 0), (Word.HOLDS, 2, 200), (Word.SENT, 3, 0)])
+    assert all(b.held == 0.0 for b in made.backends.values())
+
+
+@pytest.fixture
+def peer():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(address_of(own_address()))
+        sock.settimeout(10)
+        yield sock
+
+
+@pytest.fixture
+def program(tmp_path, peer):
+    backend = StandIn(reply(200, b"done", Server_Load="inflight=1"))
+    discovery = DiscoveryStandIn([member("s-0", backend)])
+    own = own_address()
+    made = document(discovery.address, [member("s-0", backend)], peer_listen=own,
+                    peers=[own, "{}:{}".format(*peer.getsockname())])  # fmt: skip
+    settings = made["settings"]
+    settings["siblings"], settings["prices"] = 2, {"probe": 0.08, "peer": 0.01}
+    settings["policy_limits"] |= {"peers": True, "probes": True}
+    settings["feedback"] = {"how": "inline", "fields": ["inflight"]}
+    started = Program(tmp_path, made)
+    yield started.wait_ready()
+    started.process.kill()
+    started.process.wait()
+    backend.close()
+    discovery.close()
+
+
+def test_the_program_tells_its_peers_of_a_send(program, peer):
+    assert program.ask(request()).status == "200"
+    [(word, _, _), *_] = decode(peer.recv(512))
+    assert word == Word.SENT
+
+
+def test_malformed_datagrams_and_strangers_cost_a_log_line_and_nothing_else(program, peer):
+    to = address_of(program.made["peer_listen"])
+    for data in (b"", b"\xff" * 300, b"\x01\x00", b"\x00" * 4):
+        peer.sendto(data, to)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+        stranger.sendto(encode([(Word.OUT, 1, 0)]), to)
+    wait_for(lambda: "malformed" in program.log() and "stranger" in program.log())
+    assert program.ask(request()).status == "200"
+
+
+@pytest.mark.parametrize(("nodes", "fleet"), [(40, 60), (7, 30), (300, 400)])
+def test_each_node_knows_which_others_use_a_backend(nodes, fleet):
+    entries = [listed(f"s-{number}", location=number % 3) for number in range(fleet)]
+    made = [node(entries, seed=me, **(TALKS | {"nodes": nodes, "me": me}))[0] for me in range(nodes)]
+    for name in made[0].backends:
+        users = {one.me for one in made if one.backends[name] in one.usable}
+        for one in made:
+            assert set(one.audience(one.backends[name])) == users - {one.me}
+    assert all(0 < len(one.usable) < fleet / 2 for one in made)
+
+
+def test_an_idle_backend_is_taken_though_the_time_held_is_over_the_bound():
+    made, host = talking("a", "b")
+    for backend in made.backends.values():
+        backend.slot_time, backend.slots = 40 * 2200.0, 40.0
+    made.slot = 2200.0
+    made.on_exchange(NOW, 1, 0, 0, 8000, False)
+    assert host.take("send")
+
+
+def test_the_simulators_wire_carries_the_same_words():
+    blob = __import__("base64").b64encode(encode([(Word.SENT, 9, 0)])).decode()
+    text = "\n".join([
+        "FRAME\t1000000\t1", "START\t0\t5\tsiblings=3\tzone=0", "CATALOG\t0\t1",
+        "BACKEND\t10.0.0.1:80\t0\t0\t0\thealthy\t1\t-", "TOPOLOGY\t0\tSAVED\t1\t0", f"MESSAGE\t0\t1\t{blob}",
+        "MESSAGE\t0\t2\tAAAA", "MESSAGE\t0\t2\t-", "YOUR_TURN", "",
+    ])  # fmt: skip
+    sink = io.StringIO()
+    serve(io.StringIO(text), sink)
+    assert "PANIC" not in sink.getvalue() and sink.getvalue().endswith("OK\t1\n")
