Emulator, experiments and a command line: our own fleet in simulated time and on loopback

The emulator drives the real Node through its host interface: backends, network, discovery, clients and faults are models of their own, a ledger judges the four rules from what was sent and what ran. Baselines and variants of the design are for comparison alone. Experiments run in parallel, go on after an interruption and are reported from raw results alone; loopback load counts from the intended send time. Commands: serve, check, emulate, search, experiment, report, compare, load.

--- a/basalthoist/__main__.py
+++ b/basalthoist/__main__.py
@@ -1,4 +1,4 @@
-"""One real node: `python -m basalthoist`."""
+"""One real node: `python -m basalthoist`. With a command it is the command line."""
 
 import asyncio
 import signal
@@ -10,16 +10,19 @@
 from .net.service import Service
 
 
-async def run(configuration) -> None:
+async def run(configuration, form) -> None:
     loop = asyncio.get_running_loop()
     service = Service(configuration, loop)
+    if form is not None:
+        form.bind(service.log)
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, service.leave)
     loop.add_signal_handler(signal.SIGHUP, service.reload)
     await service.serve()
 
 
-def main() -> int:
+def serve_by(form=None) -> int:
+    """By the file that PROXY_CONFIG names; `form` gives log lines another form."""
     # Guards against one that comes before there is a node: the file is about to be read anyway.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
@@ -28,12 +31,23 @@
         print(f"basalthoist: configuration: {wrong}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(run(configuration))
+        uvloop.run(run(configuration, form))
     except OSError as wrong:
         print(f"basalthoist: {wrong}", file=sys.stderr)
         return 1
     return 0
 
 
+def main() -> int:
+    if len(sys.argv) < 2:
+        return serve_by()
+    try:
+        from .commands.line import main as line
+    except ImportError as wrong:
+        print(f"basalthoist: commands need requirements-tools.txt: {wrong}", file=sys.stderr)
+        return 2
+    return line(prog_name="python -m basalthoist")
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/basalthoist/commands/line.py
@@ -0,0 +1,230 @@
+"""`python -m basalthoist COMMAND`: each command reads and says; what it does stands elsewhere."""
+
+import sys
+from pathlib import Path
+
+import click
+import msgspec
+
+from basalthoist.emulator.scenario import ScenarioError
+
+WRONG, FAILED = 2, 1
+
+
+def fail(why: object, code: int = WRONG) -> None:
+    click.echo(f"basalthoist: {why}", err=True)
+    sys.exit(code)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def main() -> None:
+    """A reverse proxy that spreads exchanges by measured latency profiles. Without a command it serves as the
+    platform starts it, by PROXY_CONFIG."""
+
+
+@main.command()
+@click.argument("configuration", type=click.Path(path_type=Path))
+@click.option(
+    "--log", type=click.Choice(["plain", "json", "console"]), default="plain", help="Form of log lines."
+)
+def serve(configuration: Path, log: str) -> None:
+    """Serve by a CONFIGURATION file, JSON or TOML."""
+    import os
+
+    from basalthoist.__main__ import serve_by
+
+    os.environ["PROXY_CONFIG"] = str(configuration)
+    made = None
+    if log != "plain":
+        from .structured import StructuredLog
+
+        made = StructuredLog(log)
+    sys.exit(serve_by(made))
+
+
+@main.command()
+@click.argument("configuration", type=click.Path(path_type=Path), required=False)
+@click.option("--reference", is_flag=True, help="Print the page that lists every key instead.")
+def check(configuration: Path | None, reference: bool) -> None:
+    """Check a CONFIGURATION file without starting anything."""
+    from basalthoist.configuration import ConfigurationError, load
+
+    if reference:
+        from .reference import page
+
+        return click.echo(page(), nl=False)
+    if configuration is None:
+        fail("check: a file, or --reference")
+    try:
+        found = load({"PROXY_CONFIG": str(configuration)})
+    except ConfigurationError as wrong:
+        fail(f"{configuration}: {wrong}")
+    click.echo(f"{configuration}: good; {found.name} listens on {found.listen[0]}:{found.listen[1]}, "
+               f"{len(found.routes)} routes, {len(found.known.members)} backends known")  # fmt: skip
+
+
+def policies() -> dict:
+    from basalthoist.emulator.baselines import POLICIES
+
+    return POLICIES
+
+
+def policy_named(name: str):
+    if name not in policies():
+        fail(f"--policy: expected one of {', '.join(policies())}, got {name!r}")
+    return policies()[name]
+
+
+@main.command()
+@click.argument("scenario", type=click.Path(path_type=Path))
+@click.option("--policy", default="node", show_default=True)
+@click.option("--seed", type=int, help="Instead of the scenario's.")
+@click.option("--json", "as_json", is_flag=True, help="Print the whole report.")
+@click.option("--log", is_flag=True, help="Print what the nodes logged.")
+def emulate(scenario: Path, policy: str, seed: int | None, as_json: bool, log: bool) -> None:
+    """Play one SCENARIO in simulated time. Exit code 1 where a rule is broken."""
+    from basalthoist.emulator.fleet import Fleet
+    from basalthoist.emulator.scenario import read
+
+    make_policy = policy_named(policy)
+    try:
+        fleet = Fleet(read(scenario), make_policy, seed).run()
+    except ScenarioError as wrong:
+        fail(wrong)
+    report = fleet.report()
+    if as_json:
+        click.echo(msgspec.json.format(msgspec.json.encode(report), indent=1))
+    else:
+        figures = report["figures"]
+        click.echo(f"{report['scenario']} by {policy}, seed {report['seed']}: {figures['offered']} exchanges")
+        parts = "  ".join(f"{name} {figures[name]:.1%}" for name in ("in_time", "late", "shed", "failed"))
+        click.echo(f"kept {figures['kept']:.1%}  worst route {figures['worst_route']:.1%}  {parts}")
+        click.echo(
+            "  ".join(f"{name[:-3]} {figures[name]:.1f} ms" for name in ("p50_ms", "p95_ms", "p99_ms"))
+        )
+        sends = max(report["counts"]["sends"], 1)
+        each = ("probes", "words", "connections")
+        click.echo("per send: " + "  ".join(f"{name} {report['counts'][name] / sends:.2f}" for name in each))
+        for rule, times in report["rules"].items():
+            click.echo(f"rule {rule}: {'kept' if not times else f'broken {times} times'}")
+        for found in report["breaks"].values():
+            click.echo("  " + "\n  ".join(found))
+    for node in fleet.nodes if log else ():
+        for line in node.lines:
+            click.echo(f"n{node.number} {line}")
+    sys.exit(0 if report["kept_rules"] else FAILED)
+
+
+@main.command()
+@click.argument("scenario", type=click.Path(path_type=Path))
+@click.option("--days", type=click.IntRange(min=1), default=20, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--policy", default="node", show_default=True)
+@click.option("--into", type=click.Path(path_type=Path), default=Path("found"), show_default=True)
+def search(scenario: Path, days: int, seed: int, policy: str, into: Path) -> None:
+    """Combine faults at random on the fleet of SCENARIO; a day that breaks a rule is shrunk and kept."""
+    from basalthoist.emulator.scenario import read
+    from basalthoist.emulator.search import search as look
+
+    from .toml import as_toml
+
+    make_policy = policy_named(policy)
+    try:
+        found = read(scenario)
+    except ScenarioError as wrong:
+        fail(wrong)
+    count = 0
+    for day, rules in look(found, make_policy, days, seed, click.echo):
+        count += 1
+        path = into / f"{day.name}-{day.seed}.toml"
+        try:
+            into.mkdir(parents=True, exist_ok=True)
+            path.write_text(as_toml(msgspec.to_builtins(day)))
+        except OSError as wrong:
+            fail(f"{path}: {wrong.strerror}", FAILED)
+        click.echo(f"{path}: breaks {', '.join(sorted(rules))} with {len(day.faults)} faults")
+    sys.exit(FAILED if count else 0)
+
+
+@main.command()
+@click.argument("plan", type=click.Path(path_type=Path))
+@click.option(
+    "--into", type=click.Path(path_type=Path), required=True, help="Folder for results; finished runs stay."
+)
+@click.option("--processes", type=click.IntRange(min=1))
+def experiment(plan: Path, into: Path, processes: int | None) -> None:
+    """Carry out the runs of a PLAN in parallel and report on them."""
+    from basalthoist.experiments.plan import read
+    from basalthoist.experiments.reporting import write_report
+    from basalthoist.experiments.running import RunError, carry_out_all
+
+    try:
+        found, text = read(plan)
+        carry_out_all(found, text, into, processes, click.echo)
+        write_report(into)
+    except ScenarioError as wrong:
+        fail(wrong)
+    except RunError as wrong:
+        fail(wrong, FAILED)
+    click.echo((into / "table.md").read_text())
+
+
+@main.command()
+@click.argument("folder", type=click.Path(path_type=Path))
+def report(folder: Path) -> None:
+    """Make tables and charts again from the raw results in FOLDER."""
+    from basalthoist.experiments.reporting import write_report
+    from basalthoist.experiments.running import RunError
+
+    try:
+        write_report(folder)
+    except RunError as wrong:
+        fail(wrong)
+    click.echo((folder / "table.md").read_text())
+
+
+@main.command()
+@click.argument("one", type=click.Path(path_type=Path))
+@click.argument("other", type=click.Path(path_type=Path))
+@click.option("--figure", default="kept", show_default=True)
+@click.option("--policy")
+def compare(one: Path, other: Path, figure: str, policy: str | None) -> None:
+    """Paired differences ONE minus OTHER on the seeds that both folders have."""
+    from basalthoist.experiments.reporting import compare as differences
+    from basalthoist.experiments.running import RunError
+
+    try:
+        for value, name, mean in differences(one, other, figure, policy):
+            where = "" if value is None else f" at {value}"
+            click.echo(f"{name}{where}: {figure} {mean.text(4)} over {mean.samples} seeds")
+    except RunError as wrong:
+        fail(wrong)
+    except KeyError as wrong:
+        fail(f"--figure: no figure {wrong}")
+
+
+@main.command()
+@click.argument("scenario", type=click.Path(path_type=Path))
+@click.option("--seconds", type=click.FloatRange(min=1), default=10.0, show_default=True)
+@click.option("--json", "as_json", is_flag=True)
+def load(scenario: Path, seconds: float, as_json: bool) -> None:
+    """Play a small SCENARIO on loopback: real nodes, scripted backends and discovery, open-loop clients."""
+    from basalthoist.emulator.scenario import read
+    from basalthoist.experiments.loopback import play
+
+    try:
+        found = read(scenario)
+    except ScenarioError as wrong:
+        fail(wrong)
+    try:
+        result = play(found, seconds)
+    except (OSError, RuntimeError) as wrong:
+        fail(wrong, FAILED)
+    if as_json:
+        click.echo(msgspec.json.format(msgspec.json.encode(result), indent=1))
+    else:
+        for name, figure in result["figures"].items():
+            click.echo(f"{name}: {figure:.4g}")
+        click.echo(f"the tool's own lateness: p99 {result['lateness_p99_ms']:.2f} ms")
+    if result["void"]:
+        fail(f"void: {result['void']}", FAILED)
--- /dev/null
+++ b/basalthoist/commands/reference.py
@@ -0,0 +1,61 @@
+"""The page that lists every key of the configuration, made from the types that check it."""
+
+import msgspec
+
+from basalthoist import configuration
+from basalthoist.net.members import Member, MemberList
+
+HEAD = """# Configuration
+
+A node reads one file, named by `PROXY_CONFIG` or by `python -m basalthoist serve FILE`: JSON, or TOML where
+its name ends in `.toml`, with the same keys and checks. `PROXY_NAME`, `PROXY_LISTEN` and `PROXY_DISCOVERY` go
+before the file. `python -m basalthoist check FILE` names a faulty key without starting anything.
+
+Times in `settings` are microseconds. In `limits` a key's ending says its unit: `_s` seconds, `_bytes` bytes,
+`_mb` megabytes, `_part` a share between 0 and 1.
+
+This page is made by `python -m basalthoist check --reference` and tested against the types.
+"""
+PARTS = (
+    ("The file", configuration.Document), ("`limits`", configuration.Limits),
+    ("`settings`, as far as the network side needs them; the decisions read more", configuration.Told),
+    ("`settings.routes[]`", configuration.Route), ("`settings.accounts[]`", configuration.Account),
+    ("`settings.policy_limits`", configuration.PolicyLimits), ("`settings.feedback`", configuration.Feedback),
+    ("`known`", MemberList), ("`known.members[]`", Member),
+)  # fmt: skip
+
+
+def range_of(kind: msgspec.inspect.Type) -> str:
+    said = []
+    for name, sign in (("gt", ">"), ("ge", ">="), ("lt", "<"), ("le", "<="), ("min_length", "length >=")):
+        if (bound := getattr(kind, name, None)) is not None:
+            said.append(f"{sign} {bound}")
+    return ", ".join(said)
+
+
+def name_of(kind: msgspec.inspect.Type) -> str:
+    if isinstance(kind, msgspec.inspect.ListType):
+        return f"list of {name_of(kind.item_type)}"
+    if isinstance(kind, msgspec.inspect.StructType):
+        return f"object ({kind.cls.__name__})"
+    return type(kind).__name__.removesuffix("Type").lower()
+
+
+def default_of(field: msgspec.inspect.Field) -> str:
+    if field.required:
+        return "required"
+    if field.default is not msgspec.NODEFAULT:
+        return f"`{field.default!r}`" if field.default != "" else "empty"
+    return "empty"
+
+
+def page() -> str:
+    lines = [HEAD]
+    for title, of in PARTS:
+        lines += [f"## {title}", "", "| key | type | default | range |", "| --- | --- | --- | --- |"]
+        for field in msgspec.inspect.type_info(of).fields:
+            kind = field.type
+            cells = (f"`{field.encode_name}`", name_of(kind), default_of(field), range_of(kind))
+            lines.append("| " + " | ".join(cells) + " |")
+        lines.append("")
+    return "\n".join(lines).rstrip() + "\n"
--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -151,13 +151,16 @@
 
 
 def decode(data: bytes, environment: Mapping[str, str], open_files: int = 1 << 20,
-           before: Configuration | None = None) -> Configuration:  # fmt: skip
+           before: Configuration | None = None, form: str = "JSON") -> Configuration:  # fmt: skip
     try:
-        document = msgspec.json.decode(data, type=Document)
+        if form == "TOML":
+            document = msgspec.toml.decode(data, type=Document)
+        else:
+            document = msgspec.json.decode(data, type=Document)
     except msgspec.ValidationError as wrong:
         raise ConfigurationError(str(wrong)) from None
-    except msgspec.DecodeError as wrong:
-        raise ConfigurationError(f"not JSON: {wrong}") from None
+    except (msgspec.DecodeError, UnicodeDecodeError) as wrong:
+        raise ConfigurationError(f"not {form}: {wrong}") from None
     try:
         told = msgspec.convert(document.settings, Told)
     except msgspec.ValidationError as wrong:
@@ -180,4 +183,5 @@
     except OSError as wrong:
         raise ConfigurationError(f"PROXY_CONFIG: {wrong}") from None
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return decode(data, environment, 1 << 20 if allowed == resource.RLIM_INFINITY else allowed, before)
+    form = "TOML" if path.endswith(".toml") else "JSON"
+    return decode(data, environment, 1 << 20 if allowed == resource.RLIM_INFINITY else allowed, before, form)
--- /dev/null
+++ b/basalthoist/emulator/scenario.py
@@ -0,0 +1,167 @@
+"""A scenario file: fleet, load and a timeline of faults, read and checked here and nowhere else.
+
+Times are seconds, service times and delays milliseconds; `docs/emulator.md` lists every key.
+"""
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+Part = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+Semantics = Literal["retriable", "deduped", "non-retriable"]
+
+
+class ScenarioError(Exception):
+    """What is wrong, with the file and the faulty key."""
+
+
+class Strict(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    pass
+
+
+class Kind(Strict):
+    """A kind of backend; a location's backends are dealt out among the kinds by their share."""
+
+    name: str = "std"
+    share: Positive = 1.0
+    slots: Count = 1
+    speed: Positive = 1.0
+    queue: Annotated[int, msgspec.Meta(ge=0)] = 50
+
+
+class Backends(Strict):
+    count: Count = 12
+    kinds: tuple[Kind, ...] = (Kind(),)
+    pod_size: Count = 4
+    cold_from: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.3
+    warm_s: NotNegative = 8.0
+    crowded_at: NotNegative = 0.0  # exchanges held a slot from which it turns slower; 0: never
+    crowded_factor: Annotated[float, msgspec.Meta(ge=1)] = 1.0
+    fall_multiple: Annotated[float, msgspec.Meta(ge=0)] = 3.0  # 0: a cold backend never falls over
+    fall_s: Positive = 2.0
+    reports: bool = True
+    work_left_on_cancel: bool = True  # a cancelled exchange that runs is finished all the same
+
+
+class Network(Strict):
+    delay_ms: NotNegative = 0.2  # one way, within a location
+    cross_ms: NotNegative = 0.5
+    jitter: Part = 0.2
+    connect_timeout_ms: Positive = 250.0
+    message_loss: Part = 0.0
+
+
+class Discovery(Strict):
+    lag_s: NotNegative = 1.0
+    spread_s: NotNegative = 0.1
+
+
+class Route(Strict):
+    name: str
+    share: Positive = 1.0
+    semantics: Semantics = "retriable"
+    service_ms: Positive = 30.0
+    distribution: Literal["constant", "exponential", "lognormal"] = "lognormal"
+    spread: NotNegative = 0.5  # coefficient of variation of the lognormal one
+    objective_ms: Positive = 100.0
+    timeout_ms: Positive = 400.0
+    value: Positive = 1.0
+
+
+class Customer(Strict):
+    name: str
+    share: Positive = 1.0
+    quota_per_s: Positive = 1e9
+
+
+class Load(Strict):
+    """Open loop: clients come whether or not others have been answered."""
+
+    rate: Positive = 100.0
+    retries: Annotated[int, msgspec.Meta(ge=0)] = 1
+    backoff_ms: NotNegative = 50.0
+    gives_up: Part = 0.0  # share of the clients that leave early
+    gives_up_after: Part = 0.5  # of the timeout
+
+
+class Node(Strict):
+    probes: bool = True
+    probe_price: NotNegative = 0.002
+    peers: bool = False
+    peer_price: NotNegative = 0.01
+    tries: Count = 3
+    parallel: bool = False
+    cross_price: NotNegative = 0.0
+    notice_s: NotNegative = 1.5  # until clients stop coming to a dead node
+    restart_s: NotNegative = 1.5
+    drain_grace_s: Positive = 2.0
+    answer_grace_ms: Positive = 5.0
+
+
+FaultKind = Literal[
+    "kill", "freeze", "cut", "slow", "errors", "drain", "replace", "surge", "stale", "kill_nodes"
+]
+
+
+class Fault(Strict):
+    """From `at_s` for `for_s`; `part` of the fleet (of `location`, where one is named) is met."""
+
+    kind: FaultKind
+    at_s: NotNegative
+    for_s: Positive = 5.0
+    part: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.25
+    location: int | None = None
+    factor: Positive = 3.0  # slow: service time; surge: rate; errors: share of 1/factor is left good
+
+    def __post_init__(self) -> None:
+        if self.kind in ("slow", "surge") and self.factor < 1:
+            raise ValueError(f"factor: expected at least 1 for {self.kind}, got {self.factor}")
+
+
+class Scenario(Strict):
+    name: str = "unnamed"
+    length_s: Positive = 30.0
+    warmup_s: NotNegative = 2.0  # not counted
+    seed: int = 1
+    nodes: Count = 3
+    locations: Count = 1
+    backends: Backends = msgspec.field(default_factory=Backends)
+    network: Network = msgspec.field(default_factory=Network)
+    discovery: Discovery = msgspec.field(default_factory=Discovery)
+    node: Node = msgspec.field(default_factory=Node)
+    load: Load = msgspec.field(default_factory=Load)
+    routes: Annotated[tuple[Route, ...], msgspec.Meta(min_length=1)] = (Route(name="read"),)
+    customers: tuple[Customer, ...] = ()
+    faults: tuple[Fault, ...] = ()
+
+    def __post_init__(self) -> None:
+        if self.warmup_s >= self.length_s:
+            raise ValueError(f"warmup_s: expected less than length_s, got {self.warmup_s}")
+        for number, fault in enumerate(self.faults):
+            if fault.location is not None and not 0 <= fault.location < self.locations:
+                raise ValueError(
+                    f"faults[{number}].location: expected 0 to {self.locations - 1}, got {fault.location}"
+                )
+            if fault.at_s >= self.length_s:
+                raise ValueError(f"faults[{number}].at_s: expected less than length_s, got {fault.at_s}")
+
+
+def read(path: str | Path) -> Scenario:
+    try:
+        data = Path(path).read_bytes()
+    except OSError as wrong:
+        raise ScenarioError(f"{path}: {wrong.strerror}") from None
+    return decode(data, str(path))
+
+
+def decode(data: bytes, source: str = "scenario") -> Scenario:
+    try:
+        return msgspec.toml.decode(data, type=Scenario)
+    except msgspec.ValidationError as wrong:
+        raise ScenarioError(f"{source}: {wrong}") from None
+    except (msgspec.DecodeError, UnicodeDecodeError) as wrong:
+        raise ScenarioError(f"{source}: not TOML: {wrong}") from None
--- /dev/null
+++ b/basalthoist/experiments/loopback.py
@@ -0,0 +1,284 @@
+"""The same scenario on loopback: real node processes, scripted backends, discovery and open-loop clients.
+
+A client's time counts from when it meant to send, so a slow answer that holds up the next send counts
+(coordinated omission). How late the tool itself was is reported, and a run in which that matters is void.
+"""
+
+import asyncio
+import json
+import os
+import sys
+import tempfile
+import time
+from pathlib import Path
+from random import Random
+
+from hdrh.histogram import HdrHistogram
+
+from basalthoist.emulator.clients import work_of
+from basalthoist.emulator.scenario import Route, Scenario
+
+MOST_LATENESS_MS = 5.0
+SEMANTICS = {"retriable": "idempotent", "deduped": "deduplicated", "non-retriable": "at_most_once"}
+
+
+class Backend(asyncio.Protocol):
+    """A connection to a scripted backend with slots and a finite queue; the work comes with the request."""
+
+    def __init__(self, script: "Script") -> None:
+        self.script, self.buffer, self.transport = script, b"", None
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        while b"\r\n\r\n" in self.buffer:
+            head, _, rest = self.buffer.partition(b"\r\n\r\n")
+            headers = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:] if b": " in line)
+            length = int(headers.get(b"content-length", 0))
+            if len(rest) < length:
+                return
+            self.buffer = rest[length:]
+            self.script.take(self, head.split(b" ")[1], headers)
+
+
+class Script:
+    def __init__(self, scenario: Scenario, number: int, runs: dict[str, int]) -> None:
+        kinds = scenario.backends.kinds
+        self.kind, self.runs = kinds[number % len(kinds)], runs
+        self.running, self.waiting = 0, []
+        self.address = ""
+
+    async def listen(self) -> None:
+        server = await asyncio.get_running_loop().create_server(lambda: Backend(self), "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    def take(self, connection: Backend, path: bytes, headers: dict) -> None:
+        if path in (b"/health", b"/status/load"):
+            return self.answer(connection, b"200 OK")
+        if self.running >= self.kind.slots:
+            if len(self.waiting) >= self.kind.queue:
+                return self.answer(connection, b"503 Full", b"Not-Started: 1\r\n")
+            return self.waiting.append((connection, path, headers))
+        self.begin(connection, path, headers)
+
+    def begin(self, connection: Backend, path: bytes, headers: dict) -> None:
+        self.running += 1
+        name = headers.get(b"request-id", b"").decode()
+        self.runs[name] = self.runs.get(name, 0) + 1
+        work_s = int(path.rpartition(b"=")[2] or 0) / 10_000 / self.kind.speed
+        asyncio.get_running_loop().call_later(work_s, self.end, connection)
+
+    def end(self, connection: Backend) -> None:
+        self.answer(connection, b"200 OK")
+        self.running -= 1
+        if self.waiting:
+            self.begin(*self.waiting.pop(0))
+
+    def answer(self, connection: Backend, status: bytes, more: bytes = b"") -> None:
+        if not connection.transport.is_closing():
+            held = self.running + len(self.waiting)
+            report = b"inflight=%d,queue=%d,util=%.2f" % (
+                held,
+                len(self.waiting),
+                min(self.running / self.kind.slots, 1),
+            )
+            connection.transport.write(
+                b"HTTP/1.1 %b\r\n%bServer-Load: %b\r\nContent-Length: 2\r\n\r\nok" % (status, more, report)
+            )
+
+
+class DiscoveryAgent(asyncio.Protocol):
+    def __init__(self, members: list[dict]) -> None:
+        self.members, self.transport = members, None
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        text = json.dumps({"revision": 1, "complete": True, "members": self.members}).encode()
+        if b"stream=1" in data:
+            self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            self.beat()
+        else:
+            self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text) + text)
+
+    def beat(self) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(b"1\r\n\n\r\n")
+            asyncio.get_running_loop().call_later(2.0, self.beat)
+
+
+class Clients:
+    def __init__(self, scenario: Scenario, addresses: list[tuple[str, int]], seconds: float) -> None:
+        self.scenario, self.addresses, self.seconds = scenario, addresses, seconds
+        self.chance = Random(scenario.seed)
+        self.idle: dict[tuple[str, int], list] = {address: [] for address in addresses}
+        self.lateness = HdrHistogram(1, 60_000_000, 3)
+        self.times = HdrHistogram(1, 60_000_000, 3)
+        self.counts = dict.fromkeys(("offered", "in_time", "late", "shed", "failed"), 0)
+        self.value = self.kept = 0.0
+        self.last = 0
+
+    async def run(self) -> None:
+        began, at, asked = time.perf_counter(), 0.0, set()
+        while at < self.seconds:
+            at += self.chance.expovariate(self.scenario.load.rate)
+            if (wait := began + at - time.perf_counter()) > 0:
+                await asyncio.sleep(wait)
+            task = asyncio.create_task(self.ask(began + at))
+            asked.add(task)
+            task.add_done_callback(asked.discard)
+        await asyncio.gather(*asked)
+
+    async def ask(self, meant_at: float) -> None:
+        self.lateness.record_value(max(int((time.perf_counter() - meant_at) * 1e6), 1))
+        routes = self.scenario.routes
+        route = self.chance.choices(routes, [r.share for r in routes])[0]
+        work, address = work_of(route, self.chance), self.chance.choice(self.addresses)
+        self.counts["offered"] += 1
+        self.value += route.value
+        self.last += 1
+        try:
+            status = await asyncio.wait_for(
+                self.exchange(address, route, work, self.last), route.timeout_ms / 1000 + 0.2
+            )
+        except (OSError, EOFError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+            status = 0
+        took = time.perf_counter() - meant_at
+        if status == 200:
+            self.times.record_value(max(int(took * 1e6), 1))
+            in_time = took * 1000 <= route.objective_ms
+            self.counts["in_time" if in_time else "late"] += 1
+            self.kept += route.value * in_time
+        else:
+            self.counts["shed" if status in (429, 503) else "failed"] += 1
+
+    async def exchange(self, address: tuple[str, int], route: Route, work: float, ident: int) -> int:
+        if self.idle[address]:
+            reader, writer = self.idle[address].pop()
+        else:
+            reader, writer = await asyncio.open_connection(*address)
+        method = "GET" if route.semantics == "retriable" else "POST"
+        length = "" if method == "GET" else "Content-Length: 0\r\n"
+        head = f"{method} /{route.name}?work={int(work)} HTTP/1.1\r\nHost: app\r\nRequest-Id: r{ident}\r\n"
+        head += f"Request-Class: {route.name}\r\nTenant: any\r\n"
+        head += f"Request-Timeout-Ms: {int(route.timeout_ms)}\r\n{length}\r\n"
+        writer.write(head.encode())
+        head = await reader.readuntil(b"\r\n\r\n")
+        lines = head.lower().split(b"\r\n")
+        sizes = [int(line.split(b":")[1]) for line in lines if line.startswith(b"content-length:")]
+        await reader.readexactly(sizes[0] if sizes else 0)
+        if b"connection: close" in lines:
+            writer.close()
+        else:
+            self.idle[address].append((reader, writer))
+        return int(head.split(b" ")[1])
+
+
+def document_for(scenario: Scenario, number: int, listen: str, discovery: str, members: list[dict]) -> dict:
+    routes = [{"name": r.name, "semantics": SEMANTICS[r.semantics], "group": "cell", "value": r.value,
+               "latency_objective": int(r.objective_ms * 1000), "overall_timeout": int(r.timeout_ms * 1000),
+               "dedup_window": 10_000_000} for r in scenario.routes]  # fmt: skip
+    of = scenario.node
+    return {
+        "name": f"n{number}", "listen": listen, "discovery": discovery,
+        "seed": f"{scenario.seed * 1000 + number:x}",
+        "known": {"revision": 1, "complete": True, "members": members},
+        "settings": {
+            "routes": routes, "accounts": [{"name": "any", "quota_per_s": 1e9}], "kinds": ["std"],
+            "me": number,
+            "zones": [str(i) for i in range(scenario.locations)], "zone": number % scenario.locations,
+            "siblings": scenario.nodes, "discovery": "pushed", "tick": 1000,
+            "feedback": {"how": "inline", "fields": ["rif", "q", "busy"]},
+            "prices": {"probe": of.probe_price, "peer": of.peer_price, "cross_zone": of.cross_price},
+            "policy_limits": {"max_upstream_tries": of.tries, "cancel": True, "probes": of.probes,
+                              "parallel_tries": of.parallel, "connect_timeout": 250_000,
+                              "keepalive": 30_000_000},
+        },
+    }  # fmt: skip
+
+
+def own_port() -> int:
+    import socket
+
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()[1]
+
+
+async def play_on(scenario: Scenario, seconds: float, folder: Path) -> dict:
+    runs: dict[str, int] = {}
+    scripts = [Script(scenario, number, runs) for number in range(scenario.backends.count)]
+    for script in scripts:
+        await script.listen()
+    usual = {"flavor": "std", "phase": "ready", "size": 1.0, "up_since_ms": 0}
+    members = []
+    for number, script in enumerate(scripts):
+        named = {"id": f"s-{number}", "host_port": script.address, "cell": number}
+        members.append(usual | named | {"locality": str(number % scenario.locations)})
+    loop = asyncio.get_running_loop()
+    agent = await loop.create_server(lambda: DiscoveryAgent(members), "127.0.0.1", 0)
+    discovery = f"127.0.0.1:{agent.sockets[0].getsockname()[1]}"
+    nodes, addresses = [], []
+    try:
+        for number in range(scenario.nodes):
+            address = ("127.0.0.1", own_port())
+            path = folder / f"n{number}.json"
+            listen = "{}:{}".format(*address)
+            path.write_text(json.dumps(document_for(scenario, number, listen, discovery, members)))
+            log = (folder / f"n{number}.log").open("wb")
+            environment = os.environ | {"PROXY_CONFIG": str(path)}
+            nodes.append(
+                await asyncio.create_subprocess_exec(
+                    sys.executable, "-m", "basalthoist", stderr=log, env=environment
+                )
+            )
+            addresses.append(address)
+        for number, address in enumerate(addresses):
+            await ready(address, nodes[number], folder / f"n{number}.log")
+        clients = Clients(scenario, addresses, seconds)
+        await clients.run()
+        for number, node in enumerate(nodes):
+            if node.returncode is not None:
+                raise RuntimeError(f"node n{number} ended with {node.returncode} during the run")
+    finally:
+        for node in nodes:
+            if node.returncode is None:
+                node.terminate()
+        for node in nodes:
+            await node.wait()
+    offered = max(clients.counts["offered"], 1)
+    lateness = clients.lateness.get_value_at_percentile(99) / 1000
+    twice = sum(times > 1 for times in runs.values())
+    figures = {"offered": offered, "kept": clients.kept / clients.value}
+    figures |= {name: clients.counts[name] / offered for name in ("in_time", "late", "shed", "failed")}
+    figures |= {f"p{p}_ms": clients.times.get_value_at_percentile(p) / 1000 for p in (50, 95, 99)}
+    void = f"the tool was {lateness:.1f} ms late at p99" if lateness > MOST_LATENESS_MS else None
+    return {"figures": figures, "lateness_p99_ms": lateness, "ran_twice": twice, "void": void}
+
+
+async def ready(address: tuple[str, int], process, log: Path) -> None:
+    until = time.monotonic() + 10
+    while time.monotonic() < until:
+        if process.returncode is not None:
+            raise RuntimeError(
+                f"a node ended with {process.returncode}: {log.read_text(errors='replace')[-300:]}"
+            )
+        try:
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b"GET /ready HTTP/1.1\r\n\r\n")
+            said = await reader.readline()
+            writer.close()
+            if b" 200 " in said:
+                return
+        except OSError:
+            pass
+        await asyncio.sleep(0.02)
+    raise RuntimeError(f"a node was not ready in 10 s: {log.read_text(errors='replace')[-300:]}")
+
+
+def play(scenario: Scenario, seconds: float) -> dict:
+    """Faults are the emulator's alone; here the fleet is a calm one."""
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(play_on(scenario, seconds, Path(folder)))
