Tiers ask discovery in turns by the lines they need; a gateway between sites, off

Seen on herd+vast by logging each list that reached a node: nine lists in 24 s. Forty nodes that ask within 4 s, or within 10 s, get some 2.3 lists a second for 3 s and then nothing: refused calls keep it overbooked, and changes for those that do watch stop as well. Discovery.start asked at once. Where calls weigh (discovery on_request) the first ask and the retries now take 8 ms a line and node; a small tier asks at once as before.

Gateway: other sites' nodes as lanes of Node; offered, used and accepted by an I/O-free module; hop mark, bound on help, definite 'not started'. Off without PROXY_GATEWAY.

--- a/basalthoist/__main__.py
+++ b/basalthoist/__main__.py
@@ -6,13 +6,13 @@
 
 import uvloop
 
-from .configuration import ConfigurationError, load
+from .configuration import ConfigurationError, load, load_gateway
 from .net.service import Service
 
 
-async def run(configuration, form) -> None:
+async def run(configuration, gateway, form) -> None:
     loop = asyncio.get_running_loop()
-    service = Service(configuration, loop)
+    service = Service(configuration, loop, gateway)
     if form is not None:
         form.bind(service.log)
     for name in (signal.SIGTERM, signal.SIGINT):
@@ -26,12 +26,12 @@
     # Guards against one that comes before there is a node: the file is about to be read anyway.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
-        configuration = load()
+        configuration, gateway = load(), load_gateway()
     except ConfigurationError as wrong:
         print(f"basalthoist: configuration: {wrong}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(run(configuration, form))
+        uvloop.run(run(configuration, gateway, form))
     except OSError as wrong:
         print(f"basalthoist: {wrong}", file=sys.stderr)
         return 1
--- a/basalthoist/commands/line.py
+++ b/basalthoist/commands/line.py
@@ -228,3 +228,31 @@
         click.echo(f"the tool's own lateness: p99 {result['lateness_p99_ms']:.2f} ms")
     if result["void"]:
         fail(f"void: {result['void']}", FAILED)
+
+
+@main.command()
+@click.option("--seconds", type=click.FloatRange(min=6), default=18.0, show_default=True)
+@click.option("--delay-ms", type=click.FloatRange(min=0), default=10.0, show_default=True, help="One way.")
+@click.option("--rate", type=click.FloatRange(min=1), default=60.0, show_default=True, help="At each site.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--fault", type=click.Choice(["none", "cut"]), default="none", help="On top: the link is cut.")
+@click.option("--json", "as_json", is_flag=True)
+def sites(seconds: float, delay_ms: float, rate: float, seed: int, fault: str, as_json: bool) -> None:
+    """Two sites on loopback: one's backends go for a third of the time; with and without the gateway."""
+    from basalthoist.experiments.sites import play, said
+
+    results = {}
+    for name, linked in (("alone", False), ("gateway", True)):
+        try:
+            results[name] = play(linked, seconds, delay_ms, rate, seed, fault)
+        except (OSError, RuntimeError) as wrong:
+            fail(wrong, FAILED)
+        if not as_json:
+            click.echo("\n".join(said(results[name], name)))
+    if as_json:
+        click.echo(msgspec.json.format(msgspec.json.encode(results), indent=1))
+    for name, result in results.items():
+        if result["void"]:
+            fail(f"{name}: void: {result['void']}", FAILED)
+        if result["ran_twice"]:
+            fail(f"{name}: {result['ran_twice']} exchanges ran twice", FAILED)
--- a/basalthoist/commands/reference.py
+++ b/basalthoist/commands/reference.py
@@ -22,6 +22,8 @@
     ("`settings.routes[]`", configuration.Route), ("`settings.accounts[]`", configuration.Account),
     ("`settings.policy_limits`", configuration.PolicyLimits), ("`settings.feedback`", configuration.Feedback),
     ("`known`", MemberList), ("`known.members[]`", Member),
+    ("The gateway's file, named by `PROXY_GATEWAY`, TOML", configuration.GatewayDocument),
+    ("`sites[]` in the gateway's file", configuration.Site),
 )  # fmt: skip
 
 
--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -48,7 +48,7 @@
     watch_silent_s: Positive = 4.5
     watch_retry_s: Positive = 0.4  # before discovery is tried again; it doubles, spread by half either way
     watch_retry_most_s: Positive = 2.0
-    watch_retry_node_s: Annotated[float, msgspec.Meta(ge=0)] = 0.1  # that most, for each node of the tier
+    watch_line_s: Annotated[float, msgspec.Meta(ge=0)] = 0.008  # of discovery for a line, where calls weigh
     linger_s: Positive = 0.55  # after SIGTERM new connections are still taken for this long
     bind_s: Positive = 5.0  # how long the address may still be held by a process before this one
 
@@ -79,6 +79,7 @@
 
     routes: Annotated[list[Route], msgspec.Meta(min_length=1)]
     siblings: Annotated[int, msgspec.Meta(ge=0)] = 1
+    discovery: str = "pushed"
     accounts: list[Account] = []
     zones: list[str] = []
     kinds: list[str] = []
@@ -128,7 +129,9 @@
         self.peer_listen = address("peer_listen", document.peer_listen) if document.peer_listen else None
         self.peers = [address(f"peers.{number}", peer) for number, peer in enumerate(document.peers)]
         self.known, self.settings = document.known, settings
-        self.nodes = told.siblings
+        # Where calls weigh on discovery: how long it takes to serve the whole tier, one after the other.
+        lines = told.siblings * len(document.known.members) if told.discovery == "on_request" else 0
+        self.turns_s = document.limits.watch_line_s * lines
         self.routes, self.told = told.routes, told
         self.longest_s = max(route.overall_timeout for route in told.routes) / 1e6 or 1.0
         self.customers = [account.name for account in told.accounts]
@@ -143,6 +146,61 @@
         return [key for key in keys if getattr(self.document, key) != getattr(before.document, key)]
 
 
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
+Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
+
+
+class Site(msgspec.Struct, forbid_unknown_fields=True):
+    """Another site: the addresses of its nodes that clients there use, as they are reached from here."""
+
+    name: Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9-]+$")]
+    gateways: Annotated[list[str], msgspec.Meta(min_length=1)]
+
+    def named(self) -> list[tuple[str, tuple[str, int]]]:
+        return [(f"{self.name}/{number}", address_of(text)) for number, text in enumerate(self.gateways)]
+
+
+class GatewayDocument(msgspec.Struct, forbid_unknown_fields=True):
+    """The file that PROXY_GATEWAY names."""
+
+    site: Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9-]+$")]
+    sites: Annotated[list[Site], msgspec.Meta(min_length=1)]
+    beat_s: Seconds = 0.5  # between questions to another site's gateways
+    silent_s: Seconds = 2.0  # a gateway that has not answered for as long is not used
+    steady_s: Seconds = 2.0  # one that came back answers for as long before it is used
+    offer_under: Share = 0.7  # usable part of the site's backends under which spill is offered
+    enough_from: Share = 0.9  # and from which it ends
+    shed_over: Share = 0.02  # part of the demand that is shed for spill to be offered at all
+    calm_s: Seconds = 3.0  # without cause before spill ends
+    help_part: Share = 0.25  # of what the site's backends can hold, given to others at most
+    most_lanes: Count = 32  # that another site counts as at the most
+
+
+def load_gateway(environment: Mapping[str, str] = os.environ) -> GatewayDocument | None:
+    """None where no file is named: then there are no other sites."""
+    path = environment.get("PROXY_GATEWAY")
+    if not path:
+        return None
+    try:
+        with open(path, "rb") as file:
+            told = msgspec.toml.decode(file.read(), type=GatewayDocument)
+    except OSError as wrong:
+        raise ConfigurationError(f"PROXY_GATEWAY: {wrong}") from None
+    except msgspec.ValidationError as wrong:
+        raise ConfigurationError(f"{path}: {wrong}") from None
+    except (msgspec.DecodeError, UnicodeDecodeError) as wrong:
+        raise ConfigurationError(f"{path}: not TOML: {wrong}") from None
+    names = [told.site, *(site.name for site in told.sites)]
+    if len(names) > len(set(names)):
+        raise ConfigurationError(f"{path}: sites: a name stands twice among {', '.join(names)}")
+    for number, site in enumerate(told.sites):
+        for at, text in enumerate(site.gateways):
+            address(f"{path}: sites[{number}].gateways[{at}]", text)
+    if told.offer_under > told.enough_from:
+        raise ConfigurationError(f"{path}: offer_under: expected at most enough_from, got {told.offer_under}")
+    return told
+
+
 def address(key: str, text: str) -> tuple[str, int]:
     try:
         return address_of(text)
--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -121,6 +121,7 @@
     def __init__(self, ident: int, route: Route, now: int, deadline: int, aim_at: int, surplus: bool) -> None:
         self.id, self.route, self.deadline, self.aim_at = ident, route, deadline, aim_at
         self.surplus, self.held, self.over, self.streaming = surplus, False, False, False
+        self.spilled = False  # from another site: it is not sent to one again
         self.asked, self.settled, self.order = 0, False, (surplus, -route.value, now, ident)
         self.tries: list[UpstreamTry] = []
 
@@ -136,6 +137,8 @@
         self.host, self.settings, self.chance, get = host, settings, Lcg(seed), settings.get
         self.nodes, self.location = max(get("nodes", 1), 1), get("location", 0)
         self.me = get("me", 0) % self.nodes
+        locations = get("locations")  # those numbered from here on are other sites
+        self.others_from = len(locations) if isinstance(locations, list) else inf
         self.routes = [Route(settings, i) for i in range(get("routes.count", 1))]
         quotas = [get(f"customers.{i}.quota_per_s", 0.0) for i in range(get("customers.count", 0))]
         self.customers = [Customer(quota / self.nodes) for quota in quotas]
@@ -159,7 +162,7 @@
         self.demand, self.arrivals, self.equal_time = 0.0, 0, float(self.objective)
         # usual: sends a second to a warm backend; welcome: the part of the surplus that is let in
         self.usual, self.sends, self.welcome = 0.0, 0, 1.0
-        self.sheds, self.shedding, self.list_failures, self.ask_again = 0, False, 0, 0
+        self.sheds, self.all_sheds, self.shedding, self.list_failures, self.ask_again = 0, 0, False, 0, 0
         if get("discovery", "pushed") == "on_request":
             host.subscribe()
         host.wake(SECOND, "tick")
@@ -168,6 +171,8 @@
         get, tries, route = self.settings.get, xchg.tries, xchg.route
         if xchg.over or xchg.streaming or now >= xchg.deadline or not backend.usable:
             return False
+        if xchg.spilled and backend.location >= self.others_from:
+            return False
         most, parallel = get("policy_limits.max_upstream_tries", 1), get("policy_limits.parallel_tries")
         if tries and (len(tries) >= most or not parallel and any(t.outcome is None for t in tries)):
             return False
@@ -224,7 +229,13 @@
         # Guards against a few sick backends passing for what is usual: the fleet's share is the median one.
         self.failing = sorted([b.fails for b in self.usable] or [0.0])[len(self.usable) // 2]
 
-    def on_exchange(self, now: int, ident: int, route_no: int, customer_no: int, grace: int, again: bool):
+    def own_site(self, now: int) -> tuple[int, int, float, float]:
+        """For the gateway: own backends usable and listed, exchanges a second, sheds in share so far."""
+        own = [b for b in self.backends.values() if b.usable and b.location < self.others_from]
+        return sum(now >= b.out_until for b in own), len(own), self.demand, self.all_sheds
+
+    def on_exchange(self, now: int, ident: int, route_no: int, customer_no: int, grace: int, again: bool,
+                    spilled: bool = False):  # fmt: skip
         route, self.welcome = self.routes[route_no], min(self.welcome + 0.002, 1.0)
         aim_at = now + route.objective
         self.arrivals += not again
@@ -236,7 +247,9 @@
         if again and grace < route.usual_grace:
             aim_at -= route.timeout - grace  # the client's earlier tries have used up part of its objective
         surplus = customer_no < len(self.customers) and not self.customers[customer_no].within(now, again)
-        xchg = self.exchanges[ident] = Exchange(ident, route, now, now + grace, aim_at, surplus)
+        # Guards against another site's work before this one's own: it waits and gives way like surplus.
+        xchg = self.exchanges[ident] = Exchange(ident, route, now, now + grace, aim_at, surplus or spilled)
+        xchg.spilled = spilled
         # Guards against work for clients' later tries that can only end late, where that is worth nothing.
         if now >= aim_at and not route.late_value or surplus and self.chance.uniform() > self.welcome:
             return self.give_up(now, xchg)
@@ -407,7 +420,8 @@
         xchg.asked += 1
         # Guards against asking the same crowded few again while others are idle and unheard of.
         for backend in sorted(self.turns(now, xchg), key=lambda b: b.held_at * (xchg.asked > 1))[: self.asks]:
-            if not backend.probe_at and now - backend.held_at > 20:
+            # Guards against asking over a link to another site, which takes what an answer there takes.
+            if not backend.probe_at and now - backend.held_at > 20 and backend.location < self.others_from:
                 self.probe(now, backend)
 
     def probe(self, now: int, backend: Backend) -> None:
@@ -456,7 +470,7 @@
         # Guards against surplus filling the fleet at the other nodes' cost: it goes before what is in share.
         self.welcome *= 1.0 if xchg.surplus else 0.8
         if self.may_shed(xchg):
-            self.sheds += 1
+            self.sheds, self.all_sheds = self.sheds + 1, self.all_sheds + (not xchg.surplus)
             self.host.shed(xchg.id, self.advice)
         else:
             self.host.fail(xchg.id)
@@ -510,7 +524,7 @@
     def turns(self, now: int, xchg: Exchange) -> list[Backend]:
         fit = [b for b in self.usable if now >= b.out_until and not (b.doubt > TRIAL and b.out)]
         fit = [b for b in fit if now >= b.full_until and (now >= b.warm_at or self.cold_allows(b, now))]
-        if xchg.tries:
+        if xchg.tries or xchg.spilled:
             fit = [b for b in fit if self.may_try(xchg, b, now)]
             fit = [b for b in fit if b not in [t.backend for t in xchg.tries]] or fit
             fit = [b for b in fit if b.turned < 0.05] or fit  # or its time goes by in being turned away
@@ -543,7 +557,8 @@
         stale = 20 if asking else self.slot / 2 if heard else inf
         best, best_time = None, inf
         for backend in fit:
-            if len(backend.out) > most or now - backend.held_at > stale:
+            unheard = now - backend.held_at > stale and backend.location < self.others_from
+            if len(backend.out) > most or unheard:
                 continue
             time, cost = self.expected(backend, now), backend.cost
             # Guards against crowding a backend until it turns slower: a few times its idle time is enough.
--- a/basalthoist/experiments/loopback.py
+++ b/basalthoist/experiments/loopback.py
@@ -90,8 +90,11 @@
 
 
 class DiscoveryAgent(asyncio.Protocol):
-    def __init__(self, members: list[dict]) -> None:
+    """Discovery for one fleet. Watches join `watches`, down which a change can be told."""
+
+    def __init__(self, members: list[dict], watches: list | None = None) -> None:
         self.members, self.transport = members, None
+        self.watches = [] if watches is None else watches
 
     def connection_made(self, transport) -> None:
         self.transport = transport
@@ -100,6 +103,7 @@
         text = json.dumps({"revision": 1, "complete": True, "members": self.members}).encode()
         if b"stream=1" in data:
             self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            self.watches.append(self.transport)
             self.beat()
         else:
             self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text) + text)
@@ -111,7 +115,10 @@
 
 
 class Clients:
-    def __init__(self, scenario: Scenario, addresses: list[tuple[str, int]], seconds: float) -> None:
+    """Open loop. `ran` and `kept_at` say by the second what was asked and what came in time."""
+
+    def __init__(self, scenario: Scenario, addresses: list, seconds: float, name: str = "r") -> None:
+        self.name, self.asked_at, self.kept_at = name, {}, {}
         self.scenario, self.addresses, self.seconds = scenario, addresses, seconds
         self.chance = Random(scenario.seed)
         self.idle: dict[tuple[str, int], list] = {address: [] for address in addresses}
@@ -123,6 +130,7 @@
 
     async def run(self) -> None:
         began, at, asked = time.perf_counter(), 0.0, set()
+        self.began = began
         while at < self.seconds:
             at += self.chance.expovariate(self.scenario.load.rate)
             if (wait := began + at - time.perf_counter()) > 0:
@@ -140,6 +148,8 @@
         self.counts["offered"] += 1
         self.value += route.value
         self.last += 1
+        second = int(meant_at - self.began)
+        self.asked_at[second] = self.asked_at.get(second, 0) + 1
         try:
             status = await asyncio.wait_for(
                 self.exchange(address, route, work, self.last), route.timeout_ms / 1000 + 0.2
@@ -152,6 +162,7 @@
             in_time = took * 1000 <= route.objective_ms
             self.counts["in_time" if in_time else "late"] += 1
             self.kept += route.value * in_time
+            self.kept_at[second] = self.kept_at.get(second, 0) + in_time
         else:
             self.counts["shed" if status in (429, 503) else "failed"] += 1
 
@@ -162,7 +173,8 @@
             reader, writer = await asyncio.open_connection(*address)
         method = "GET" if route.semantics == "retriable" else "POST"
         length = "" if method == "GET" else "Content-Length: 0\r\n"
-        head = f"{method} /{route.name}?work={int(work)} HTTP/1.1\r\nHost: app\r\nRequest-Id: r{ident}\r\n"
+        head = f"{method} /{route.name}?work={int(work)} HTTP/1.1\r\nHost: app\r\n"
+        head += f"Request-Id: {self.name}{ident}\r\n"
         head += f"Request-Class: {route.name}\r\nTenant: any\r\n"
         head += f"Request-Timeout-Ms: {int(route.timeout_ms)}\r\n{length}\r\n"
         writer.write(head.encode())
--- /dev/null
+++ b/basalthoist/experiments/sites.py
@@ -0,0 +1,176 @@
+"""Two sites on loopback with a link between them that delays; one site's backends die and come back."""
+
+import asyncio
+import json
+import os
+import sys
+import tempfile
+from pathlib import Path
+
+from basalthoist.emulator.scenario import Backends, Kind, Load, Network, Node, Route, Scenario
+
+from .loopback import MOST_LATENESS_MS, Clients, DiscoveryAgent, Script, document_for, own_port, ready
+
+GATEWAY = "site = '{own}'\nbeat_s = 0.2\nsilent_s = 1.0\nsteady_s = 0.5\ncalm_s = 1.0\n"
+GATEWAY += "[[sites]]\nname = '{other}'\ngateways = ['{gateway}']\n"
+
+
+class Pipe(asyncio.Protocol):
+    """One direction's end of a connection over the link: what comes is passed on late, in order."""
+
+    def __init__(self, link: "Link", other: "Pipe | None" = None) -> None:
+        self.link, self.other, self.transport, self.early = link, other, None, []
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+        if self.other is None:
+            asyncio.get_running_loop().create_task(self.open())
+        else:
+            self.other.other = self
+            for data in self.other.early:
+                self.other.pass_on(data)
+
+    async def open(self) -> None:
+        try:
+            await asyncio.get_running_loop().create_connection(lambda: Pipe(self.link, self), *self.link.to)
+        except OSError:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        if self.other is None:
+            self.early.append(data)
+        else:
+            self.pass_on(data)
+
+    def pass_on(self, data: bytes) -> None:
+        asyncio.get_running_loop().call_later(self.link.delay_s, self.arrive, data)
+
+    def arrive(self, data: bytes) -> None:
+        if not self.link.cut and not self.other.transport.is_closing():
+            self.other.transport.write(data)
+
+    def connection_lost(self, wrong) -> None:
+        if self.other is not None and self.other.transport is not None:
+            self.other.transport.abort()
+
+
+class Link:
+    """From one site's node to a gateway of the other; cut, it takes bytes and says nothing."""
+
+    def __init__(self, to: tuple[str, int], delay_s: float) -> None:
+        self.to, self.delay_s, self.cut, self.address = to, delay_s, False, ""
+
+    async def listen(self) -> None:
+        server = await asyncio.get_running_loop().create_server(lambda: Pipe(self), "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+class Site:
+    def __init__(self, name: str, scenario: Scenario, runs: dict[str, int], folder: Path) -> None:
+        self.name, self.scenario, self.runs, self.folder = name, scenario, runs, folder
+        self.scripts = [Script(scenario, number, runs) for number in range(scenario.backends.count)]
+        self.watches: list = []
+        self.address, self.process, self.members = ("127.0.0.1", own_port()), None, []
+
+    async def open(self) -> None:
+        for number, script in enumerate(self.scripts):
+            await script.listen()
+            self.members.append({"id": f"{self.name}-{number}", "host_port": script.address, "locality": "0",
+                                 "flavor": "std", "cell": number, "phase": "ready", "size": 1.0,
+                                 "up_since_ms": 0})  # fmt: skip
+        loop = asyncio.get_running_loop()
+        agent = await loop.create_server(lambda: DiscoveryAgent(self.members, self.watches), "127.0.0.1", 0)
+        self.discovery = f"127.0.0.1:{agent.sockets[0].getsockname()[1]}"
+
+    async def start(self, other: str, link: Link | None) -> None:
+        listen = "{}:{}".format(*self.address)
+        made = document_for(self.scenario, 0, listen, self.discovery, self.members)
+        path, log = self.folder / f"{self.name}.json", self.folder / f"{self.name}.log"
+        path.write_text(json.dumps(made))
+        environment = os.environ | {"PROXY_CONFIG": str(path)}
+        if link is not None:
+            gateway = self.folder / f"{self.name}.toml"
+            gateway.write_text(GATEWAY.format(own=self.name, other=other, gateway=link.address))
+            environment["PROXY_GATEWAY"] = str(gateway)
+        command = [sys.executable, "-m", "basalthoist"]
+        self.process = await asyncio.create_subprocess_exec(*command, stderr=log.open("wb"), env=environment)
+        await ready(self.address, self.process, log)
+
+    def tell(self, phase: str) -> None:
+        """The list says it at once; the backends themselves stand still for new work while they are gone."""
+        members = [member | {"phase": phase} for member in self.members]
+        line = json.dumps({"revision": 2, "complete": False, "members": members}).encode() + b"\n"
+        for transport in self.watches:
+            if not transport.is_closing():
+                transport.write(b"%x\r\n%b\r\n" % (len(line), line))
+
+    async def end(self) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.terminate()
+            await self.process.wait()
+
+
+def scenario_of(rate: float, backends: int, seed: int) -> Scenario:
+    routes = (
+        Route("load", 0.5, "retriable", 20, "lognormal", 0.4, 150, 800, 1),
+        Route("save", 0.5, "non-retriable", 20, "lognormal", 0.4, 150, 800, 5),
+    )
+    return Scenario(nodes=1, seed=seed, backends=Backends(count=backends, kinds=(Kind(),)), routes=routes,
+                    network=Network(), node=Node(probes=True), load=Load(rate=rate))  # fmt: skip
+
+
+async def play_on(linked: bool, seconds: float, delay_ms: float, rate: float, seed: int, fault: str,
+                  folder: Path) -> dict:  # fmt: skip
+    runs: dict[str, int] = {}
+    a, b = (Site(name, scenario_of(rate, 6, seed + at), runs, folder) for at, name in enumerate("ab"))
+    to_b, to_a = Link(b.address, delay_ms / 1000), Link(a.address, delay_ms / 1000)
+    for one in (a, b, to_a, to_b):
+        await (one.open() if isinstance(one, Site) else one.listen())
+    try:
+        await asyncio.gather(a.start("b", to_b if linked else None), b.start("a", to_a if linked else None))
+        clients = [Clients(site.scenario, [site.address], seconds, site.name) for site in (a, b)]
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds / 3, a.tell, "gone")
+        if fault == "cut":
+            loop.call_later(seconds / 2, setattr, to_b, "cut", True)
+        loop.call_later(2 * seconds / 3, a.tell, "ready")
+        await asyncio.gather(*(one.run() for one in clients))
+    finally:
+        await asyncio.gather(a.end(), b.end())
+    return figures_of(clients, runs, seconds)
+
+
+def figures_of(clients: list[Clients], runs: dict[str, int], seconds: float) -> dict:
+    a, b = clients
+    thirds = [(0, seconds / 3), (seconds / 3, 2 * seconds / 3), (2 * seconds / 3, seconds)]
+    parts = {}
+    for name, one in (("a", a), ("b", b)):
+        for phase, (begin, end) in zip(("before", "gone", "back"), thirds, strict=True):
+            at = [second for second in one.asked_at if begin <= second < end]
+            asked = sum(one.asked_at[second] for second in at)
+            parts[f"{name}_{phase}"] = sum(one.kept_at.get(s, 0) for s in at) / max(asked, 1)
+    gone = sorted(s for s in a.asked_at if seconds / 3 <= s < 2 * seconds / 3)
+    good = [s for s in gone if a.kept_at.get(s, 0) >= 0.9 * a.asked_at[s]]
+    lateness = max(one.lateness.get_value_at_percentile(99) / 1000 for one in clients)
+    void = f"the tool was {lateness:.1f} ms late at p99" if lateness > MOST_LATENESS_MS else None
+    return {
+        "kept": {name: one.kept / one.value for name, one in (("a", a), ("b", b))}, "in_time": parts,
+        "seconds_to_leave": (good[0] - seconds / 3) if good else None,
+        "ran_twice": sum(times > 1 for times in runs.values()), "lateness_p99_ms": lateness, "void": void,
+    }  # fmt: skip
+
+
+def play(linked: bool, seconds: float, delay_ms: float, rate: float, seed: int, fault: str) -> dict:
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(play_on(linked, seconds, delay_ms, rate, seed, fault, Path(folder)))
+
+
+def said(result: dict, name: str) -> list[str]:
+    lines = [f"{name}: kept a {result['kept']['a']:.1%}, b {result['kept']['b']:.1%}"]
+    lines.append("  in time  " + "  ".join(f"{key} {part:.1%}" for key, part in result["in_time"].items()))
+    left = result["seconds_to_leave"]
+    lines.append(f"  seconds until 90% in time again: {'never' if left is None else f'{left:.1f}'}")
+    lines.append(
+        f"  ran twice: {result['ran_twice']}; the tool's lateness p99 {result['lateness_p99_ms']:.2f} ms"
+    )
+    return lines
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -21,6 +21,7 @@
 }  # fmt: skip
 LAST_RECEIVED = struct.Struct("I")  # tcpi_last_data_recv of Linux' struct tcp_info, milliseconds
 METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))
+PROBES = (b"/health", b"/status/load")
 
 
 class Client(asyncio.Protocol):
@@ -294,6 +295,11 @@
         path = message.target.partition(b"?")[0]
         if path == b"/ready":
             return client.answer(200 if self.ready and not self.leaving else 503)
+        links = self.exchanges.links
+        if links is not None and path == b"/site":
+            return client.answer(200, [(b"content-type", b"application/json")], links.report())
+        if links is not None and path in PROBES:
+            return client.answer(200, [(b"server-load", self.exchanges.site_load())])
         if message.method not in METHODS:
             raise BadMessage(405, "method")
         first = path.split(b"/")[1] if path.startswith(b"/") else b""
@@ -312,7 +318,17 @@
             raise BadMessage(400, "unknown Tenant")  # or none named, which would pass by every share
         customer_no = self.customers[customer] if self.customers else 0
         again = message.get(b"client-retry") == b"1"
-        self.exchanges.start(client, message, number, customer_no, self.timeout(message, route), again)
+        spilled = links is not None and message.get(b"site-hops") is not None
+        if spilled and not links.sites.accepts(self.hops(message)):
+            return client.answer(503, [(b"not-started", b"1")])
+        timeout = self.timeout(message, route)
+        self.exchanges.start(client, message, number, customer_no, timeout, again, spilled)
+
+    def hops(self, message: Message) -> int:
+        text = message.get(b"site-hops")
+        if not text.isdigit() or len(text) > 3:
+            raise BadMessage(400, "bad Site-Hops")
+        return int(text)
 
     def timeout(self, message: Message, route) -> int:
         text = message.get(b"request-timeout-ms")
--- a/basalthoist/net/discovery.py
+++ b/basalthoist/net/discovery.py
@@ -129,15 +129,21 @@
         self.on_first = lambda: None
         self.silent = int(self.limits.watch_silent_s * SECOND)
         # Guards against a large tier that asks faster than discovery, which does not grow with it, answers.
-        limits, nodes = self.limits, configuration.nodes
-        self.most_wait_s = max(limits.watch_retry_most_s, limits.watch_retry_node_s * nodes)
+        limits = self.limits
+        self.turns_s = configuration.turns_s
+        self.least_wait_s = max(limits.watch_retry_s, self.turns_s / 2)
+        self.most_wait_s = max(limits.watch_retry_most_s, self.turns_s)
         timers.every(SECOND // 2, self.check)
 
     def start(self, known: MemberList) -> None:
         known.complete = True
         self.learn(known)
         self.listed = known.revision > 0  # then a watch from there brings all that a list would
-        self.connect()
+        # Guards against nodes killed together that ask together: what they know serves meanwhile.
+        if self.turns_s > self.limits.watch_retry_most_s and known.members:
+            self.wait(self.turns_s * self.chance.random())
+        else:
+            self.connect()
 
     def move(self, address: tuple[str, int]) -> None:
         """Another agent, as planned: no failure. The whole list first, as its revisions may be others."""
@@ -193,10 +199,12 @@
 
     def later(self) -> None:
         if self.waiting is None:
-            longer = min(self.limits.watch_retry_s * 2**self.failures, self.most_wait_s)
-            wait = longer * (0.5 + self.chance.random())
+            longer = min(self.least_wait_s * 2**self.failures, self.most_wait_s)
             self.failures = min(self.failures + 1, 20)
-            self.waiting = self.timers.after(int(wait * SECOND), self.connect)
+            self.wait(longer * (0.5 + self.chance.random()))
+
+    def wait(self, seconds: float) -> None:
+        self.waiting = self.timers.after(int(seconds * SECOND), self.connect)
 
     def ask(self) -> None:
         """The decisions want it followed. A wait that has begun goes on: two clocks would ask twice."""
@@ -231,7 +239,8 @@
                 self.upstream.learn(member.id, address, listed.started)
             entries.append(listed)
         if said.complete:
-            left |= self.upstream.pools.keys() - present
+            links = self.exchanges.links
+            left |= self.upstream.pools.keys() - present - (links.names() if links is not None else set())
         self.exchanges.on_list(entries, said.complete)
         for name in left:
             self.upstream.remove(name)
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -4,7 +4,7 @@
 from functools import partial
 
 from basalthoist.configuration import Configuration
-from basalthoist.decisions.host import Listed, Outcome
+from basalthoist.decisions.host import NEVER_RAN, Listed, Outcome
 from basalthoist.decisions.policy import Node
 
 from .framing import BadMessage, Message, head_of
@@ -13,7 +13,7 @@
 from .timers import SECOND, Timers, now
 from .upstream import Call, Upstream, load_of
 
-OWN_HEADERS = frozenset((b"request-timeout-ms", b"host"))  # written anew towards a backend
+OWN_HEADERS = frozenset((b"request-timeout-ms", b"host", b"site-hops", b"site-from"))  # written anew
 KEPT_BACK = frozenset((b"server-load", b"not-started"))  # for the node, not for its clients
 OVERDUE = 20  # tenths after its deadline at which an exchange is answered whatever has become of it
 
@@ -21,7 +21,7 @@
 class Exchange:
     """An exchange that a client waits for: who asked, what is sent on, and its tries so far."""
 
-    __slots__ = "id name client head body deadline calls out open timer streams stream".split()
+    __slots__ = "id name client head body deadline calls out open timer streams stream spilled ran".split()
 
     def __init__(self, ident: int, name: bytes, client, head: bytes, body, deadline: int) -> None:
         self.name = name  # its Request-Id
@@ -30,10 +30,11 @@
         self.out, self.open, self.timer = 0, True, None
         self.streams = False  # its route's answers are passed on as they come
         self.stream: Call | None = None  # the try whose answer is on its way to the client
+        self.spilled, self.ran = False, False  # from another site; a try of it may have run
 
-    def parts(self, timeout: int) -> list:
+    def parts(self, timeout: int, marks: bytes = b"") -> list:
         """The request towards a backend, which is told for how long the node will wait."""
-        head = self.head + b"Request-Timeout-Ms: %d\r\n\r\n" % max(timeout // 10, 1)
+        head = self.head + marks + b"Request-Timeout-Ms: %d\r\n\r\n" % max(timeout // 10, 1)
         return [head, self.body] if len(self.body) else [head]
 
 
@@ -50,7 +51,7 @@
         self.streamed = [route.streaming for route in configuration.routes]
         self.under_way: dict[int, Exchange] = {}
         self.named: dict[bytes, Exchange] = {}
-        self.last_id = 0
+        self.last_id, self.links = 0, None  # to other sites, where there are any
         self.ask_discovery: Callable[[], None] = lambda: None
         self.tell_peers: Callable[[Words, list[int]], None] = lambda words, peers: None
         self.node = Node(self, configuration.seed, configuration.settings, now())
@@ -70,7 +71,7 @@
     # What clients bring.
 
     def start(self, client, message: Message, route: int, customer: int, timeout_ms: int,
-              again: bool) -> Exchange:  # fmt: skip
+              again: bool, spilled: bool = False) -> Exchange:  # fmt: skip
         """Takes an exchange. Its time counts from when the client sent it, not from when it is looked at."""
         name = message.get(b"request-id") or b""
         # Guards against a second copy of one that is open, or of which a try may still run, under its id.
@@ -84,12 +85,14 @@
             headers.append((b"Content-Length", b"%d" % len(message.body)))
         head = head_of(b"%b %b HTTP/1.1" % (message.method, message.target), headers)
         xchg = Exchange(self.last_id, name, client, head, message.body, deadline)
-        xchg.streams = self.streamed[route]
+        xchg.streams, xchg.spilled = self.streamed[route], spilled
+        if spilled:
+            self.links.sites.under_way += 1
         self.under_way[xchg.id] = self.named[name] = client.exchange = xchg
         # Guards against an exchange that the decisions lost by failing: it is answered all the same.
         xchg.timer = self.timers.after(deadline - arrived + OVERDUE, partial(self.overdue, xchg))
         grace = max(deadline - arrived, 1)
-        if not self.report(self.node.on_exchange, xchg.id, route, customer, grace, again):
+        if not self.report(self.node.on_exchange, xchg.id, route, customer, grace, again, spilled):
             self.end_failed(xchg)
         return xchg
 
@@ -100,6 +103,10 @@
         if xchg.stream is not None:
             xchg.stream.give_up(Outcome.CANCELLED)  # a begun answer is not the decisions' to call off
 
+    def site_load(self) -> bytes:
+        """Towards another site: what is held here for each usable backend, so that a lane counts as one."""
+        return b"inflight=%.2f" % (len(self.under_way) / max(self.node.own_site(now())[0], 1))
+
     def overdue(self, xchg: Exchange) -> None:
         if xchg.open:
             self.log(f"exchange {xchg.id} was left unanswered")
@@ -124,18 +131,22 @@
     def forget(self, xchg: Exchange) -> None:
         if self.under_way.pop(xchg.id, None) is not None:
             del self.named[xchg.name]
+            if xchg.spilled:
+                self.links.sites.under_way -= 1
 
     # How tries and probes end.
 
     def try_ended(self, xchg: Exchange, number: int, began_at: int, outcome: Outcome,
                   answer: Message | None) -> None:  # fmt: skip
         xchg.out -= 1
+        xchg.ran |= outcome not in NEVER_RAN
         load = load_of(answer.get(b"server-load")) if answer is not None else None
         over = not xchg.open or xchg.stream is not None or outcome == Outcome.COMPLETED
         if xchg.open and xchg.stream is not None:
             xchg.client.end_stream(whole=outcome == Outcome.COMPLETED)
         elif xchg.open and over:
-            xchg.client.answer(200, answer.end_to_end(KEPT_BACK), answer.body)
+            own = [(b"server-load", self.site_load())] if xchg.spilled else []
+            xchg.client.answer(200, answer.end_to_end(KEPT_BACK) + own, answer.body)
         if over:
             self.close(xchg)
         took = now() - began_at
@@ -159,7 +170,8 @@
     # What discovery says.
 
     def on_list(self, entries: list[Listed], whole: bool) -> None:
-        self.report(self.node.on_list, entries, whole)
+        lanes = self.links.entries() if whole and self.links is not None else []
+        self.report(self.node.on_list, entries + lanes, whole)
 
     def on_list_failed(self) -> None:
         self.report(self.node.on_list_failed)
@@ -179,7 +191,8 @@
         ended = partial(self.try_ended, xchg, number, began_at)
         xchg.out += 1
         starts = partial(self.answer_begun, xchg, number) if xchg.streams else None
-        call = self.upstream.call(backend, xchg.parts(timeout), timeout, ended, starts)
+        marks, told = self.links.head_for(backend, timeout) if self.links is not None else (b"", timeout)
+        call = self.upstream.call(backend, xchg.parts(told, marks), timeout, ended, starts)
         if call is None:
             self.loop.call_soon(ended, Outcome.NOT_SENT, None)
         xchg.calls.append(call)
@@ -187,6 +200,8 @@
     def shed(self, ident: int, retry_after: int) -> None:
         if (xchg := self.open_one(ident)) is not None:
             advice = [(b"retry-after", b"%.3f" % (retry_after / SECOND))] if retry_after > 0 else []
+            if xchg.spilled and not xchg.ran and not xchg.out:
+                advice.append((b"not-started", b"1"))  # to the other site: it may go on elsewhere
             xchg.client.answer(503, advice)
             self.close(xchg)
 
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -16,7 +16,7 @@
 
 
 class Service:
-    def __init__(self, configuration: Configuration, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, configuration: Configuration, loop: asyncio.AbstractEventLoop, gateway=None) -> None:
         limits = configuration.limits
         self.configuration, self.loop, self.limits = configuration, loop, limits
         self.log = Log(configuration.name, limits.log_lines_per_s)
@@ -29,6 +29,26 @@
         self.discovery = Discovery(configuration, loop, self.timers, self.exchanges, self.upstream, self.log)
         self.exchanges.ask_discovery = self.discovery.ask
         loop.set_exception_handler(self.unforeseen)
+        if gateway is not None:
+            self.link(gateway)
+
+    def link(self, told) -> None:
+        """Other sites. Its modules are loaded only where there are any."""
+        from basalthoist.gateway.links import Links
+        from basalthoist.gateway.sites import Bounds, Sites
+
+        def tenths(seconds: float) -> int:
+            return int(seconds * SECOND)
+
+        bounds = Bounds(
+            silent=tenths(told.silent_s), steady=tenths(told.steady_s), offer_under=told.offer_under,
+            enough_from=told.enough_from, shed_over=told.shed_over, calm=tenths(told.calm_s),
+            help_part=told.help_part, most_lanes=told.most_lanes,
+        )  # fmt: skip
+        gateways = {site.name: [name for name, _ in site.named()] for site in told.sites}
+        sites = Sites(gateways, bounds, self.log)
+        locations = len(self.configuration.told.zones)
+        Links(told, sites, self.timers, self.upstream, self.exchanges, locations, self.log)
 
     def unforeseen(self, loop, context: dict) -> None:
         self.log(f"event loop: {context.get('message')}: {context.get('exception')!r}")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -199,7 +199,7 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-def document(discovery, known=(), revision=0, **more):
+def document(discovery, known=(), revision=0, settings_more=None, **more):
     """A node's configuration: routes `read` (retriable), `pay` (non-retriable), `feed` (streamed)."""
     usual = {"group": "all", "latency_objective": 300000, "overall_timeout": 900000, "value": 1.0}
     kinds = ("read", "idempotent", False), ("pay", "at_most_once", False), ("feed", "idempotent", True)
@@ -210,6 +210,7 @@
                 "routes": routes, "accounts": [{"name": "acme", "quota_per_s": 1000.0}], "zones": ["a"],
                 "kinds": ["m"], "zone": 0, "siblings": 1, "policy_limits": limits, "tick": 1000,
                 "discovery": "pushed"}}  # fmt: skip
+    made["settings"] |= settings_more or {}
     return made | more
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -492,6 +492,14 @@
     assert discovery.lists == 0 and "index=41" in discovery.seen[0].path
 
 
+def test_where_calls_weigh_a_large_tier_asks_in_turns_and_serves_meanwhile(start):
+    """Forty nodes that asked at once kept discovery busy with refusals until the end of the day."""
+    tier = {"discovery": "on_request", "siblings": 40}
+    program, _, discovery = start(reply(), revision=41, settings_more=tier, limits={"watch_line_s": 100.0})
+    assert program.ask(request()).status == "200"
+    assert not discovery.seen
+
+
 @pytest.mark.parametrize(("status", "lists"), [(503, 0), (429, 0), (410, 1)])
 def test_only_a_revision_that_is_gone_makes_it_ask_for_the_whole_list(start, status, lists):
     program, (backend,), discovery = start(reply(), limits={"watch_retry_s": 0.01})
