JSON-RPC front over TCP, off; of what peers tell the end is not told, so it wears off half as fast

JSON-RPC 2.0, one object a line, to backends that speak it too, through the same decisions: batches split into exchanges, notifications, ids of the node's own upstream, the specification's errors, bounds on line, batch and open calls. Box stand-ins count runs: in a batch cut on the way loads are tried again and no save runs twice. Fuzzed by property tests. Off without PROXY_JSONRPC. Cause: at half a service time half of what was sent still runs, and first-fit took it for idle.

--- a/basalthoist/__main__.py
+++ b/basalthoist/__main__.py
@@ -6,13 +6,13 @@
 
 import uvloop
 
-from .configuration import ConfigurationError, load, load_gateway
+from .configuration import ConfigurationError, load, load_gateway, load_jsonrpc
 from .net.service import Service
 
 
-async def run(configuration, gateway, form) -> None:
+async def run(configuration, others, form) -> None:
     loop = asyncio.get_running_loop()
-    service = Service(configuration, loop, gateway)
+    service = Service(configuration, loop, *others)
     if form is not None:
         form.bind(service.log)
     for name in (signal.SIGTERM, signal.SIGINT):
@@ -26,12 +26,13 @@
     # Guards against one that comes before there is a node: the file is about to be read anyway.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
-        configuration, gateway = load(), load_gateway()
+        configuration = load()
+        others = load_gateway(), load_jsonrpc(configuration)
     except ConfigurationError as wrong:
         print(f"basalthoist: configuration: {wrong}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(run(configuration, gateway, form))
+        uvloop.run(run(configuration, others, form))
     except OSError as wrong:
         print(f"basalthoist: {wrong}", file=sys.stderr)
         return 1
--- a/basalthoist/commands/line.py
+++ b/basalthoist/commands/line.py
@@ -256,3 +256,23 @@
             fail(f"{name}: void: {result['void']}", FAILED)
         if result["ran_twice"]:
             fail(f"{name}: {result['ran_twice']} exchanges ran twice", FAILED)
+
+
+@main.command()
+@click.option("--pairs", type=click.IntRange(min=2), default=5, show_default=True)
+@click.option("--seconds", type=click.FloatRange(min=3), default=9.0, show_default=True)
+@click.option("--rate", type=click.FloatRange(min=1), default=100.0, show_default=True, help="Then doubled.")
+def protocols(pairs: int, seconds: float, rate: float) -> None:
+    """JSON-RPC against HTTP on loopback, interleaved; the middle third has twice the traffic."""
+    from basalthoist.experiments.protocols import compare as play
+
+    try:
+        mean, results = play(pairs, seconds, rate, click.echo)
+    except (OSError, RuntimeError) as wrong:
+        fail(wrong, FAILED)
+    click.echo(f"kept, JSON-RPC minus HTTP: {mean.text(4)} over {mean.samples} pairs")
+    for result in results:
+        if result["void"]:
+            fail(f"pair {result['pair']}: void: {result['void']}", FAILED)
+        if result["ran_twice"]:
+            fail(f"pair {result['pair']}: {result['ran_twice']} exchanges ran twice", FAILED)
--- a/basalthoist/commands/reference.py
+++ b/basalthoist/commands/reference.py
@@ -24,6 +24,7 @@
     ("`known`", MemberList), ("`known.members[]`", Member),
     ("The gateway's file, named by `PROXY_GATEWAY`, TOML", configuration.GatewayDocument),
     ("`sites[]` in the gateway's file", configuration.Site),
+    ("The file of the JSON-RPC front, named by `PROXY_JSONRPC`, TOML", configuration.JsonRpcDocument),
 )  # fmt: skip
 
 
--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -176,21 +176,55 @@
     most_lanes: Count = 32  # that another site counts as at the most
 
 
-def load_gateway(environment: Mapping[str, str] = os.environ) -> GatewayDocument | None:
-    """None where no file is named: then there are no other sites."""
-    path = environment.get("PROXY_GATEWAY")
+class JsonRpcDocument(msgspec.Struct, forbid_unknown_fields=True):
+    """The file that PROXY_JSONRPC names: then this node's backends speak JSON-RPC as well."""
+
+    listen: str
+    methods: Annotated[dict[str, str], msgspec.Meta(min_length=1)]  # each method's route
+    customer: str = ""  # whose calls these are; the settings' first where empty
+    load_method: str = "rpc.load"  # asked as a probe, where the settings allow any
+    most_open: Count = 128  # calls under way on a connection; no more is read meanwhile
+    most_batch: Count = 64
+
+    def address(self) -> tuple[str, int]:
+        return address_of(self.listen)
+
+
+def read_toml(variable: str, kind: type, environment: Mapping[str, str]):
+    """The file that a variable names, or None where it names none: then there is no such part."""
+    path = environment.get(variable)
     if not path:
         return None
     try:
         with open(path, "rb") as file:
-            told = msgspec.toml.decode(file.read(), type=GatewayDocument)
+            return msgspec.toml.decode(file.read(), type=kind)
     except OSError as wrong:
-        raise ConfigurationError(f"PROXY_GATEWAY: {wrong}") from None
+        raise ConfigurationError(f"{variable}: {wrong}") from None
     except msgspec.ValidationError as wrong:
         raise ConfigurationError(f"{path}: {wrong}") from None
     except (msgspec.DecodeError, UnicodeDecodeError) as wrong:
         raise ConfigurationError(f"{path}: not TOML: {wrong}") from None
-    names = [told.site, *(site.name for site in told.sites)]
+
+
+def load_jsonrpc(configuration: Configuration, environment: Mapping[str, str] = os.environ):
+    told = read_toml("PROXY_JSONRPC", JsonRpcDocument, environment)
+    if told is None:
+        return None
+    path, routes = environment["PROXY_JSONRPC"], [route.name for route in configuration.routes]
+    address(f"{path}: listen", told.listen)
+    for method, route in told.methods.items():
+        if route not in routes:
+            raise ConfigurationError(f"{path}: methods.{method}: no route {route!r} in the settings")
+    if told.customer and told.customer not in configuration.customers:
+        raise ConfigurationError(f"{path}: customer: no account {told.customer!r} in the settings")
+    return told
+
+
+def load_gateway(environment: Mapping[str, str] = os.environ) -> GatewayDocument | None:
+    told = read_toml("PROXY_GATEWAY", GatewayDocument, environment)
+    if told is None:
+        return None
+    path, names = environment["PROXY_GATEWAY"], [told.site, *(site.name for site in told.sites)]
     if len(names) > len(set(names)):
         raise ConfigurationError(f"{path}: sites: a name stands twice among {', '.join(names)}")
     for number, site in enumerate(told.sites):
--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -535,7 +535,9 @@
 
     def ahead(self, backend: Backend, now: int) -> float:
         # Guards against taking one last heard of as crowded for empty: it drains no faster than it works.
-        held = backend.held - (now - backend.held_at) / self.slot if self.hears else 0.0
+        # Of what peers tell the end is not told, and service times vary: it wears off half as fast.
+        worn = (now - backend.held_at) / (self.slot * (2.0 if self.telling else 1.0))
+        held = backend.held - worn if self.hears else 0.0
         return max(len(backend.out), held)
 
     def expected(self, backend: Backend, now: int) -> float:
@@ -566,8 +568,9 @@
             if backend.out and not self.hears and time > most_time:
                 continue
             near = 1.5 * self.slot if self.hears else max(self.equal_time - cost, 1.5 * self.slot)
-            # Guards against shedding while some are idle, where the time held counts queues of others' work.
-            if time <= near and (time <= bound or self.telling and self.ahead(backend, now) < 0.5):
+            # Guards against shedding while some are idle, where the time held counts queues of others' work,
+            # and against taking one that is about to be idle before those that are.
+            if time <= near and (self.ahead(backend, now) < 0.1 if self.telling else time <= bound):
                 best = backend
                 break
             if not asking and time <= bound and time + cost < best_time:
--- /dev/null
+++ b/basalthoist/experiments/protocols.py
@@ -0,0 +1,135 @@
+"""The same fleet and clients over HTTP and over JSON-RPC, in turns, with a jump in traffic in the middle."""
+
+import asyncio
+import json
+import os
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from basalthoist.emulator.scenario import Route, Scenario
+
+from .loopback import MOST_LATENESS_MS, Clients, DiscoveryAgent, Script, document_for, own_port, ready
+from .sites import scenario_of
+from .statistics import Mean, mean_of
+
+
+class JsonBox(asyncio.Protocol):
+    """A connection to a scripted backend that speaks JSON-RPC."""
+
+    def __init__(self, script: "JsonScript") -> None:
+        self.script, self.buffer, self.transport = script, b"", None
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        *lines, self.buffer = (self.buffer + data).split(b"\n")
+        for line in lines:
+            call = json.loads(line)
+            if call["method"] == "rpc.load":
+                self.script.say(self, call["id"])
+            else:
+                params = call["params"]
+                headers = {b"request-id": params["name"].encode()}
+                self.script.take(self, b"=%d" % params["work"], headers | {b"id": call["id"]})
+
+
+class JsonScript(Script):
+    protocol = JsonBox
+
+    def say(self, connection: JsonBox, ident: str, error: dict | None = None) -> None:
+        if not connection.transport.is_closing():
+            body = {"jsonrpc": "2.0", "id": ident, "load": {"inflight": self.held()}}
+            body |= {"error": error} if error else {"result": "ok"}
+            connection.transport.write(json.dumps(body).encode() + b"\n")
+
+    def answer(self, connection: JsonBox, headers: dict, status: bytes, more: bytes = b"") -> None:
+        full = {"code": -32000, "message": "full", "data": {"not_started": True}}
+        self.say(connection, headers[b"id"], None if status.startswith(b"200") else full)
+
+
+class JsonClients(Clients):
+    async def exchange(self, address: tuple[str, int], route: Route, work: float, ident: int) -> int:
+        if self.idle[address]:
+            reader, writer = self.idle[address].pop()
+        else:
+            reader, writer = await asyncio.open_connection(*address)
+        params = {"name": f"{self.name}{ident}", "work": int(work)}
+        call = {"jsonrpc": "2.0", "id": ident, "method": route.name, "params": params}
+        writer.write(json.dumps(call).encode() + b"\n")
+        answer = json.loads(await reader.readuntil(b"\n"))
+        self.idle[address].append((reader, writer))
+        if "result" in answer:
+            return 200
+        return 503 if answer["error"]["code"] == -32000 else 502
+
+
+def written(folder: Path, name: str, text: str) -> str:
+    (folder / name).write_text(text)
+    return str(folder / name)
+
+
+async def play_on(json_rpc: bool, scenario: Scenario, seconds: float, folder: Path) -> dict:
+    runs: dict[str, int] = {}
+    make = JsonScript if json_rpc else Script
+    scripts = [make(scenario, number, runs) for number in range(scenario.backends.count)]
+    usual = {"locality": "0", "flavor": "std", "phase": "ready", "size": 1.0, "up_since_ms": 0}
+    for script in scripts:
+        await script.listen()
+    members = [usual | {"id": f"s-{i}", "host_port": s.address, "cell": i} for i, s in enumerate(scripts)]
+    loop = asyncio.get_running_loop()
+    agent = await loop.create_server(lambda: DiscoveryAgent(members), "127.0.0.1", 0)
+    discovery = f"127.0.0.1:{agent.sockets[0].getsockname()[1]}"
+    address, front = ("127.0.0.1", own_port()), ("127.0.0.1", own_port())
+    path, log = folder / "node.json", folder / "node.log"
+    listen = "{}:{}".format(*address)
+    path.write_text(json.dumps(document_for(scenario, 0, listen, discovery, members)))
+    environment = os.environ | {"PROXY_CONFIG": str(path)}
+    if json_rpc:
+        listen = "{}:{}".format(*front)
+        methods = "".join(f"{route.name} = '{route.name}'\n" for route in scenario.routes)
+        text = f"listen = '{listen}'\n[methods]\n{methods}"
+        environment["PROXY_JSONRPC"] = written(folder, "jsonrpc.toml", text)
+    command = [sys.executable, "-m", "basalthoist"]
+    process = await asyncio.create_subprocess_exec(*command, stderr=log.open("wb"), env=environment)
+    try:
+        await ready(address, process, log)
+        kind, where = (JsonClients, front) if json_rpc else (Clients, address)
+        await asyncio.sleep(0.1)
+        clients = kind(scenario, [where], seconds)
+        loop.call_later(seconds / 3, clients.jump, 2.0)
+        loop.call_later(2 * seconds / 3, clients.jump, 1.0)
+        await clients.run()
+        if process.returncode is not None:
+            raise RuntimeError(f"the node ended with {process.returncode}")
+    finally:
+        if process.returncode is None:
+            process.terminate()
+        await process.wait()
+    lateness = clients.lateness.get_value_at_percentile(99) / 1000
+    return {
+        "kept": clients.kept / clients.value, "offered": clients.counts["offered"],
+        "p50_ms": clients.times.get_value_at_percentile(50) / 1000,
+        "p99_ms": clients.times.get_value_at_percentile(99) / 1000,
+        "ran_twice": sum(times > 1 for times in runs.values()), "lateness_p99_ms": lateness,
+        "void": f"the tool was {lateness:.1f} ms late at p99" if lateness > MOST_LATENESS_MS else None,
+    }  # fmt: skip
+
+
+def compare(pairs: int, seconds: float, rate: float, said=print) -> tuple[Mean, list[dict]]:
+    """JSON-RPC minus HTTP in value kept, pair by pair; which comes first changes from pair to pair."""
+    differences, results = [], []
+    for pair in range(pairs):
+        scenario, kept = scenario_of(rate, 6, pair + 1), {}
+        for json_rpc in (False, True) if pair % 2 else (True, False):
+            with tempfile.TemporaryDirectory() as folder:
+                result = asyncio.run(play_on(json_rpc, scenario, seconds, Path(folder)))
+            name = "JSON-RPC" if json_rpc else "HTTP"
+            figures = "  ".join(f"{key} {result[key]:.4g}" for key in ("kept", "p50_ms", "p99_ms"))
+            said(f"{pair} {name}: {figures}  ran twice {result['ran_twice']}")
+            kept[json_rpc] = result["kept"]
+            results.append(result | {"protocol": name, "pair": pair, "at": time.time()})
+        differences.append(kept[True] - kept[False])
+    return mean_of(differences), results
--- /dev/null
+++ b/basalthoist/jsonrpc/front.py
@@ -0,0 +1,259 @@
+"""Clients that speak JSON-RPC: connections with many calls under way, batches, notifications."""
+
+import asyncio
+from functools import partial
+
+from basalthoist.net.exchanges import Exchanges
+from basalthoist.net.log import Log
+from basalthoist.net.timers import SECOND, Timers, now
+
+from .messages import (
+    FAILED,
+    INVALID_REQUEST,
+    METHOD_NOT_FOUND,
+    SHED,
+    TIMED_OUT,
+    TOO_MANY,
+    Request,
+    Wrong,
+    answer_text,
+    error_piece,
+    request_of,
+    split,
+)  # fmt: skip
+from .upstream import JsonConnection, JsonExchange, Line
+
+
+class Caller:
+    """One call: what `Exchanges` takes for its client. A notification's answer goes nowhere."""
+
+    __slots__ = ("conversation", "ident", "batch", "exchange")
+
+    def __init__(self, conversation: "Conversation", ident: bytes, batch: "Batch | None") -> None:
+        self.conversation, self.ident, self.batch, self.exchange = conversation, ident, batch, None
+
+    def answer(self, status: int, headers=(), body=b"") -> None:
+        self.exchange = None
+        if status == 200:
+            piece = bytes(body)
+        elif status == 503:
+            wait = dict(headers).get(b"retry-after")
+            piece = error_piece(SHED, {"retry_after": float(wait)} if wait else None)
+        else:
+            piece = error_piece(TIMED_OUT if status == 504 else FAILED)
+        self.conversation.ended(self, piece)
+
+
+class Batch:
+    """The answers of a batch, put together in one array once the last is there."""
+
+    __slots__ = ("left", "answers")
+
+    def __init__(self, count: int) -> None:
+        self.left, self.answers = count, []
+
+
+class Conversation(asyncio.Protocol):
+    def __init__(self, front: "Front") -> None:
+        self.front, self.transport = front, None
+        self.pending, self.skipping, self.since = b"", False, now()
+        self.callers: dict[Caller, None] = {}
+        self.idents: set[bytes] = set()
+        self.full, self.paused, self.ending = False, False, False
+
+    # Called by the event loop.
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+        transport.set_write_buffer_limits(high=self.front.limits.body_bytes)
+        self.front.conversations[self] = None
+
+    def connection_lost(self, wrong) -> None:
+        self.front.conversations.pop(self, None)
+        self.front.descriptors.give_back()
+        for caller in list(self.callers):
+            if caller.exchange is not None:
+                self.front.exchanges.gone(caller.exchange)
+        self.callers.clear()
+        self.front.check_drained()
+
+    def data_received(self, data: bytes) -> None:
+        self.since = now()
+        self.pending = self.pending + data if self.pending else data
+        self.go_on()
+
+    def eof_received(self) -> bool:
+        """It asks no more and waits for what is still to come."""
+        self.ending = True
+        self.end_if_done()
+        return True
+
+    def pause_writing(self) -> None:
+        # Guards against a client that asks and does not read: nothing more is taken from it meanwhile.
+        self.full, self.since = True, now()
+        self.hold_back()
+
+    def resume_writing(self) -> None:
+        self.full, self.since = False, now()
+        self.hold_back()
+        self.go_on()
+
+    # Lines and calls.
+
+    def go_on(self) -> None:
+        while not self.full and not self.front.leaving and len(self.callers) < self.front.most_open:
+            end = self.pending.find(b"\n")
+            if (end if end >= 0 else len(self.pending)) > self.front.limits.body_bytes:
+                # Guards against a line without end: what is kept of it is bounded, and it is answered once.
+                self.say(answer_text(b"null", error_piece(INVALID_REQUEST)))
+                self.pending, self.ending = b"", True
+                return self.end_if_done()
+            if end < 0:
+                break
+            line, self.pending = self.pending[:end].strip(), self.pending[end + 1 :]
+            if line:
+                self.take(line)
+        self.hold_back()
+
+    def hold_back(self) -> None:
+        wanted = self.full or len(self.callers) >= self.front.most_open
+        if wanted != self.paused and not self.transport.is_closing():
+            self.paused = wanted
+            (self.transport.pause_reading if wanted else self.transport.resume_reading)()
+
+    def take(self, line: bytes) -> None:
+        try:
+            is_batch, texts = split(line)
+            if len(texts) > self.front.most_batch:
+                raise Wrong(TOO_MANY)
+        except Wrong as wrong:
+            return self.say(answer_text(wrong.ident, error_piece(wrong.code)))
+        batch = Batch(len(texts)) if is_batch else None
+        for text in texts:
+            self.begin(text, batch)
+
+    def begin(self, text: bytes, batch: Batch | None) -> None:
+        caller = Caller(self, b"", batch)
+        self.callers[caller] = None
+        try:
+            request = request_of(text)
+            ident = bytes(request.id)
+            if ident and ident != b"null":
+                # Guards against two answers of which the client could not tell which is whose.
+                if ident in self.idents:
+                    raise Wrong(INVALID_REQUEST)
+                self.idents.add(ident)
+            caller.ident = ident
+            if request.method not in self.front.methods:
+                raise Wrong(METHOD_NOT_FOUND, ident)
+        except Wrong as wrong:
+            if wrong.code != METHOD_NOT_FOUND:
+                caller.ident = wrong.ident
+            return self.ended(caller, error_piece(wrong.code), known=wrong.code == METHOD_NOT_FOUND)
+        self.front.start(caller, request)
+
+    def ended(self, caller: Caller, piece: bytes, known: bool = True) -> None:
+        if self.callers.pop(caller, 0) == 0:
+            return
+        if known:
+            self.idents.discard(caller.ident)
+        answers = [answer_text(caller.ident, piece)] if caller.ident else []
+        if not caller.ident:
+            self.front.notifications += 1
+        if caller.batch is not None:
+            caller.batch.left -= 1
+            caller.batch.answers += answers
+            done = not caller.batch.left and caller.batch.answers
+            answers = [b"[" + b",".join(caller.batch.answers) + b"]"] if done else []
+        for answer in answers:
+            self.say(answer)
+        self.end_if_done()
+        # Not from within a decision: what waits is looked at in the loop's next turn.
+        if self.pending and len(self.callers) < self.front.most_open:
+            self.front.loop.call_soon(self.go_on)
+
+    def say(self, text: bytes) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(text + b"\n")
+
+    def end_if_done(self) -> None:
+        if (self.ending or self.front.leaving) and not self.callers and not self.transport.is_closing():
+            self.transport.close()
+
+    def check_time(self, at: int) -> None:
+        limits = self.front.limits
+        if self.full and at - self.since > limits.client_read_s * SECOND:
+            self.transport.abort()  # answers that are not read
+        elif not self.callers and self.pending and at - self.since > limits.client_read_s * SECOND:
+            self.transport.abort()  # a line that does not end
+        elif not self.callers and at - self.since > limits.client_idle_s * SECOND:
+            self.transport.close()
+
+
+class Front:
+    """Takes connections in on an address of its own; backends of this node speak JSON-RPC as well."""
+
+    def __init__(self, told, configuration, loop, timers: Timers, exchanges: Exchanges, descriptors,
+                 log: Log) -> None:  # fmt: skip
+        self.told, self.loop, self.timers, self.exchanges, self.log = told, loop, timers, exchanges, log
+        self.descriptors, self.limits = descriptors, configuration.limits
+        routes = {route.name: (number, route) for number, route in enumerate(configuration.routes)}
+        self.methods = {method: routes[route] for method, route in told.methods.items()}
+        customers = configuration.customers
+        self.customer = customers.index(told.customer) if told.customer in customers else 0
+        self.most_open, self.most_batch = told.most_open, told.most_batch
+        self.conversations: dict[Conversation, None] = {}
+        self.notifications, self.leaving, self.server = 0, False, None
+        self.drained: asyncio.Future = loop.create_future()
+        exchanges.upstream.connection = JsonConnection
+        exchanges.probe_parts = partial(Line, "probe", told.load_method, b"")
+        timers.every(SECOND // 4, self.sweep)
+
+    async def listen(self, address: tuple[str, int]) -> None:
+        self.server = await self.loop.create_server(self.open, *address, backlog=self.limits.backlog)
+        self.log(f"listening for JSON-RPC on {address[0]}:{address[1]}")
+
+    def open(self) -> asyncio.Protocol:
+        if not self.descriptors.take(lambda: False):
+            self.descriptors.take_anyway()
+            return Refused(self)
+        return Conversation(self)
+
+    def start(self, caller: Caller, request: Request) -> None:
+        number, route = self.methods[request.method]
+        timeout = route.overall_timeout // 100 or SECOND
+        ident, params = self.exchanges.new_id(), bytes(request.params)
+        exchange = caller.exchange = JsonExchange(ident, caller, request.method, params, now() + timeout)
+        self.exchanges.begin(exchange, number, self.customer, False)
+
+    def sweep(self) -> None:
+        at = now()
+        for conversation in list(self.conversations):
+            conversation.check_time(at)
+
+    def leave(self) -> None:
+        """No new connection and no new call; what is under way is answered."""
+        self.leaving = True
+        if self.server is not None:
+            self.server.close()
+        for conversation in list(self.conversations):
+            conversation.end_if_done()
+        self.check_drained()
+
+    def check_drained(self) -> None:
+        if self.leaving and not self.conversations and not self.drained.done():
+            self.drained.set_result(None)
+
+
+class Refused(asyncio.Protocol):
+    """Let in only to be turned away, where no descriptor is left."""
+
+    def __init__(self, front: Front) -> None:
+        self.front = front
+
+    def connection_made(self, transport) -> None:
+        transport.write(answer_text(b"null", error_piece(SHED)) + b"\n")
+        transport.close()
+
+    def connection_lost(self, wrong) -> None:
+        self.front.descriptors.give_back()
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -52,6 +52,8 @@
         self.under_way: dict[int, Exchange] = {}
         self.named: dict[bytes, Exchange] = {}
         self.last_id, self.links = 0, None  # to other sites, where there are any
+        asks = head_of(b"GET %b HTTP/1.1" % self.probe_path, [(b"Host", b"basalthoist")]) + b"\r\n"
+        self.probe_parts: Callable[[], list[bytes]] = lambda: [asks]
         self.ask_discovery: Callable[[], None] = lambda: None
         self.tell_peers: Callable[[Words, list[int]], None] = lambda words, peers: None
         self.node = Node(self, configuration.seed, configuration.settings, now())
@@ -77,24 +79,32 @@
         # Guards against a second copy of one that is open, or of which a try may still run, under its id.
         if name in self.named:
             raise BadMessage(409, "an open request has this Request-Id")
-        self.last_id += 1
-        arrived = now()
         deadline = message.came_at + timeout_ms * 10 - self.transit
         headers = [(b"Host", message.get(b"host") or b""), *message.end_to_end(OWN_HEADERS)]
         if len(message.body) or message.method not in (b"GET", b"DELETE"):
             headers.append((b"Content-Length", b"%d" % len(message.body)))
         head = head_of(b"%b %b HTTP/1.1" % (message.method, message.target), headers)
-        xchg = Exchange(self.last_id, name, client, head, message.body, deadline)
+        xchg = Exchange(self.new_id(), name, client, head, message.body, deadline)
         xchg.streams, xchg.spilled = self.streamed[route], spilled
         if spilled:
             self.links.sites.under_way += 1
-        self.under_way[xchg.id] = self.named[name] = client.exchange = xchg
+        client.exchange = xchg
+        self.begin(xchg, route, customer, again)
+        return xchg
+
+    def new_id(self) -> int:
+        self.last_id += 1
+        return self.last_id
+
+    def begin(self, xchg: Exchange, route: int, customer: int, again: bool) -> None:
+        """From here on it is answered, whoever brought it and by whichever protocol."""
+        grace = max(xchg.deadline - now(), 1)
+        self.under_way[xchg.id] = self.named[xchg.name] = xchg
         # Guards against an exchange that the decisions lost by failing: it is answered all the same.
-        xchg.timer = self.timers.after(deadline - arrived + OVERDUE, partial(self.overdue, xchg))
-        grace = max(deadline - arrived, 1)
-        if not self.report(self.node.on_exchange, xchg.id, route, customer, grace, again, spilled):
+        xchg.timer = self.timers.after(grace + OVERDUE, partial(self.overdue, xchg))
+        happened = self.node.on_exchange
+        if not self.report(happened, xchg.id, route, customer, grace, again, xchg.spilled):
             self.end_failed(xchg)
-        return xchg
 
     def gone(self, xchg: Exchange) -> None:
         """Its client has gone away."""
@@ -221,8 +231,8 @@
         return xchg if xchg is not None and xchg.open else None
 
     def probe(self, backend: str) -> None:
-        parts = [b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (self.probe_path, backend.encode())]
         ended = partial(self.probe_ended, backend, now())
+        parts = self.probe_parts()
         if not self.probes or self.upstream.call(backend, parts, self.probe_time, ended, tells=True) is None:
             self.loop.call_soon(ended, Outcome.NOT_SENT, None)
 
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -16,7 +16,8 @@
 
 
 class Service:
-    def __init__(self, configuration: Configuration, loop: asyncio.AbstractEventLoop, gateway=None) -> None:
+    def __init__(self, configuration: Configuration, loop: asyncio.AbstractEventLoop, gateway=None,
+                 jsonrpc=None) -> None:  # fmt: skip
         limits = configuration.limits
         self.configuration, self.loop, self.limits = configuration, loop, limits
         self.log = Log(configuration.name, limits.log_lines_per_s)
@@ -31,6 +32,16 @@
         loop.set_exception_handler(self.unforeseen)
         if gateway is not None:
             self.link(gateway)
+        self.front, self.descriptors = None, descriptors
+        if jsonrpc is not None:
+            self.open_front(jsonrpc)
+
+    def open_front(self, told) -> None:
+        """JSON-RPC. Its modules are loaded only where it is asked for."""
+        from basalthoist.jsonrpc.front import Front
+
+        self.front = Front(told, self.configuration, self.loop, self.timers, self.exchanges, self.descriptors,
+                           self.log)  # fmt: skip
 
     def link(self, told) -> None:
         """Other sites. Its modules are loaded only where there are any."""
@@ -63,7 +74,11 @@
         listener = await self.listen((host, port))
         if listener is not None:
             self.log(f"listening on {host}:{port}")
+            if self.front is not None:
+                await self.front.listen(self.front.told.address())
             await self.door.drained
+            if self.front is not None:
+                await self.front.drained
             listener.close()
         self.upstream.close_all()
         self.log("all answered")
@@ -114,3 +129,5 @@
         if not self.door.leaving:
             self.log(f"told to leave, {len(self.exchanges.under_way)} exchanges under way")
             self.door.leave()
+            if self.front is not None:
+                self.front.leave()
--- a/basalthoist/net/upstream.py
+++ b/basalthoist/net/upstream.py
@@ -248,7 +248,8 @@
             sock.setblocking(False)
             loop = self.upstream.loop
             await asyncio.wait_for(loop.sock_connect(sock, self.address), self.upstream.connect_timeout_s)
-            _, connection = await loop.create_connection(lambda: Connection(self, sock), sock=sock)
+            made = self.upstream.connection
+            _, connection = await loop.create_connection(lambda: made(self, sock), sock=sock)
             return connection
         except BaseException:
             sock.close()
@@ -324,6 +325,7 @@
         self.loop, self.timers, self.log, self.descriptors = loop, timers, log, descriptors
         self.limits, self.connect_timeout_s, self.idle = limits, connect_timeout_s, int(idle_s * SECOND)
         self.rest = int(limits.upstream_rest_s * SECOND)
+        self.connection = Connection  # what backends are spoken to by
         self.pools: dict[str, Pool] = {}
         descriptors.makers_of_room.append(self.close_idlest)
         timers.every(SECOND, self.sweep)
