--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -535,9 +535,7 @@
 
     def ahead(self, backend: Backend, now: int) -> float:
         # Guards against taking one last heard of as crowded for empty: it drains no faster than it works.
-        # Of what peers tell the end is not told, and service times vary: it wears off half as fast.
-        worn = (now - backend.held_at) / (self.slot * (2.0 if self.telling else 1.0))
-        held = backend.held - worn if self.hears else 0.0
+        held = backend.held - (now - backend.held_at) / self.slot if self.hears else 0.0
         return max(len(backend.out), held)
 
     def expected(self, backend: Backend, now: int) -> float:
