--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -229,7 +229,7 @@
         # Guards against a few sick backends passing for what is usual: the fleet's share is the median one.
         self.failing = sorted([b.fails for b in self.usable] or [0.0])[len(self.usable) // 2]
 
-    def own_site(self, now: int) -> tuple[int, int, float, float]:
+    def own_site(self, now: int) -> tuple[int, int, float, int]:
         """For the gateway: own backends usable and listed, exchanges a second, sheds in share so far."""
         own = [b for b in self.backends.values() if b.usable and b.location < self.others_from]
         return sum(now >= b.out_until for b in own), len(own), self.demand, self.all_sheds
--- a/basalthoist/emulator/scenario.py
+++ b/basalthoist/emulator/scenario.py
@@ -151,16 +151,20 @@
 
 
 def read(path: str | Path) -> Scenario:
+    return decode(text_of(path), str(path))
+
+
+def text_of(path: str | Path) -> bytes:
     try:
-        data = Path(path).read_bytes()
+        return Path(path).read_bytes()
     except OSError as wrong:
         raise ScenarioError(f"{path}: {wrong.strerror}") from None
-    return decode(data, str(path))
 
 
-def decode(data: bytes, source: str = "scenario") -> Scenario:
+def decode(data: bytes, source: str = "scenario", kind: type = Scenario):
+    """A scenario, or another `kind` of file of experiments."""
     try:
-        return msgspec.toml.decode(data, type=Scenario)
+        return msgspec.toml.decode(data, type=kind)
     except msgspec.ValidationError as wrong:
         raise ScenarioError(f"{source}: {wrong}") from None
     except (msgspec.DecodeError, UnicodeDecodeError) as wrong:
--- a/basalthoist/experiments/plan.py
+++ b/basalthoist/experiments/plan.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from basalthoist.emulator.baselines import POLICIES
-from basalthoist.emulator.scenario import Scenario, ScenarioError, decode
+from basalthoist.emulator.scenario import Scenario, ScenarioError, decode, text_of
 
 
 class Sweep(msgspec.Struct, forbid_unknown_fields=True):
@@ -40,23 +40,13 @@
 def read(path: str | Path) -> tuple[Plan, bytes]:
     """The plan, and the text of the scenario that it names (a path from the plan's own folder)."""
     path = Path(path)
-    try:
-        plan = msgspec.toml.decode(path.read_bytes(), type=Plan)
-    except OSError as wrong:
-        raise ScenarioError(f"{path}: {wrong.strerror}") from None
-    except msgspec.ValidationError as wrong:
-        raise ScenarioError(f"{path}: {wrong}") from None
-    except (msgspec.DecodeError, UnicodeDecodeError) as wrong:
-        raise ScenarioError(f"{path}: not TOML: {wrong}") from None
+    plan = decode(text_of(path), str(path), Plan)
     plan.name = plan.name or path.stem
     for policy in plan.policies:
         if policy not in POLICIES:
             raise ScenarioError(f"{path}: policies: expected some of {', '.join(POLICIES)}, got {policy!r}")
     there = path.parent / plan.scenario
-    try:
-        text = there.read_bytes()
-    except OSError as wrong:
-        raise ScenarioError(f"{there}: {wrong.strerror}") from None
+    text = text_of(there)
     for value in plan.sweep.values if plan.sweep else [None]:
         scenario_for(plan, text, value, str(there))  # each must be a scenario before any is run
     return plan, text
--- a/basalthoist/gateway/links.py
+++ b/basalthoist/gateway/links.py
@@ -29,7 +29,7 @@
 
     def __init__(self, told, sites: Sites, timers: Timers, upstream: Upstream, exchanges, locations: int,
                  log: Log) -> None:  # fmt: skip
-        self.own, self.sites, self.timers, self.upstream, self.log = told.site, sites, timers, upstream, log
+        self.own, self.sites, self.upstream, self.log = told.site, sites, upstream, log
         self.exchanges, self.node = exchanges, exchanges.node
         self.addresses = {name: address for site in told.sites for name, address in site.named()}
         self.site_of = {name: site.name for site in told.sites for name, _ in site.named()}
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -15,7 +15,7 @@
 from basalthoist.emulator.clients import work_of
 from basalthoist.emulator.events import SECOND, Events
 from basalthoist.emulator.fleet import Fleet
-from basalthoist.emulator.scenario import Backends, Kind, Route, Scenario, ScenarioError, decode
+from basalthoist.emulator.scenario import Backends, Kind, Route, Scenario, ScenarioError, decode, read
 from basalthoist.emulator.search import broken, search, shrink
 
 
@@ -360,17 +360,11 @@
     path = tmp_path / "day.toml"
     path.write_text(text)
     with pytest.raises(ScenarioError, match="day.toml"):
-        raise_from(path)
+        read(path)
     said = CliRunner().invoke(main, ["emulate", str(path)])
     assert said.exit_code == 2 and named in said.output and str(path) in said.output
 
 
-def raise_from(path):
-    from basalthoist.emulator.scenario import read
-
-    read(path)
-
-
 def test_the_command_plays_a_scenario_and_exits_by_the_rules(tmp_path):
     path = tmp_path / "day.toml"
     path.write_text("length_s = 3\n")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,6 +2,7 @@
 
 import io
 import socket
+from base64 import b64encode
 
 import pytest
 from helpers import (
@@ -40,13 +41,6 @@
     return Exchange(99, made.routes[0], NOW, NOW + 8000, NOW + 3000, False)
 
 
-def failing(made, now, name, times):
-    for ident in range(times):
-        made.on_exchange(now, ident, 0, 0, 8000, False)
-        made.on_try_ended(now, ident, 0, Outcome.ERROR, 10, True, None)
-    return made.backends[name]
-
-
 @pytest.mark.parametrize(
     "words",
     [[], [(Word.SENT, 0, 0)], [(Word.OUT, 65535, 0)], [(Word.SENT, 258, 0), (Word.HOLDS, 7, 253)]],
@@ -168,7 +162,7 @@
     assert least <= len(host.take("tell")) <= most
 
 
-def test_two_backends_with_one_key_and_unknown_keys_do_no_harm():
+def test_unknown_keys_do_no_harm():
     made, _ = talking("a", "b")
     made.on_told(NOW, 1, [(Word.OUT, 1, 0), (Word.HOLDS, 2, 200), (Word.SENT, 3, 0)])
     assert all(b.held == 0.0 for b in made.backends.values())
@@ -238,7 +232,7 @@
 
 
 def test_the_simulators_wire_carries_the_same_words():
-    blob = __import__("base64").b64encode(encode([(Word.SENT, 9, 0)])).decode()
+    blob = b64encode(encode([(Word.SENT, 9, 0)])).decode()
     text = "\n".join([
         "FRAME\t1000000\t1", "START\t0\t5\tsiblings=3\tzone=0", "CATALOG\t0\t1",
         "BACKEND\t10.0.0.1:80\t0\t0\t0\thealthy\t1\t-", "TOPOLOGY\t0\tSAVED\t1\t0", f"MESSAGE\t0\t1\t{blob}",
