--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -20,6 +20,7 @@
 PRIOR = 3.0  # samples' worth of the wider mean (kind's, fleet's) that every measured mean is blended with
 EJECT, TRIAL = 6.0, 3.0  # sums of the sequential test: over the first out, over the second one try at a time
 AWAY, AWAY_MOST = 2 * SECOND, 8 * SECOND
+AHEAD = 2.0
 LEAST = 6  # warm backends' worth that a node uses at the least, where there are as many
 
 
@@ -105,8 +106,8 @@
 
 
 class Customer:  # its share at this node, as a bucket that fills at the share's rate
-    def __init__(self, rate: float) -> None:
-        self.rate, self.tokens, self.at = rate, 0.0, -WINDOW_MOST
+    def __init__(self, quota: float, rate: float) -> None:
+        self.quota, self.rate, self.tokens, self.at = quota, rate, 0.0, -WINDOW_MOST
 
     def within(self, now: int, again: bool) -> bool:
         # Guards against chance passing for surplus: nodes get few exchanges, in bursts and uneven parts.
@@ -122,6 +123,7 @@
         self.id, self.route, self.deadline, self.aim_at = ident, route, deadline, aim_at
         self.surplus, self.held, self.over, self.streaming = surplus, False, False, False
         self.spilled = False  # from another site: it is not sent to one again
+        self.home: int | None = None  # the pod that meets its key
         self.asked, self.settled, self.order = 0, False, (surplus, -route.value, now, ident)
         self.tries: list[UpstreamTry] = []
 
@@ -141,7 +143,8 @@
         self.others_from = len(locations) if isinstance(locations, list) else inf
         self.routes = [Route(settings, i) for i in range(get("routes.count", 1))]
         quotas = [get(f"customers.{i}.quota_per_s", 0.0) for i in range(get("customers.count", 0))]
-        self.customers = [Customer(quota / self.nodes) for quota in quotas]
+        self.customers, self.steady = [Customer(quota, quota / self.nodes) for quota in quotas], 0.0
+        self.cancels = get("policy_limits.cancel", False)
         self.top_value = max(r.value for r in self.routes)
         self.objective, self.crossing = min(r.objective for r in self.routes), get("prices.cross_zone", 0.0)
         self.advice = get("policy_limits.max_retry_after", 0) // 2 if get("policy_limits.retry_after") else 0
@@ -152,11 +155,13 @@
         # hundredths of the result and a twentieth of the processor at the most.
         tells = useful and not self.asks and get("policy_limits.peers", False) and self.nodes > 1
         self.telling, self.hears, self.keyed = float(tells), bool(self.asks or tells), {}
+        self.talks = get("policy_limits.peers", False) and self.nodes > 1 and not self.asks
         self.news, self.audiences = {}, {}  # reports not yet told; by backend the peers that use it
         # Spread evenly whatever the order of the numbers is: a location's nodes do not sit side by side.
         self.spots = [i * 0.618034 % 1.0 for i in range(self.nodes if tells else 0)]
         self.probe_trip, self.heard_at, self.due_seq, self.woken_for = 10.0, -SECOND, 0, 0
         self.backends, self.exchanges, self.usable, self.held, self.due = {}, {}, [], [], []
+        self.warm_keys, self.pods = get("domain.warm_keys", False), []  # pods of this location
         self.groups, self.fleet, self.users, self.total = [], 0, 1.0, 1.0  # groups: usable ones by location
         self.failing, self.mean_time, self.slot = 0.0, self.objective / 3.0, self.objective / 4.0
         self.demand, self.arrivals, self.equal_time = 0.0, 0, float(self.objective)
@@ -205,7 +210,8 @@
         def worth(b: Backend) -> float: return 1 - (1 - start) * max(b.warm_at - now, 0) / warm  # fmt: skip
 
         for group in self.groups:
-            room = size * len(group)
+            # Guards against as many homes for a key as there are sets: this location's pods are used whole.
+            room = len(group) if self.warm_keys and group[0].location == self.location else size * len(group)
             first = int(self.spots[self.me] * len(group)) if self.spots else 0
             for backend in group[first:] + group[:first]:
                 if room <= 0.0:
@@ -235,7 +241,7 @@
         return sum(now >= b.out_until for b in own), len(own), self.demand, self.all_sheds
 
     def on_exchange(self, now: int, ident: int, route_no: int, customer_no: int, grace: int, again: bool,
-                    spilled: bool = False):  # fmt: skip
+                    spilled: bool = False, key: int | None = None):  # fmt: skip
         route, self.welcome = self.routes[route_no], min(self.welcome + 0.002, 1.0)
         aim_at = now + route.objective
         self.arrivals += not again
@@ -250,6 +256,8 @@
         # Guards against another site's work before this one's own: it waits and gives way like surplus.
         xchg = self.exchanges[ident] = Exchange(ident, route, now, now + grace, aim_at, surplus or spilled)
         xchg.spilled = spilled
+        if key is not None and self.pods:
+            xchg.home = max(self.pods, key=lambda pod: crc32(b"%d %d" % (key, pod)))
         # Guards against work for clients' later tries that can only end late, where that is worth nothing.
         if now >= aim_at and not route.late_value or surplus and self.chance.uniform() > self.welcome:
             return self.give_up(now, xchg)
@@ -299,7 +307,7 @@
 
     def on_told(self, now: int, peer: int, words: list[tuple[Word, int, int]]) -> None:
         """Hearsay: it moves turns and pauses, never a profile, and one peer alone puts nothing out."""
-        for word, key, figure in words if self.hears else ():
+        for word, key, figure in words if self.talks else ():
             if (backend := self.keyed.get(key)) is None:
                 continue
             if word == Word.OUT:
@@ -307,14 +315,21 @@
                 others = sum(now - when < AWAY for when in backend.rumours.values())
                 # Guards against forty nodes that each spend exchanges to find the same backend dead or sick.
                 backend.doubt = max(backend.doubt, TRIAL + 0.1 if others < 2 else EJECT)
-                self.put_out(now, backend)
+                if now < backend.out_until:  # the first to look again look for all
+                    backend.out_until = max(backend.out_until, now + backend.away)
+                if self.put_out(now, backend) or now < backend.out_until:
+                    for upstream in list(backend.out):
+                        if backend.last_answer < upstream.sent_at < now - 2 * self.slot:
+                            self.call_off(now, upstream)
             else:
                 held = figure / 4 if word == Word.HOLDS else self.ahead(backend, now) + 1.0
                 backend.held, backend.held_at = held, now
 
     def tell(self, now: int, word: Word, backend: Backend) -> None:
         """At once, and what backends have just reported with it."""
-        if self.telling and (word == Word.OUT or self.chance.uniform() < self.telling):
+        if word == Word.OUT and self.talks and not self.telling:
+            self.host.tell([(word, backend.key, 0)], [i for i in range(self.nodes) if i != self.me])
+        elif self.telling and (word == Word.OUT or self.chance.uniform() < self.telling):
             fresh = [b for b, at in self.news.items() if now - at < 2 * self.slot and b is not backend][-4:]
             words = [(Word.HOLDS, b.key, round(4 * self.ahead(b, now))) for b in fresh]
             self.host.tell([(word, backend.key, 0), *words], self.audience(backend))
@@ -358,6 +373,7 @@
         self.keyed = {b.key: b for b in self.backends.values()}
         fit = sorted((b for b in self.backends.values() if b.usable), key=lambda b: (b.location, b.place))
         self.fleet, self.groups = len(fit), [list(g) for _, g in groupby(fit, lambda b: b.location)]
+        self.pods = sorted({b.pod for b in fit if b.location == self.location}) if self.warm_keys else []
         self.choose(now)
         self.solve(now)
 
@@ -387,6 +403,12 @@
         self.demand += (self.arrivals - self.demand) * (0.2 if self.demand else 1.0)
         if warm := sum(now >= b.warm_at for b in self.usable):
             self.usual += (self.sends / warm - self.usual) * (0.2 if self.usual else 1.0)
+        # Guards against shedding at busy nodes what is in share: a node's part of a quota goes by its own
+        # part of the traffic, over half a minute, so that one customer's burst does not raise its own part.
+        self.steady += (self.arrivals - self.steady) * (0.03 if self.steady else 1.0)
+        whole = sum(c.quota for c in self.customers)
+        for customer in self.customers:
+            customer.rate = customer.quota * max(1 / self.nodes, self.steady / whole)
         self.arrivals = self.sends = 0
         # Guards against hundreds of nodes that each forget a slow backend in seconds and try it in turn.
         fade = min(0.97 ** (self.demand / max(len(self.usable), 1)), 0.85 if self.hears else 0.95)
@@ -455,7 +477,7 @@
         backend.tokens -= now < backend.warm_at
         self.sends += now >= backend.warm_at
         self.host.send(xchg.id, backend.name, xchg.deadline - now)
-        silent = int(8 * self.slot) if self.telling else min(int(4 * self.mean_time), self.objective)
+        silent = int(8 * self.slot) if self.telling else int(min(4 * self.mean_time, self.objective / 2))
         self.at(now + silent, self.check_overdue, upstream)
         return True
 
@@ -503,9 +525,10 @@
             backend.share = (backend.held_rate or fastest / SPREAD) if backend.stage else backend.share
         left = max(demand - sum(b.share for b in ready if b.stage), 0.2 * demand)
         if sum(1 for b in solved if b.points) < 2:
-            whole = sum(b.weight for b in solved) or 1.0
-            for backend in solved:
-                backend.share = left * backend.weight / whole
+            parts = [b.weight / (1 + 4 * b.cost / self.mean_time) for b in solved]
+            for backend, part in zip(solved, parts, strict=True):
+                backend.share = left * part / (sum(parts) or 1.0)
+            self.total = sum(b.share for b in ready)
             return
         for backend in solved:
             backend.curve(demand / len(ready), self.mean_time * backend.pace, 1.0 / self.users, now)
@@ -530,7 +553,9 @@
             fit = [b for b in fit if b.turned < 0.05] or fit  # or its time goes by in being turned away
         if xchg.surplus and self.crossing > self.settings.get("surplus_value", 0.0):
             fit = [b for b in fit if b.location == self.location]
-        fit.sort(key=lambda b: -(b.credit + b.share))
+        # A key's home takes its turn early, up to AHEAD turns, so that shares still decide over some turns.
+        early, home = AHEAD * self.total, xchg.home
+        fit.sort(key=lambda b: (b.pod != home or b.credit < -early, -(b.credit + b.share)))
         return fit
 
     def ahead(self, backend: Backend, now: int) -> float:
@@ -599,6 +624,16 @@
         # Guards against a backend that takes work and answers nothing: silence since the send is a failure.
         if upstream.outcome is None and upstream.backend.last_answer < upstream.sent_at:
             self.verdict(now, upstream, True, upstream.xchg.route.timeout)
+            if upstream.backend.doubt > TRIAL:
+                self.call_off(now, upstream)
+
+    def call_off(self, now: int, upstream: UpstreamTry) -> None:
+        """Guards against losing what a silent backend holds: while another may still answer in time."""
+        xchg, most = upstream.xchg, self.settings.get("policy_limits.max_upstream_tries", 1)
+        if xchg.over or xchg.streaming or not self.cancels or xchg.route.semantics != "retriable":
+            return
+        if len(xchg.tries) < most and now + self.slot < xchg.aim_at and upstream is xchg.tries[-1]:
+            self.host.cancel(xchg.id, len(xchg.tries) - 1)
 
     def measure(self, now: int, upstream: UpstreamTry, outcome: Outcome, elapsed: int) -> None:
         backend = upstream.backend
@@ -623,7 +658,9 @@
 
     def look_again(self, now: int, backend: Backend) -> None:
         # Guards against spending exchanges on backends dead or cut off: where it may, a probe goes first.
-        if self.settings.get("policy_limits.probes") and not backend.probe_at:
+        if now < backend.out_until:  # put off meanwhile
+            self.at(backend.out_until, self.look_again, backend)
+        elif self.settings.get("policy_limits.probes") and not backend.probe_at:
             backend.out_until = now + AWAY_MOST
             self.probe(now, backend)
 
