--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -20,7 +20,8 @@
 PRIOR = 3.0  # samples' worth of the wider mean (kind's, fleet's) that every measured mean is blended with
 EJECT, TRIAL = 6.0, 3.0  # sums of the sequential test: over the first out, over the second one try at a time
 AWAY, AWAY_MOST = 2 * SECOND, 8 * SECOND
-AHEAD = 2.0
+AHEAD, HOME = 2.0, 3.0
+LISTENING = 0.8  # part of the words heard whose senders are told of this node's
 LEAST = 6  # warm backends' worth that a node uses at the least, where there are as many
 
 
@@ -45,6 +46,7 @@
         self.slot_time, self.slots, self.pace = 0.0, 0.0, 1.0  # times, exchanges held; its kind's pace
         self.fails, self.doubt, self.out_until, self.last_answer = 0.0, 0.0, 0, now  # doubt: the test's sum
         self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0  # as it reports itself
+        self.sequel = 0  # exchanges known to have been sent to it
         self.full_until, self.refusals, self.turned, self.budget = 0, 0, 0.0, 0.0  # in a row; share, not full
         # Guards against hundreds of nodes with a send each while it is cold: they start with a part of one.
         self.tokens, self.tokens_at = chance.uniform(), now
@@ -143,6 +145,7 @@
         self.others_from = len(locations) if isinstance(locations, list) else inf
         self.routes = [Route(settings, i) for i in range(get("routes.count", 1))]
         quotas = [get(f"customers.{i}.quota_per_s", 0.0) for i in range(get("customers.count", 0))]
+        self.listeners: dict[int, list[int]] = {}
         self.customers, self.steady = [Customer(quota, quota / self.nodes) for quota in quotas], 0.0
         self.cancels = get("policy_limits.cancel", False)
         self.top_value = max(r.value for r in self.routes)
@@ -153,12 +156,14 @@
         self.asks = min(int(0.01 / max(get("prices.probe", 0.0), 1e-6)), 4) if useful else 0
         # Where asking costs too much, nodes tell one another what they send and what backends report, for 3
         # hundredths of the result and a twentieth of the processor at the most.
-        tells = useful and not self.asks and get("policy_limits.peers", False) and self.nodes > 1
+        tells = not self.asks and get("policy_limits.peers", False) and self.nodes > 1
+        reports = "inflight" in get("feedback.fields", ())
         self.telling, self.hears, self.keyed = float(tells), bool(self.asks or tells), {}
-        self.talks = get("policy_limits.peers", False) and self.nodes > 1 and not self.asks
+        # Where nothing reports what backends hold: the order of this node's answers shows it (`sequel`).
+        self.blind, self.talkers = tells and not reports, {}  # peers by words heard of this location
         self.news, self.audiences = {}, {}  # reports not yet told; by backend the peers that use it
         # Spread evenly whatever the order of the numbers is: a location's nodes do not sit side by side.
-        self.spots = [i * 0.618034 % 1.0 for i in range(self.nodes if tells else 0)]
+        self.spots = [i * 0.618034 % 1.0 for i in range(self.nodes if tells and not self.blind else 0)]
         self.probe_trip, self.heard_at, self.due_seq, self.woken_for = 10.0, -SECOND, 0, 0
         self.backends, self.exchanges, self.usable, self.held, self.due = {}, {}, [], [], []
         self.warm_keys, self.pods = get("domain.warm_keys", False), []  # pods of this location
@@ -219,8 +224,9 @@
                 self.usable.append(backend)
                 room -= worth(backend)
         self.users = max(self.nodes * len(self.usable) / max(self.fleet, 1), 1.0)  # nodes that use a backend
-        if self.spots:
-            price = max(get("prices.peer", 0.0) * self.users * 16 / 256, 1e-6)  # of 16 bytes an exchange
+        if self.telling:
+            told = max((len(few) for few in self.listeners.values()), default=0.0) or self.users
+            price = max(get("prices.peer", 0.0) * told * 16 / 256, 1e-6)  # of 16 bytes an exchange
             cpu = get("policy_limits.cpu_us_per_s", 1e6) / 20 / 25  # datagrams of 25 us each
             self.telling = min(0.03 / price, cpu / max(self.users * rate, 1.0), 1.0)
             self.audiences.clear()
@@ -276,6 +282,9 @@
             if self.telling and abs(held - self.ahead(backend, now)) > 0.4:  # others reckon with as much
                 self.news[backend] = now
             backend.held, backend.held_at = held, now
+        if self.blind and outcome == Outcome.COMPLETED:
+            backend.held, backend.held_at = max(backend.sequel - upstream.sequel, len(backend.out)), now
+            self.news[backend] = now
         self.measure(now, upstream, outcome, took)
         if over or xchg.over:
             self.finish(xchg)
@@ -307,7 +316,7 @@
 
     def on_told(self, now: int, peer: int, words: list[tuple[Word, int, int]]) -> None:
         """Hearsay: it moves turns and pauses, never a profile, and one peer alone puts nothing out."""
-        for word, key, figure in words if self.talks else ():
+        for word, key, figure in words if self.telling else ():
             if (backend := self.keyed.get(key)) is None:
                 continue
             if word == Word.OUT:
@@ -323,20 +332,26 @@
                             self.call_off(now, upstream)
             else:
                 held = figure / 4 if word == Word.HOLDS else self.ahead(backend, now) + 1.0
+                backend.sequel += word == Word.SENT
+                backend.last_answer = now if word == Word.HOLDS else backend.last_answer
+                if word == Word.SENT and self.blind:
+                    talkers = self.talkers.setdefault(backend.location, {})
+                    talkers[peer] = talkers.get(peer, 0.0) + 1.0
                 backend.held, backend.held_at = held, now
 
     def tell(self, now: int, word: Word, backend: Backend) -> None:
         """At once, and what backends have just reported with it."""
-        if word == Word.OUT and self.talks and not self.telling:
-            self.host.tell([(word, backend.key, 0)], [i for i in range(self.nodes) if i != self.me])
-        elif self.telling and (word == Word.OUT or self.chance.uniform() < self.telling):
+        if self.telling and (word == Word.OUT or self.chance.uniform() < self.telling):
             fresh = [b for b, at in self.news.items() if now - at < 2 * self.slot and b is not backend][-4:]
             words = [(Word.HOLDS, b.key, round(4 * self.ahead(b, now))) for b in fresh]
-            self.host.tell([(word, backend.key, 0), *words], self.audience(backend))
+            few = self.listeners.get(backend.location) if self.blind and word == Word.SENT else None
+            self.host.tell([(word, backend.key, 0), *words], few or self.audience(backend))
             self.news.clear()
 
     def audience(self, backend: Backend) -> list[int]:
         """The peers whose sets hold it, as sets lie on the same circle at every node."""
+        if self.blind:
+            return [i for i in range(self.nodes) if i != self.me]
         if backend not in self.audiences:
             group = next((g for g in self.groups if g[0].location == backend.location), [])
             used, of = sum(b.location == backend.location for b in self.usable), max(len(group), 1)
@@ -366,7 +381,7 @@
             backend.learn(listed)
             backend.warm_at = 0 if listed.started is None else listed.started + warm
             # What crossing locations costs, as response time, so that the solve weighs it.
-            backend.cost = 2.0 * self.crossing * self.objective * (backend.location != self.location)
+            backend.cost = 4.0 * self.crossing * self.objective * (backend.location != self.location)
         for name in list(self.backends if whole else named):
             if named.get(name, "gone") == "gone":
                 self.backends.pop(name).usable = False
@@ -405,6 +420,13 @@
             self.usual += (self.sends / warm - self.usual) * (0.2 if self.usual else 1.0)
         # Guards against shedding at busy nodes what is in share: a node's part of a quota goes by its own
         # part of the traffic, over half a minute, so that one customer's burst does not raise its own part.
+        # Guards against a price and a load that grow with the tier: words go to those who send the most.
+        for location, talkers in self.talkers.items():
+            heard, whole, self.listeners[location] = 0.0, sum(talkers.values()), []
+            for peer in sorted(talkers, key=lambda peer: -talkers[peer]):
+                heard += talkers[peer]
+                self.listeners[location] += [peer] if heard < LISTENING * whole else []
+            self.talkers[location] = {peer: 0.8 * words for peer, words in talkers.items() if words > 0.1}
         self.steady += (self.arrivals - self.steady) * (0.03 if self.steady else 1.0)
         whole = sum(c.quota for c in self.customers)
         for customer in self.customers:
@@ -468,6 +490,8 @@
             return False
         self.unhold(xchg)
         upstream = UpstreamTry(xchg, backend, now, self.ahead(backend, now))
+        backend.sequel += 1
+        upstream.sequel = backend.sequel
         if self.telling:
             backend.held, backend.held_at = upstream.ahead, now
             self.tell(now, Word.SENT, backend)
@@ -477,7 +501,9 @@
         backend.tokens -= now < backend.warm_at
         self.sends += now >= backend.warm_at
         self.host.send(xchg.id, backend.name, xchg.deadline - now)
-        silent = int(8 * self.slot) if self.telling else int(min(4 * self.mean_time, self.objective / 2))
+        # Guards against a false ejection, which is told on, and against a true one that comes too late.
+        silent = int(8 * self.slot) if self.spots else int(min(4 * self.mean_time, self.objective))
+        silent = int(min((4 + upstream.ahead) * self.slot, self.objective)) if self.blind else silent
         self.at(now + silent, self.check_overdue, upstream)
         return True
 
@@ -553,9 +579,7 @@
             fit = [b for b in fit if b.turned < 0.05] or fit  # or its time goes by in being turned away
         if xchg.surplus and self.crossing > self.settings.get("surplus_value", 0.0):
             fit = [b for b in fit if b.location == self.location]
-        # A key's home takes its turn early, up to AHEAD turns, so that shares still decide over some turns.
-        early, home = AHEAD * self.total, xchg.home
-        fit.sort(key=lambda b: (b.pod != home or b.credit < -early, -(b.credit + b.share)))
+        fit.sort(key=lambda b: -(b.credit + b.share))
         return fit
 
     def ahead(self, backend: Backend, now: int) -> float:
@@ -581,7 +605,14 @@
         heard = self.asks and now - self.heard_at < SECOND
         stale = 20 if asking else self.slot / 2 if heard else inf
         best, best_time = None, inf
-        for backend in fit:
+        # A key's home takes its turn early, up to AHEAD turns, so that shares decide over some turns.
+        early = [b for b in fit if b.pod == xchg.home and b.credit > -AHEAD * self.total]
+        early.sort(key=lambda b: self.expected(b, now))
+        if early and self.expected(early[0], now) <= min(HOME * self.slot, bound):
+            best, fit_for = early[0], ()
+        else:
+            fit_for = fit
+        for backend in fit_for:
             unheard = now - backend.held_at > stale and backend.location < self.others_from
             if len(backend.out) > most or unheard:
                 continue
@@ -593,7 +624,7 @@
             near = 1.5 * self.slot if self.hears else max(self.equal_time - cost, 1.5 * self.slot)
             # Guards against shedding while some are idle, where the time held counts queues of others' work,
             # and against taking one that is about to be idle before those that are.
-            if time <= near and (self.ahead(backend, now) < 0.1 if self.telling else time <= bound):
+            if (time + cost if self.hears else time) <= near and (self.ahead(backend, now) < 0.1 if self.telling else time <= bound):
                 best = backend
                 break
             if not asking and time <= bound and time + cost < best_time:
@@ -648,6 +679,8 @@
             self.verdict(now, upstream, True, upstream.xchg.route.timeout)
         elif outcome == Outcome.REJECTED:
             backend.refusals += 1
+            if self.blind:
+                backend.held, backend.held_at = max(self.ahead(backend, now), 2 * CROWD), now
             # Guards against passing by idle backends that turn some away: one or two in a row are no queue.
             full = backend.refusals > 2 or backend.held_at < now or backend.held > CROWD
             # Guards against full backends that keep the good profile of the few that they did take.
