--- a/basalthoist/decisions/host.py
+++ b/basalthoist/decisions/host.py
@@ -43,6 +43,7 @@
 
     SENT = 0  # an exchange has just been sent to it
     HOLDS = 1  # by its last report it now holds so many quarters of an exchange
+    DONE = 3  # one sent to it, and told of, has been answered
     OUT = 2  # it failed here until nothing more is sent to it
 
 
--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -20,8 +20,10 @@
 PRIOR = 3.0  # samples' worth of the wider mean (kind's, fleet's) that every measured mean is blended with
 EJECT, TRIAL = 6.0, 3.0  # sums of the sequential test: over the first out, over the second one try at a time
 AWAY, AWAY_MOST = 2 * SECOND, 8 * SECOND
-AHEAD, HOME = 2.0, 3.0
-LISTENING = 0.8  # part of the words heard whose senders are told of this node's
+AHEAD, HOME = 2.0, 0.1
+WEAR = 3
+HOMES = 4
+LISTENING = 0.9  # part of the words heard whose senders are told of this node's
 LEAST = 6  # warm backends' worth that a node uses at the least, where there are as many
 
 
@@ -46,7 +48,6 @@
         self.slot_time, self.slots, self.pace = 0.0, 0.0, 1.0  # times, exchanges held; its kind's pace
         self.fails, self.doubt, self.out_until, self.last_answer = 0.0, 0.0, 0, now  # doubt: the test's sum
         self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0  # as it reports itself
-        self.sequel = 0  # exchanges known to have been sent to it
         self.full_until, self.refusals, self.turned, self.budget = 0, 0, 0.0, 0.0  # in a row; share, not full
         # Guards against hundreds of nodes with a send each while it is cold: they start with a part of one.
         self.tokens, self.tokens_at = chance.uniform(), now
@@ -125,7 +126,7 @@
         self.id, self.route, self.deadline, self.aim_at = ident, route, deadline, aim_at
         self.surplus, self.held, self.over, self.streaming = surplus, False, False, False
         self.spilled = False  # from another site: it is not sent to one again
-        self.home: int | None = None  # the pod that meets its key
+        self.homes: list[Backend] = []  # that meet its key, in the order in which all nodes of the location try them
         self.asked, self.settled, self.order = 0, False, (surplus, -route.value, now, ident)
         self.tries: list[UpstreamTry] = []
 
@@ -134,6 +135,7 @@
     def __init__(self, xchg: Exchange, backend: Backend, now: int, ahead: float) -> None:
         self.xchg, self.backend, self.sent_at, self.ahead = xchg, backend, now, ahead
         self.outcome: Outcome | None = None  # None while it is out
+        self.told = False  # to peers
 
 
 class Node:
@@ -166,7 +168,7 @@
         self.spots = [i * 0.618034 % 1.0 for i in range(self.nodes if tells and not self.blind else 0)]
         self.probe_trip, self.heard_at, self.due_seq, self.woken_for = 10.0, -SECOND, 0, 0
         self.backends, self.exchanges, self.usable, self.held, self.due = {}, {}, [], [], []
-        self.warm_keys, self.pods = get("domain.warm_keys", False), []  # pods of this location
+        self.warm_keys, self.homes = get("domain.warm_keys", False), {}  # by key
         self.groups, self.fleet, self.users, self.total = [], 0, 1.0, 1.0  # groups: usable ones by location
         self.failing, self.mean_time, self.slot = 0.0, self.objective / 3.0, self.objective / 4.0
         self.demand, self.arrivals, self.equal_time = 0.0, 0, float(self.objective)
@@ -225,10 +227,11 @@
                 room -= worth(backend)
         self.users = max(self.nodes * len(self.usable) / max(self.fleet, 1), 1.0)  # nodes that use a backend
         if self.telling:
-            told = max((len(few) for few in self.listeners.values()), default=0.0) or self.users
+            told = max((len(few) for few in self.listeners.values()), default=0) or self.users
             price = max(get("prices.peer", 0.0) * told * 16 / 256, 1e-6)  # of 16 bytes an exchange
-            cpu = get("policy_limits.cpu_us_per_s", 1e6) / 20 / 25  # datagrams of 25 us each
-            self.telling = min(0.03 / price, cpu / max(self.users * rate, 1.0), 1.0)
+            # Datagrams of 25 us each; where words are all there is, half of the processor may go to them.
+            cpu = get("policy_limits.cpu_us_per_s", 1e6) / (4 if self.blind else 20) / 25
+            self.telling = min(0.03 / price, cpu / max(told * rate, 1.0), 1.0)
             self.audiences.clear()
         for backend in self.usable:
             if backend not in before:  # joins at a turn by chance, or all nodes would rush to it
@@ -241,6 +244,14 @@
         # Guards against a few sick backends passing for what is usual: the fleet's share is the median one.
         self.failing = sorted([b.fails for b in self.usable] or [0.0])[len(self.usable) // 2]
 
+    def homes_of(self, key: int) -> list[Backend]:
+        """Rendezvous: every node of the location ranks the same few for a key, whoever comes or goes."""
+        if key not in self.homes:
+            near = next((g for g in self.groups if g[0].location == self.location), [])
+            ranked = sorted(near, key=lambda b: crc32(b"%d %d" % (key, b.key)))
+            self.homes[key] = ranked[:HOMES]
+        return self.homes[key]
+
     def own_site(self, now: int) -> tuple[int, int, float, int]:
         """For the gateway: own backends usable and listed, exchanges a second, sheds in share so far."""
         own = [b for b in self.backends.values() if b.usable and b.location < self.others_from]
@@ -262,8 +273,8 @@
         # Guards against another site's work before this one's own: it waits and gives way like surplus.
         xchg = self.exchanges[ident] = Exchange(ident, route, now, now + grace, aim_at, surplus or spilled)
         xchg.spilled = spilled
-        if key is not None and self.pods:
-            xchg.home = max(self.pods, key=lambda pod: crc32(b"%d %d" % (key, pod)))
+        if key is not None and self.warm_keys:
+            xchg.homes = self.homes_of(key)
         # Guards against work for clients' later tries that can only end late, where that is worth nothing.
         if now >= aim_at and not route.late_value or surplus and self.chance.uniform() > self.welcome:
             return self.give_up(now, xchg)
@@ -283,8 +294,9 @@
                 self.news[backend] = now
             backend.held, backend.held_at = held, now
         if self.blind and outcome == Outcome.COMPLETED:
-            backend.held, backend.held_at = max(backend.sequel - upstream.sequel, len(backend.out)), now
-            self.news[backend] = now
+            backend.held, backend.held_at = max(self.ahead(backend, now) - 1.0, 0.0), now
+            if upstream.told:
+                self.tell(now, Word.DONE, backend)
         self.measure(now, upstream, outcome, took)
         if over or xchg.over:
             self.finish(xchg)
@@ -330,23 +342,26 @@
                     for upstream in list(backend.out):
                         if backend.last_answer < upstream.sent_at < now - 2 * self.slot:
                             self.call_off(now, upstream)
+            elif word == Word.DONE:
+                backend.last_answer = now
+                backend.held, backend.held_at = max(self.ahead(backend, now) - 1.0, 0.0), now
             else:
                 held = figure / 4 if word == Word.HOLDS else self.ahead(backend, now) + 1.0
-                backend.sequel += word == Word.SENT
-                backend.last_answer = now if word == Word.HOLDS else backend.last_answer
                 if word == Word.SENT and self.blind:
                     talkers = self.talkers.setdefault(backend.location, {})
                     talkers[peer] = talkers.get(peer, 0.0) + 1.0
                 backend.held, backend.held_at = held, now
 
-    def tell(self, now: int, word: Word, backend: Backend) -> None:
+    def tell(self, now: int, word: Word, backend: Backend) -> bool:
         """At once, and what backends have just reported with it."""
-        if self.telling and (word == Word.OUT or self.chance.uniform() < self.telling):
+        told = self.telling and (word != Word.SENT or self.chance.uniform() < self.telling)
+        if told:
             fresh = [b for b, at in self.news.items() if now - at < 2 * self.slot and b is not backend][-4:]
             words = [(Word.HOLDS, b.key, round(4 * self.ahead(b, now))) for b in fresh]
-            few = self.listeners.get(backend.location) if self.blind and word == Word.SENT else None
+            few = self.listeners.get(backend.location) if self.blind and word != Word.OUT else None
             self.host.tell([(word, backend.key, 0), *words], few or self.audience(backend))
             self.news.clear()
+        return told
 
     def audience(self, backend: Backend) -> list[int]:
         """The peers whose sets hold it, as sets lie on the same circle at every node."""
@@ -381,14 +396,14 @@
             backend.learn(listed)
             backend.warm_at = 0 if listed.started is None else listed.started + warm
             # What crossing locations costs, as response time, so that the solve weighs it.
-            backend.cost = 4.0 * self.crossing * self.objective * (backend.location != self.location)
+            backend.cost = 2.0 * self.crossing * self.objective * (backend.location != self.location)
         for name in list(self.backends if whole else named):
             if named.get(name, "gone") == "gone":
                 self.backends.pop(name).usable = False
         self.keyed = {b.key: b for b in self.backends.values()}
         fit = sorted((b for b in self.backends.values() if b.usable), key=lambda b: (b.location, b.place))
         self.fleet, self.groups = len(fit), [list(g) for _, g in groupby(fit, lambda b: b.location)]
-        self.pods = sorted({b.pod for b in fit if b.location == self.location}) if self.warm_keys else []
+        self.homes.clear()
         self.choose(now)
         self.solve(now)
 
@@ -490,11 +505,9 @@
             return False
         self.unhold(xchg)
         upstream = UpstreamTry(xchg, backend, now, self.ahead(backend, now))
-        backend.sequel += 1
-        upstream.sequel = backend.sequel
         if self.telling:
             backend.held, backend.held_at = upstream.ahead, now
-            self.tell(now, Word.SENT, backend)
+            upstream.told = self.tell(now, Word.SENT, backend)
         xchg.tries.append(upstream)
         backend.out.append(upstream)
         backend.sent, backend.held = backend.sent + 1, backend.held + 1
@@ -583,8 +596,9 @@
         return fit
 
     def ahead(self, backend: Backend, now: int) -> float:
-        # Guards against taking one last heard of as crowded for empty: it drains no faster than it works.
-        held = backend.held - (now - backend.held_at) / self.slot if self.hears else 0.0
+        # Guards against taking one last heard of as crowded for empty: it drains no faster than it works,
+        # and where ends are told it is only words that were lost which wear off.
+        held = backend.held - (now - backend.held_at) / (WEAR if self.blind else 1) / self.slot if self.hears else 0.0
         return max(len(backend.out), held)
 
     def expected(self, backend: Backend, now: int) -> float:
@@ -606,13 +620,11 @@
         stale = 20 if asking else self.slot / 2 if heard else inf
         best, best_time = None, inf
         # A key's home takes its turn early, up to AHEAD turns, so that shares decide over some turns.
-        early = [b for b in fit if b.pod == xchg.home and b.credit > -AHEAD * self.total]
-        early.sort(key=lambda b: self.expected(b, now))
-        if early and self.expected(early[0], now) <= min(HOME * self.slot, bound):
-            best, fit_for = early[0], ()
-        else:
-            fit_for = fit
-        for backend in fit_for:
+        for backend in xchg.homes:
+            if backend in fit and backend.credit > -AHEAD * self.total and self.ahead(backend, now) < HOME:
+                best = backend
+                break
+        for backend in fit if best is None else ():
             unheard = now - backend.held_at > stale and backend.location < self.others_from
             if len(backend.out) > most or unheard:
                 continue
--- a/basalthoist/hearsay.py
+++ b/basalthoist/hearsay.py
@@ -1,6 +1,6 @@
 """What nodes tell one another, as bytes: the one codec for sockets and for the simulation bench.
 
-A byte with the version, then three bytes a word: the backend's key in two and a figure, of which the two
+A byte with the version, then three bytes a word: the backend's key in two and a figure, of which the three
 highest stand for the words that have none.
 """
 
@@ -8,9 +8,9 @@
 
 VERSION = 1
 MOST_BYTES = 256
-MARKS = {Word.SENT: 254, Word.OUT: 255}
+MARKS = {Word.DONE: 253, Word.SENT: 254, Word.OUT: 255}
 MARKED = {mark: word for word, mark in MARKS.items()}
-MOST_HELD = 253
+MOST_HELD = 252
 
 
 def encode(words: list[tuple[Word, int, int]]) -> bytes:
