--- a/basalthoist/decisions/host.py
+++ b/basalthoist/decisions/host.py
@@ -36,6 +36,7 @@
     inflight: float | None
     queue: float | None
     util: float | None
+    rate: float | None = None  # all that it answers a second, whoever asks
 
 
 class Word(IntEnum):
--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -44,6 +44,7 @@
 
     def forget(self, now: int, chance: Lcg) -> None:
         self.warm_at, self.points, self.line = 0, [], [(0.0, inf)]  # points: [rate, time, samples, when]
+        self.reported, self.steep = 0.0, inf  # its whole rate, as it reports it
         self.restart_window(now)
         self.slot_time, self.slots, self.pace = 0.0, 0.0, 1.0  # times, exchanges held; its kind's pace
         self.fails, self.doubt, self.out_until, self.last_answer = 0.0, 0.0, 0, now  # doubt: the test's sum
@@ -55,16 +56,18 @@
 
     def close_window(self, now: int, limit: float) -> bool:
         span = now - self.window_from
-        if span < WINDOW or (self.count < SAMPLES and span < WINDOW_MOST):
+        if span < WINDOW or (self.count < (1 if self.reported else SAMPLES) and span < WINDOW_MOST):
             return False
         if self.count:
-            self.points += [[self.sent / span * SECOND, min(self.total / self.count, limit), self.count, now]]
+            rate = self.rates / self.reports if self.reports else self.reported or self.sent / span * SECOND
+            self.points += [[rate, min(self.total / self.count, limit), self.count, now]]
         self.points = sorted(p for p in self.points if now - p[3] < POINT_LIFE)
         self.restart_window(now)
         return True
 
     def restart_window(self, now: int) -> None:
         self.window_from, self.sent, self.count, self.total = now, 0, 0, 0.0
+        self.rates, self.reports = 0.0, 0
 
     def curve(self, mean_rate: float, mean_time: float, cores: float, now: int) -> None:
         """The profile as a non-decreasing line, its points blended with its kind's mean by their samples."""
@@ -86,7 +89,7 @@
             if time <= t1:
                 return r0 + (r1 - r0) * (time - t0) / (t1 - t0) if t1 > t0 else r1
         rate, top = self.line[-1]
-        slope = max((top - self.line[0][1]) / rate, (top - t0) / (rate - r0) if rate > r0 else 0.0, 1e-6)
+        slope = max(top * top / SECOND / self.steep, (top - self.line[0][1]) / rate, (top - t0) / (rate - r0) if rate > r0 else 0.0, 1e-6)
         return rate + (time - top) / slope
 
     def judge(self, failed: bool, usual: float) -> None:
@@ -230,7 +233,7 @@
             told = max((len(few) for few in self.listeners.values()), default=0) or self.users
             price = max(get("prices.peer", 0.0) * told * 16 / 256, 1e-6)  # of 16 bytes an exchange
             # Datagrams of 25 us each; where words are all there is, half of the processor may go to them.
-            cpu = get("policy_limits.cpu_us_per_s", 1e6) / (4 if self.blind else 20) / 25
+            cpu = get("policy_limits.cpu_us_per_s", 1e6) / (2 if self.blind else 20) / 25
             self.telling = min(0.03 / price, cpu / max(told * rate, 1.0), 1.0)
             self.audiences.clear()
         for backend in self.usable:
@@ -248,8 +251,8 @@
         """Rendezvous: every node of the location ranks the same few for a key, whoever comes or goes."""
         if key not in self.homes:
             near = next((g for g in self.groups if g[0].location == self.location), [])
-            ranked = sorted(near, key=lambda b: crc32(b"%d %d" % (key, b.key)))
-            self.homes[key] = ranked[:HOMES]
+            ranked = sorted((-log((crc32(b"%d %d" % (key, b.key)) + 1) / 2**32) / b.weight, b.key, b) for b in near)
+            self.homes[key] = [b for *_, b in ranked[:HOMES]]
         return self.homes[key]
 
     def own_site(self, now: int) -> tuple[int, int, float, int]:
@@ -297,6 +300,9 @@
             backend.held, backend.held_at = max(self.ahead(backend, now) - 1.0, 0.0), now
             if upstream.told:
                 self.tell(now, Word.DONE, backend)
+        if load is not None and load.rate:
+            backend.reported += (load.rate - backend.reported) * (0.5 if backend.reported else 1.0)
+            backend.rates, backend.reports = backend.rates + load.rate, backend.reports + 1
         self.measure(now, upstream, outcome, took)
         if over or xchg.over:
             self.finish(xchg)
@@ -569,17 +575,26 @@
                 backend.share = left * part / (sum(parts) or 1.0)
             self.total = sum(b.share for b in ready)
             return
+        # Where backends report their whole rate, points and solve go by it, as the paper's one dispatcher's do:
+        # this node's own part says nothing of what a backend shared with a hundred others can take.
+        known = [b.reported for b in ready if b.reported]
+        scale = sum(known) / len(known) * len(ready) / demand if known else 1.0
+        size = sum(b.weight for b in ready) / len(ready)
         for backend in solved:
-            backend.curve(demand / len(ready), self.mean_time * backend.pace, 1.0 / self.users, now)
+            cores, rate = 1.0 / self.users, demand / len(ready)
+            if known:
+                cores = backend.steep = max(backend.weight, 1.0)
+                rate = backend.reported or scale * rate * backend.weight / size
+            backend.curve(rate, self.mean_time * backend.pace, cores, now)
         low, high = 0.0, 100.0 * self.objective
         for _ in range(16):
             middle = (low + high) / 2
-            enough = sum(b.rate_at(middle - b.cost) for b in solved) >= left
+            enough = sum(b.rate_at(middle - b.cost) for b in solved) >= left * scale
             low, high = (low, middle) if enough else (middle, high)
         self.equal_time = high
         for backend in solved:
             floor = FLOOR_SHARE * left / len(solved) / (1 + 4 * backend.cost / self.mean_time)
-            rate = max(backend.rate_at(high - backend.cost), floor)
+            rate = max(backend.rate_at(high - backend.cost) / scale, floor)
             backend.share += (rate - backend.share) * (0.5 if backend.share else 1.0)
         self.total = sum(b.share for b in ready)
 
@@ -631,7 +646,7 @@
             time, cost = self.expected(backend, now), backend.cost
             # Guards against crowding a backend until it turns slower: a few times its idle time is enough.
             most_time = max(CROWD * backend.line[0][1], 0.2 * self.objective)
-            if backend.out and not self.hears and time > most_time:
+            if (backend.out or backend.reported) and not self.hears and time > most_time:
                 continue
             near = 1.5 * self.slot if self.hears else max(self.equal_time - cost, 1.5 * self.slot)
             # Guards against shedding while some are idle, where the time held counts queues of others' work,
--- a/basalthoist/net/upstream.py
+++ b/basalthoist/net/upstream.py
@@ -33,7 +33,9 @@
             continue
         if 0.0 <= value < float("inf"):
             found[FIELDS.get(name, name)] = value
-    return Load(found.get("inflight"), found.get("queue"), found.get("util")) if found else None
+    if not found:
+        return None
+    return Load(found.get("inflight"), found.get("queue"), found.get("util"), found.get("rate"))
 
 
 def outcome_of(answer: Message) -> Outcome:
--- a/basalthoist/simulator/adapter.py
+++ b/basalthoist/simulator/adapter.py
@@ -62,7 +62,7 @@
             return None
         figures = (None if v in ("", "-") else float(v) for v in row.split(","))
         values = dict(zip(self.fields, figures, strict=False))
-        return Load(values.get("inflight"), values.get("queue"), values.get("util"))
+        return Load(values.get("inflight"), values.get("queue"), values.get("util"), values.get("rate"))
 
     def take(self, now: int, parts: list[str], lists: dict) -> None:
         name, node = parts[0], self.node
