--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -22,8 +22,8 @@
 AWAY, AWAY_MOST = 2 * SECOND, 8 * SECOND
 AHEAD, HOME = 2.0, 0.1
 WEAR = 3
-HOMES = 4
-LISTENING = 0.9  # part of the words heard whose senders are told of this node's
+HOMES = 2
+LISTENING = 0.7  # part of the words heard whose senders are told of this node's
 LEAST = 6  # warm backends' worth that a node uses at the least, where there are as many
 
 
@@ -152,7 +152,6 @@
         quotas = [get(f"customers.{i}.quota_per_s", 0.0) for i in range(get("customers.count", 0))]
         self.listeners: dict[int, list[int]] = {}
         self.customers, self.steady = [Customer(quota, quota / self.nodes) for quota in quotas], 0.0
-        self.cancels = get("policy_limits.cancel", False)
         self.top_value = max(r.value for r in self.routes)
         self.objective, self.crossing = min(r.objective for r in self.routes), get("prices.cross_zone", 0.0)
         self.advice = get("policy_limits.max_retry_after", 0) // 2 if get("policy_limits.retry_after") else 0
@@ -344,10 +343,8 @@
                 backend.doubt = max(backend.doubt, TRIAL + 0.1 if others < 2 else EJECT)
                 if now < backend.out_until:  # the first to look again look for all
                     backend.out_until = max(backend.out_until, now + backend.away)
-                if self.put_out(now, backend) or now < backend.out_until:
-                    for upstream in list(backend.out):
-                        if backend.last_answer < upstream.sent_at < now - 2 * self.slot:
-                            self.call_off(now, upstream)
+                elif not self.blind:
+                    self.put_out(now, backend)
             elif word == Word.DONE:
                 backend.last_answer = now
                 backend.held, backend.held_at = max(self.ahead(backend, now) - 1.0, 0.0), now
@@ -402,7 +399,7 @@
             backend.learn(listed)
             backend.warm_at = 0 if listed.started is None else listed.started + warm
             # What crossing locations costs, as response time, so that the solve weighs it.
-            backend.cost = 2.0 * self.crossing * self.objective * (backend.location != self.location)
+            backend.cost = 1.4 * self.crossing * self.objective * (backend.location != self.location)
         for name in list(self.backends if whole else named):
             if named.get(name, "gone") == "gone":
                 self.backends.pop(name).usable = False
@@ -636,7 +633,7 @@
         best, best_time = None, inf
         # A key's home takes its turn early, up to AHEAD turns, so that shares decide over some turns.
         for backend in xchg.homes:
-            if backend in fit and backend.credit > -AHEAD * self.total and self.ahead(backend, now) < HOME:
+            if backend in fit and not backend.doubt and backend.credit > -AHEAD * self.total and self.ahead(backend, now) < HOME:
                 best = backend
                 break
         for backend in fit if best is None else ():
@@ -682,16 +679,6 @@
         # Guards against a backend that takes work and answers nothing: silence since the send is a failure.
         if upstream.outcome is None and upstream.backend.last_answer < upstream.sent_at:
             self.verdict(now, upstream, True, upstream.xchg.route.timeout)
-            if upstream.backend.doubt > TRIAL:
-                self.call_off(now, upstream)
-
-    def call_off(self, now: int, upstream: UpstreamTry) -> None:
-        """Guards against losing what a silent backend holds: while another may still answer in time."""
-        xchg, most = upstream.xchg, self.settings.get("policy_limits.max_upstream_tries", 1)
-        if xchg.over or xchg.streaming or not self.cancels or xchg.route.semantics != "retriable":
-            return
-        if len(xchg.tries) < most and now + self.slot < xchg.aim_at and upstream is xchg.tries[-1]:
-            self.host.cancel(xchg.id, len(xchg.tries) - 1)
 
     def measure(self, now: int, upstream: UpstreamTry, outcome: Outcome, elapsed: int) -> None:
         backend = upstream.backend
