--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -20,9 +20,8 @@
 PRIOR = 3.0  # samples' worth of the wider mean (kind's, fleet's) that every measured mean is blended with
 EJECT, TRIAL = 6.0, 3.0  # sums of the sequential test: over the first out, over the second one try at a time
 AWAY, AWAY_MOST = 2 * SECOND, 8 * SECOND
-AHEAD, HOME = 2.0, 0.1
-WEAR = 3
-HOMES = 2
+WEAR = 3  # times a service time, after which one told of is taken as ended though nobody said so
+STRAIN = 2.5  # times its idle time at which a backend that reports its whole rate is passed over
 LISTENING = 0.7  # part of the words heard whose senders are told of this node's
 LEAST = 6  # warm backends' worth that a node uses at the least, where there are as many
 
@@ -129,7 +128,6 @@
         self.id, self.route, self.deadline, self.aim_at = ident, route, deadline, aim_at
         self.surplus, self.held, self.over, self.streaming = surplus, False, False, False
         self.spilled = False  # from another site: it is not sent to one again
-        self.homes: list[Backend] = []  # that meet its key, in the order in which all nodes of the location try them
         self.asked, self.settled, self.order = 0, False, (surplus, -route.value, now, ident)
         self.tries: list[UpstreamTry] = []
 
@@ -170,7 +168,6 @@
         self.spots = [i * 0.618034 % 1.0 for i in range(self.nodes if tells and not self.blind else 0)]
         self.probe_trip, self.heard_at, self.due_seq, self.woken_for = 10.0, -SECOND, 0, 0
         self.backends, self.exchanges, self.usable, self.held, self.due = {}, {}, [], [], []
-        self.warm_keys, self.homes = get("domain.warm_keys", False), {}  # by key
         self.groups, self.fleet, self.users, self.total = [], 0, 1.0, 1.0  # groups: usable ones by location
         self.failing, self.mean_time, self.slot = 0.0, self.objective / 3.0, self.objective / 4.0
         self.demand, self.arrivals, self.equal_time = 0.0, 0, float(self.objective)
@@ -219,8 +216,7 @@
         def worth(b: Backend) -> float: return 1 - (1 - start) * max(b.warm_at - now, 0) / warm  # fmt: skip
 
         for group in self.groups:
-            # Guards against as many homes for a key as there are sets: this location's pods are used whole.
-            room = len(group) if self.warm_keys and group[0].location == self.location else size * len(group)
+            room = size * len(group)
             first = int(self.spots[self.me] * len(group)) if self.spots else 0
             for backend in group[first:] + group[:first]:
                 if room <= 0.0:
@@ -246,21 +242,13 @@
         # Guards against a few sick backends passing for what is usual: the fleet's share is the median one.
         self.failing = sorted([b.fails for b in self.usable] or [0.0])[len(self.usable) // 2]
 
-    def homes_of(self, key: int) -> list[Backend]:
-        """Rendezvous: every node of the location ranks the same few for a key, whoever comes or goes."""
-        if key not in self.homes:
-            near = next((g for g in self.groups if g[0].location == self.location), [])
-            ranked = sorted((-log((crc32(b"%d %d" % (key, b.key)) + 1) / 2**32) / b.weight, b.key, b) for b in near)
-            self.homes[key] = [b for *_, b in ranked[:HOMES]]
-        return self.homes[key]
-
     def own_site(self, now: int) -> tuple[int, int, float, int]:
         """For the gateway: own backends usable and listed, exchanges a second, sheds in share so far."""
         own = [b for b in self.backends.values() if b.usable and b.location < self.others_from]
         return sum(now >= b.out_until for b in own), len(own), self.demand, self.all_sheds
 
     def on_exchange(self, now: int, ident: int, route_no: int, customer_no: int, grace: int, again: bool,
-                    spilled: bool = False, key: int | None = None):  # fmt: skip
+                    spilled: bool = False):  # fmt: skip
         route, self.welcome = self.routes[route_no], min(self.welcome + 0.002, 1.0)
         aim_at = now + route.objective
         self.arrivals += not again
@@ -275,8 +263,6 @@
         # Guards against another site's work before this one's own: it waits and gives way like surplus.
         xchg = self.exchanges[ident] = Exchange(ident, route, now, now + grace, aim_at, surplus or spilled)
         xchg.spilled = spilled
-        if key is not None and self.warm_keys:
-            xchg.homes = self.homes_of(key)
         # Guards against work for clients' later tries that can only end late, where that is worth nothing.
         if now >= aim_at and not route.late_value or surplus and self.chance.uniform() > self.welcome:
             return self.give_up(now, xchg)
@@ -406,7 +392,6 @@
         self.keyed = {b.key: b for b in self.backends.values()}
         fit = sorted((b for b in self.backends.values() if b.usable), key=lambda b: (b.location, b.place))
         self.fleet, self.groups = len(fit), [list(g) for _, g in groupby(fit, lambda b: b.location)]
-        self.homes.clear()
         self.choose(now)
         self.solve(now)
 
@@ -631,18 +616,13 @@
         heard = self.asks and now - self.heard_at < SECOND
         stale = 20 if asking else self.slot / 2 if heard else inf
         best, best_time = None, inf
-        # A key's home takes its turn early, up to AHEAD turns, so that shares decide over some turns.
-        for backend in xchg.homes:
-            if backend in fit and not backend.doubt and backend.credit > -AHEAD * self.total and self.ahead(backend, now) < HOME:
-                best = backend
-                break
-        for backend in fit if best is None else ():
+        for backend in fit:
             unheard = now - backend.held_at > stale and backend.location < self.others_from
             if len(backend.out) > most or unheard:
                 continue
             time, cost = self.expected(backend, now), backend.cost
             # Guards against crowding a backend until it turns slower: a few times its idle time is enough.
-            most_time = max(CROWD * backend.line[0][1], 0.2 * self.objective)
+            most_time = max((STRAIN if backend.reported else CROWD) * backend.line[0][1], 0.2 * self.objective)
             if (backend.out or backend.reported) and not self.hears and time > most_time:
                 continue
             near = 1.5 * self.slot if self.hears else max(self.equal_time - cost, 1.5 * self.slot)
--- a/basalthoist/simulator/adapter.py
+++ b/basalthoist/simulator/adapter.py
@@ -67,11 +67,10 @@
     def take(self, now: int, parts: list[str], lists: dict) -> None:
         name, node = parts[0], self.node
         if name == "QUERY":
-            _, _, txn, route, customer, key, grace, _, flags = parts
+            _, _, txn, route, customer, _, grace, _, flags = parts
             again = flags != "-" and bool(int(flags) & 2)
             customer_no = 0 if customer == "-" else int(customer)
-            node.on_exchange(now, int(txn), int(route), customer_no, tenths(int(grace)), again,
-                             key=None if key == "-" else int(key, 16))  # fmt: skip
+            node.on_exchange(now, int(txn), int(route), customer_no, tenths(int(grace)), again)
         elif name == "ATTEMPT_END":
             _, _, txn, copy, _, outcome, rtt, over, row = parts
             node.on_try_ended(now, int(txn), int(copy), OUTCOMES[outcome], tenths(int(rtt)), over == "1",
