--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -87,6 +87,13 @@
     feedback: Feedback = msgspec.field(default_factory=Feedback)
 
 
+class ShadowDocument(msgspec.Struct, forbid_unknown_fields=True):
+    """Settings to be watched before they are taken up: those that differ, laid over `settings`."""
+
+    settings: dict
+    report_s: Positive = 60.0  # between two log lines with the counts
+
+
 class Document(msgspec.Struct):
     settings: dict
     seed: str
@@ -95,10 +102,33 @@
     discovery: str = ""
     peer_listen: str = ""
     peers: list[str] = []
+    shadow: ShadowDocument | None = None
     limits: Limits = msgspec.field(default_factory=Limits)
     known: MemberList = msgspec.field(default_factory=lambda: MemberList(0, [], True))
 
 
+def laid_over(under: dict, over: dict) -> dict:
+    both = [key for key in over if isinstance(under.get(key), dict) and isinstance(over[key], dict)]
+    return under | over | {key: laid_over(under[key], over[key]) for key in both}
+
+
+def shadow_of(document: Document) -> dict:
+    """The settings of the shadow in the words of the decisions; an exchange must have the same routes in both."""
+    merged = laid_over(document.settings, document.shadow.settings)
+    try:
+        msgspec.convert(merged, Told)
+    except msgspec.ValidationError as wrong:
+        raise ConfigurationError(str(wrong).replace("`$", "`$.shadow.settings")) from None
+    for key in ("routes", "accounts"):
+        names = [[one.get("name") for one in tree.get(key, [])] for tree in (document.settings, merged)]
+        if names[0] != names[1]:
+            raise ConfigurationError(f"shadow.settings.{key}: expected the same names in the same order")
+    try:
+        return flat_map(merged)
+    except (TypeError, ValueError) as wrong:
+        raise ConfigurationError(f"shadow.settings.{wrong}") from None
+
+
 class Configuration:
     """The node's name, addresses, limits and saved list, and `settings` for the decisions."""
 
@@ -129,6 +159,7 @@
         self.peer_listen = address("peer_listen", document.peer_listen) if document.peer_listen else None
         self.peers = [address(f"peers.{number}", peer) for number, peer in enumerate(document.peers)]
         self.known, self.settings = document.known, settings
+        self.shadow_settings = shadow_of(document) if document.shadow is not None else None
         # Where calls weigh on discovery: how long it takes to serve the whole tier, one after the other.
         lines = told.siblings * len(document.known.members) if told.discovery == "on_request" else 0
         self.turns_s = document.limits.watch_line_s * lines
@@ -142,7 +173,7 @@
 
     def waits_for_restart(self, before: "Configuration") -> list[str]:
         """The keys that were changed in the file and that a running node can't take up."""
-        keys = ("name", "listen", "seed", "limits", "settings", "peer_listen", "peers")
+        keys = ("name", "listen", "seed", "limits", "settings", "peer_listen", "peers", "shadow")
         return [key for key in keys if getattr(self.document, key) != getattr(before.document, key)]
 
 
--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -88,7 +88,8 @@
             if time <= t1:
                 return r0 + (r1 - r0) * (time - t0) / (t1 - t0) if t1 > t0 else r1
         rate, top = self.line[-1]
-        slope = max(top * top / SECOND / self.steep, (top - self.line[0][1]) / rate, (top - t0) / (rate - r0) if rate > r0 else 0.0, 1e-6)
+        last = (top - t0) / (rate - r0) if rate > r0 else 1e-6
+        slope = max(top * top / SECOND / self.steep, (top - self.line[0][1]) / rate, last)
         return rate + (time - top) / slope
 
     def judge(self, failed: bool, usual: float) -> None:
@@ -113,15 +114,20 @@
 class Customer:  # its share at this node, as a bucket that fills at the share's rate
     def __init__(self, quota: float, rate: float) -> None:
         self.quota, self.rate, self.tokens, self.at = quota, rate, 0.0, -WINDOW_MOST
+        self.came, self.usual = 0, rate
 
     def within(self, now: int, again: bool) -> bool:
         # Guards against chance passing for surplus: nodes get few exchanges, in bursts and uneven parts.
         most = max(3.0 * self.rate, 6.0)
         self.tokens, self.at = min(self.tokens + (now - self.at) * self.rate / SECOND, most), now
-        fits = self.tokens >= 1.0
+        fits, self.came = self.tokens >= 1.0, self.came + (not again)
         self.tokens -= fits and not again  # or surplus shed comes back as a retry and passes for in share
         return fits
 
+    def usage(self, weight: float) -> float:
+        self.usual, self.came = self.usual + (self.came - self.usual) * weight, 0
+        return self.usual
+
 
 class Exchange:
     def __init__(self, ident: int, route: Route, now: int, deadline: int, aim_at: int, surplus: bool) -> None:
@@ -149,7 +155,7 @@
         self.routes = [Route(settings, i) for i in range(get("routes.count", 1))]
         quotas = [get(f"customers.{i}.quota_per_s", 0.0) for i in range(get("customers.count", 0))]
         self.listeners: dict[int, list[int]] = {}
-        self.customers, self.steady = [Customer(quota, quota / self.nodes) for quota in quotas], 0.0
+        self.customers = [Customer(quota, quota / self.nodes) for quota in quotas]
         self.top_value = max(r.value for r in self.routes)
         self.objective, self.crossing = min(r.objective for r in self.routes), get("prices.cross_zone", 0.0)
         self.advice = get("policy_limits.max_retry_after", 0) // 2 if get("policy_limits.retry_after") else 0
@@ -161,8 +167,8 @@
         tells = not self.asks and get("policy_limits.peers", False) and self.nodes > 1
         reports = "inflight" in get("feedback.fields", ())
         self.telling, self.hears, self.keyed = float(tells), bool(self.asks or tells), {}
-        # Where nothing reports what backends hold: the order of this node's answers shows it (`sequel`).
-        self.blind, self.talkers = tells and not reports, {}  # peers by words heard of this location
+        # Where nothing reports what backends hold, ends are told too.
+        self.blind, self.talkers = tells and not reports, {}  # by location the peers by words heard
         self.news, self.audiences = {}, {}  # reports not yet told; by backend the peers that use it
         # Spread evenly whatever the order of the numbers is: a location's nodes do not sit side by side.
         self.spots = [i * 0.618034 % 1.0 for i in range(self.nodes if tells and not self.blind else 0)]
@@ -421,8 +427,6 @@
         self.demand += (self.arrivals - self.demand) * (0.2 if self.demand else 1.0)
         if warm := sum(now >= b.warm_at for b in self.usable):
             self.usual += (self.sends / warm - self.usual) * (0.2 if self.usual else 1.0)
-        # Guards against shedding at busy nodes what is in share: a node's part of a quota goes by its own
-        # part of the traffic, over half a minute, so that one customer's burst does not raise its own part.
         # Guards against a price and a load that grow with the tier: words go to those who send the most.
         for location, talkers in self.talkers.items():
             heard, whole, self.listeners[location] = 0.0, sum(talkers.values()), []
@@ -430,10 +434,11 @@
                 heard += talkers[peer]
                 self.listeners[location] += [peer] if heard < LISTENING * whole else []
             self.talkers[location] = {peer: 0.8 * words for peer, words in talkers.items() if words > 0.1}
-        self.steady += (self.arrivals - self.steady) * (0.03 if self.steady else 1.0)
-        whole = sum(c.quota for c in self.customers)
+        # Guards against shedding at busy nodes what is in share: a node's part of the quotas goes by its own
+        # traffic of the median customer, so that one customer's burst does not raise its own part.
+        parts = sorted(c.usage(0.05) / max(c.quota, 1e-6) for c in self.customers)
         for customer in self.customers:
-            customer.rate = customer.quota * max(1 / self.nodes, self.steady / whole)
+            customer.rate = customer.quota * max(0.5 / self.nodes, parts[len(parts) // 2])
         self.arrivals = self.sends = 0
         # Guards against hundreds of nodes that each forget a slow backend in seconds and try it in turn.
         fade = min(0.97 ** (self.demand / max(len(self.usable), 1)), 0.85 if self.hears else 0.95)
@@ -502,9 +507,7 @@
         backend.tokens -= now < backend.warm_at
         self.sends += now >= backend.warm_at
         self.host.send(xchg.id, backend.name, xchg.deadline - now)
-        # Guards against a false ejection, which is told on, and against a true one that comes too late.
         silent = int(8 * self.slot) if self.spots else int(min(4 * self.mean_time, self.objective))
-        silent = int(min((4 + upstream.ahead) * self.slot, self.objective)) if self.blind else silent
         self.at(now + silent, self.check_overdue, upstream)
         return True
 
@@ -557,8 +560,8 @@
                 backend.share = left * part / (sum(parts) or 1.0)
             self.total = sum(b.share for b in ready)
             return
-        # Where backends report their whole rate, points and solve go by it, as the paper's one dispatcher's do:
-        # this node's own part says nothing of what a backend shared with a hundred others can take.
+        # Where backends report their whole rate, points and solve go by it, as those of the paper's one dispatcher:
+        # a node's own part says nothing of what a backend that a hundred share can take.
         known = [b.reported for b in ready if b.reported]
         scale = sum(known) / len(known) * len(ready) / demand if known else 1.0
         size = sum(b.weight for b in ready) / len(ready)
@@ -595,7 +598,8 @@
     def ahead(self, backend: Backend, now: int) -> float:
         # Guards against taking one last heard of as crowded for empty: it drains no faster than it works,
         # and where ends are told it is only words that were lost which wear off.
-        held = backend.held - (now - backend.held_at) / (WEAR if self.blind else 1) / self.slot if self.hears else 0.0
+        worn = (now - backend.held_at) / self.slot / (WEAR if self.blind else 1)
+        held = backend.held - worn if self.hears else 0.0
         return max(len(backend.out), held)
 
     def expected(self, backend: Backend, now: int) -> float:
@@ -622,13 +626,15 @@
                 continue
             time, cost = self.expected(backend, now), backend.cost
             # Guards against crowding a backend until it turns slower: a few times its idle time is enough.
-            most_time = max((STRAIN if backend.reported else CROWD) * backend.line[0][1], 0.2 * self.objective)
+            most_time = (STRAIN if backend.reported else CROWD) * backend.line[0][1]
+            most_time = max(most_time, 0.2 * self.objective)
             if (backend.out or backend.reported) and not self.hears and time > most_time:
                 continue
             near = 1.5 * self.slot if self.hears else max(self.equal_time - cost, 1.5 * self.slot)
             # Guards against shedding while some are idle, where the time held counts queues of others' work,
             # and against taking one that is about to be idle before those that are.
-            if (time + cost if self.hears else time) <= near and (self.ahead(backend, now) < 0.1 if self.telling else time <= bound):
+            fits = self.ahead(backend, now) < 0.1 if self.telling else time <= bound
+            if fits and time + cost * self.hears <= near:
                 best = backend
                 break
             if not asking and time <= bound and time + cost < best_time:
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -56,12 +56,22 @@
         self.probe_parts: Callable[[], list[bytes]] = lambda: [asks]
         self.ask_discovery: Callable[[], None] = lambda: None
         self.tell_peers: Callable[[Words, list[int]], None] = lambda words, peers: None
-        self.node = Node(self, configuration.seed, configuration.settings, now())
+        self.shadow, began_at = None, now()
+        self.node = Node(self, configuration.seed, configuration.settings, began_at)
+        if configuration.shadow_settings is not None:
+            from basalthoist.shadow import Shadow
+
+            self.shadow = Shadow(self.node, configuration.seed, configuration.shadow_settings, began_at)
+            self.shadow_pause = int(configuration.document.shadow.report_s * SECOND)
+            self.timers.after(self.shadow_pause, self.report_shadow)
 
     def report(self, happened: Callable, *what) -> bool:
         """Guards against a failing decision: it is logged and ends no more than the exchange it was about."""
+        at = now()
         try:
-            happened(now(), *what)
+            happened(at, *what)
+            if self.shadow is not None:
+                self.watch(happened.__name__, at, what)
             return True
         except Exception as wrong:
             step = wrong.__traceback__
@@ -70,6 +80,19 @@
             self.log(f"{happened.__name__} failed: {wrong!r} at line {step.tb_lineno}")
             return False
 
+    def watch(self, event: str, at: int, what: tuple) -> None:
+        """Guards against a shadow that fails: it goes with one line, and no exchange feels it."""
+        try:
+            self.shadow.saw(event, at, *what)
+        except Exception as wrong:
+            self.log(f"shadow off, it failed on {event}: {wrong!r}")
+            self.shadow = None
+
+    def report_shadow(self) -> None:
+        if self.shadow is not None:
+            self.log(self.shadow.line())
+            self.timers.after(self.shadow_pause, self.report_shadow)
+
     # What clients bring.
 
     def start(self, client, message: Message, route: int, customer: int, timeout_ms: int,
@@ -194,6 +217,8 @@
     # The host's side of the decisions; an id of an exchange that is over is no mistake.
 
     def send(self, ident: int, backend: str, timeout: int) -> None:
+        if self.shadow is not None:
+            self.shadow.done.send(ident, backend, timeout)
         xchg = self.open_one(ident)
         if xchg is None:
             return
@@ -208,6 +233,8 @@
         xchg.calls.append(call)
 
     def shed(self, ident: int, retry_after: int) -> None:
+        if self.shadow is not None:
+            self.shadow.done.shed(ident, retry_after)
         if (xchg := self.open_one(ident)) is not None:
             advice = [(b"retry-after", b"%.3f" % (retry_after / SECOND))] if retry_after > 0 else []
             if xchg.spilled and not xchg.ran and not xchg.out:
@@ -216,12 +243,16 @@
             self.close(xchg)
 
     def fail(self, ident: int) -> None:
+        if self.shadow is not None:
+            self.shadow.done.fail(ident)
         if (xchg := self.open_one(ident)) is not None:
             late = now() >= xchg.deadline - 2 * OVERDUE
             xchg.client.answer(504 if late else 502)
             self.close(xchg)
 
     def cancel(self, ident: int, try_no: int) -> None:
+        if self.shadow is not None:
+            self.shadow.done.cancel(ident, try_no)
         xchg = self.under_way.get(ident)
         if xchg is not None and try_no < len(xchg.calls) and xchg.calls[try_no] is not None:
             xchg.calls[try_no].give_up(Outcome.CANCELLED)
@@ -231,12 +262,16 @@
         return xchg if xchg is not None and xchg.open else None
 
     def probe(self, backend: str) -> None:
+        if self.shadow is not None:
+            self.shadow.done.probe(backend)
         ended = partial(self.probe_ended, backend, now())
         parts = self.probe_parts()
         if not self.probes or self.upstream.call(backend, parts, self.probe_time, ended, tells=True) is None:
             self.loop.call_soon(ended, Outcome.NOT_SENT, None)
 
     def tell(self, words: Words, peers: list[int]) -> None:
+        if self.shadow is not None:
+            self.shadow.done.tell(words, peers)
         self.tell_peers(words, peers)
 
     def subscribe(self) -> None:
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -81,6 +81,8 @@
                 await self.front.drained
             listener.close()
         self.upstream.close_all()
+        if self.exchanges.shadow is not None:
+            self.log(self.exchanges.shadow.line())
         self.log("all answered")
 
     async def join_peers(self) -> None:
--- /dev/null
+++ b/basalthoist/shadow.py
@@ -0,0 +1,130 @@
+"""Watching before a switch: the same decisions under other settings, on what really happens, counted and
+never carried out. Nothing here does I/O; a fault here is its caller's to catch.
+
+After each event the exchanges on which the two differed are made to stand here as they really do, so that one
+difference does not breed others. An exchange counts once in each kind.
+"""
+
+from bisect import insort
+from collections import Counter
+
+from .decisions.policy import Exchange, Node, UpstreamTry
+
+KINDS = ("another backend", "send or hold", "shed or send", "further try", "cancel", "probe or word")
+ANSWERS = ("shed", "fail")
+LATE = 20  # tenths after which a wake of the shadow's own is made up for
+
+
+class Asked:
+    """A host that can do nothing: it keeps what was asked of it until the next event."""
+
+    def __init__(self) -> None:
+        self.acts: dict[int, list[tuple]] = {}  # by exchange
+        self.asides: list[tuple] = []
+
+    def note(self, act: str, ident: int, *what) -> None:
+        self.acts.setdefault(ident, []).append((act, *what))
+
+    def send(self, xchg, backend, timeout): self.note("send", xchg, backend)  # fmt: skip
+    def shed(self, xchg, retry_after): self.note("shed", xchg)  # fmt: skip
+    def fail(self, xchg): self.note("fail", xchg)  # fmt: skip
+    def cancel(self, xchg, try_no): self.note("cancel", xchg, try_no)  # fmt: skip
+    def probe(self, backend): self.asides.append(("probe", backend))  # fmt: skip
+    def tell(self, words, peers): self.asides.append(("tell", len(words)))  # fmt: skip
+    def subscribe(self): pass  # fmt: skip
+    def wake(self, after, tag): pass  # fmt: skip
+    def log(self, line): pass  # fmt: skip
+
+    def clear(self) -> None:
+        self.acts.clear()
+        self.asides.clear()
+
+
+class Shadow:
+    """`real` is the node that decides; its host notes in `done` what it is asked to do."""
+
+    def __init__(self, real: Node, seed: int, settings: dict, now: int) -> None:
+        self.real, self.done, self.asked = real, Asked(), Asked()
+        self.node = Node(self.asked, seed, settings, now)
+        self.counts: Counter = Counter(dict.fromkeys(KINDS, 0))
+        self.looked_at = 0
+        self.counted: dict[int, set[str]] = {}  # kinds already counted, of those under way
+
+    def saw(self, event: str, now: int, *what) -> None:
+        """To be called after the real node has taken the event."""
+        if self.node.woken_for and self.node.woken_for < now - LATE:
+            self.node.on_wake(now, "due")
+        getattr(self.node, event)(now, *what)
+        ident = what[0] if event in ("on_exchange", "on_try_ended", "on_exchange_gone") else None
+        for number in {*self.done.acts, *self.asked.acts, *(() if ident is None else (ident,))}:
+            self.compare(number, event, now)
+        if self.done.asides != self.asked.asides:
+            self.counts["probe or word"] += 1
+            for _, name in (a for a in self.asked.asides if a[0] == "probe" and a not in self.done.asides):
+                if name in self.node.backends:
+                    self.node.backends[name].probe_at = 0  # it was never sent
+        self.looked_at += event == "on_exchange"
+        self.done.clear()
+        self.asked.clear()
+
+    def compare(self, ident: int, event: str, now: int) -> None:
+        done, asked = self.done.acts.get(ident, []), self.asked.acts.get(ident, [])
+        if done != asked:
+            for kind in self.kinds(done, asked, event):
+                if kind not in self.counted.setdefault(ident, set()):
+                    self.counted[ident].add(kind)
+                    self.counts[kind] += 1
+            self.follow(ident, now)
+        elif (ident in self.real.exchanges) != (ident in self.node.exchanges):
+            self.follow(ident, now)
+        if ident not in self.real.exchanges:
+            self.counted.pop(ident, None)
+
+    @staticmethod
+    def kinds(done: list[tuple], asked: list[tuple], event: str) -> list[str]:
+        found = []
+        if {a for a in done if a[0] == "cancel"} != {a for a in asked if a[0] == "cancel"}:
+            found.append("cancel")
+        sent = [[a[1] for a in acts if a[0] == "send"] for acts in (done, asked)]
+        over = [any(a[0] in ANSWERS for a in acts) for acts in (done, asked)]
+        if over[0] != over[1]:
+            found.append("further try" if event == "on_try_ended" else "shed or send")
+        elif bool(sent[0]) != bool(sent[1]):
+            found.append("send or hold")
+        elif sent[0] != sent[1]:
+            found.append("another backend")
+        return found
+
+    def follow(self, ident: int, now: int) -> None:
+        """Makes the exchange stand here as it does at the real node."""
+        node, real = self.node, self.real.exchanges.get(ident)
+        mine = node.exchanges.pop(ident, None)
+        if mine is not None:
+            node.unhold(mine)
+            mine.over = True  # what is still due for it finds it over
+            for upstream in mine.tries:
+                upstream.backend.out = [t for t in upstream.backend.out if t is not upstream]
+        if real is None:
+            return
+        routes = self.real.routes
+        copy = Exchange(ident, node.routes[routes.index(real.route)], now, real.deadline, real.aim_at, real.surplus)
+        copy.spilled, copy.streaming, copy.over = real.spilled, real.streaming, real.over
+        copy.asked, copy.settled, copy.order = real.asked, real.settled, real.order
+        for number, theirs in enumerate(real.tries):
+            backend = node.backends.get(theirs.backend.name)
+            if backend is None:  # gone from the list meanwhile: it stands for itself
+                backend = mine.tries[number].backend if mine and number < len(mine.tries) else theirs.backend
+            upstream = UpstreamTry(copy, backend, theirs.sent_at, theirs.ahead)
+            upstream.outcome, upstream.told = theirs.outcome, theirs.told
+            copy.tries.append(upstream)
+            if upstream.outcome is None and backend is not theirs.backend:
+                backend.out.append(upstream)
+                node.at(now + node.objective, node.check_overdue, upstream)
+        node.exchanges[ident] = copy
+        if real.held:
+            copy.held = True
+            insort(node.held, copy, key=lambda x: x.order)
+
+    def line(self) -> str:
+        told = ", ".join(f"{kind} {self.counts[kind]}" for kind in KINDS)
+        return f"shadow: {self.looked_at} exchanges, otherwise decided: {told}"
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -43,7 +43,7 @@
 
 @pytest.mark.parametrize(
     "words",
-    [[], [(Word.SENT, 0, 0)], [(Word.OUT, 65535, 0)], [(Word.SENT, 258, 0), (Word.HOLDS, 7, 253)]],
+    [[], [(Word.SENT, 0, 0)], [(Word.OUT, 65535, 0)], [(Word.SENT, 258, 0), (Word.HOLDS, 7, 252), (Word.DONE, 9, 0)]],
 )
 def test_words_come_through_as_they_were_told(words):
     assert decode(encode(words)) == words
