--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -402,7 +402,7 @@
             customer.usual, customer.came = customer.usual + (customer.came - customer.usual) * 0.05, 0
         parts = sorted(c.usual / max(c.quota, 1e-6) for c in self.customers)
         for customer in self.customers:
-            customer.rate = customer.quota * max(0.5 / self.nodes, parts[len(parts) // 4])
+            customer.rate = customer.quota * max(1 / self.nodes, parts[len(parts) // 4])
         self.arrivals = self.sends = 0
         # Guards against hundreds of nodes that each forget a slow backend in seconds and try it in turn.
         fade = min(0.97 ** (self.demand / max(len(self.usable), 1)), 0.85 if self.hears else 0.95)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -234,3 +234,56 @@
     assert not picks
     made.on_probe_ended(NOW + 5, "b", Outcome.COMPLETED, 5, Load(0.0, 0.0, 0.0))
     assert picks
+
+
+def test_points_go_by_the_whole_rate_that_a_backend_reports():
+    made, host = node([listed("a")], nodes=100)
+    for ident in range(4):
+        made.on_exchange(NOW + ident, ident, 0, 0, 8000, False)
+        made.on_try_ended(NOW + ident, ident, 0, Outcome.COMPLETED, 900, True, Load(None, 0.0, None, 25.0))
+    made.tick(NOW + 3 * SECOND)
+    [[rate, time, *_]] = made.backends["a"].points
+    assert (rate, time) == (25.0, 900.0)
+
+
+def test_of_two_with_equal_rates_the_slower_gets_less_by_what_it_can_take():
+    made, _ = node([listed("a", weight=3.0), listed("b", weight=3.0)], nodes=100)
+    made.demand = 1.0
+    for name, time in (("a", 900.0), ("b", 4000.0)):
+        made.backends[name].points, made.backends[name].reported = [[25.0, time, 50.0, NOW]], 25.0
+    for _ in range(5):
+        made.solve(NOW)
+    a, b = made.backends["a"].share, made.backends["b"].share
+    assert a + b == pytest.approx(1.0, rel=0.1)
+    # By 3 cores: 25/s at 90 ms can take 58/s, 25/s at 400 ms can take 32/s.
+    assert a > 1.2 * b
+
+
+def test_a_backend_that_reports_its_rate_is_passed_over_well_before_it_is_crowded():
+    made, host = node([listed("a"), listed("b")], nodes=100, routes__0__latency_objective=10_000)
+    a, b = made.backends["a"], made.backends["b"]
+    for backend, time in ((a, 3000.0), (b, 1000.0)):
+        backend.reported, backend.line = 25.0, [(0.0, 1000.0), (25.0, 1000.0)]
+        backend.slot_time, backend.slots = 100 * time, 100.0
+    a.share, a.credit = 5.0, 5.0  # it is its turn
+    made.on_exchange(NOW, 1, 0, 0, 8000, False)
+    assert [call[2] for call in host.take("send")] == ["b"]
+
+
+def customers(quotas):
+    return {"customers.count": len(quotas)} | {f"customers.{i}.quota_per_s": q for i, q in enumerate(quotas)}
+
+
+def test_a_busy_node_has_more_of_each_quota_and_a_burst_raises_none():
+    made, _ = node([listed("a")], nodes=100, **customers([100.0] * 4))
+    for second in range(60):
+        for number in range(4):
+            for _ in range(4 if number else 40):  # customer 0 sends ten times as much
+                made.customers[number].within(NOW + second * SECOND, False)
+        made.tick(NOW + second * SECOND)
+    assert all(c.rate == pytest.approx(4.0, rel=0.1) for c in made.customers)
+
+
+def test_before_two_profiles_remote_backends_pay_for_their_crossing():
+    made, _ = node([listed("a"), listed("far", location=1)], **{"prices__cross_zone": 0.2})
+    assert made.backends["far"].share < 0.5 * made.backends["a"].share
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -22,7 +22,7 @@
 )  # fmt: skip
 
 from basalthoist.decisions.host import Load, Outcome, Word
-from basalthoist.decisions.policy import Exchange
+from basalthoist.decisions.policy import TRIAL, Exchange
 from basalthoist.hearsay import MOST_BYTES, decode, encode
 from basalthoist.net.members import address_of
 from basalthoist.simulator.adapter import serve
@@ -246,3 +246,51 @@
     sink = io.StringIO()
     serve(io.StringIO(text), sink)
     assert "PANIC" not in sink.getvalue() and sink.getvalue().endswith("OK\t1\n")
+
+
+def blind(*names, **more):
+    """A node that talks where backends report nothing."""
+    made, host = talking(*names, **more, **{"feedback.fields": []})
+    assert made.blind
+    return made, host
+
+
+def test_where_nothing_is_reported_a_send_and_its_end_are_told():
+    made, host = blind("a", "b")
+    made.on_exchange(NOW, 1, 0, 0, 8000, False)
+    [sent] = [call[2] for call in host.calls if call[0] == "send"]
+    made.on_try_ended(NOW + 50, 1, 0, Outcome.COMPLETED, 50, True, None)
+    key = made.backends[sent].key
+    assert [call[1] for call in host.take("tell")] == [[(Word.SENT, key, 0)], [(Word.DONE, key, 0)]]
+    assert made.ahead(made.backends[sent], NOW + 50) == 0.0
+
+
+def test_an_end_that_is_told_counts_one_less_and_as_a_sign_of_life():
+    made, _ = blind("a", "b")
+    backend = made.backends["a"]
+    made.on_told(NOW, 1, [(Word.SENT, backend.key, 0)] * 3)
+    made.on_told(NOW + 10, 2, [(Word.DONE, backend.key, 0)])
+    assert made.ahead(backend, NOW + 10) == pytest.approx(2.0, abs=0.01)
+    assert backend.last_answer == NOW + 10
+
+
+def test_words_go_to_those_who_send_most_there_once_they_are_known():
+    made, host = blind("a", "b")
+    key = made.backends["a"].key
+    for peer, count in ((1, 60), (2, 30), (3, 1)):
+        made.on_told(NOW, peer, [(Word.SENT, key, 0)] * count)
+    made.tick(NOW + SECOND)
+    host.calls.clear()
+    made.tell(NOW + SECOND, Word.DONE, made.backends["a"])
+    made.tell(NOW + SECOND, Word.OUT, made.backends["a"])
+    done, out = [call[2] for call in host.take("tell")]
+    assert done == [1]
+    assert set(out) == set(range(made.nodes)) - {made.me}
+
+
+def test_where_silence_is_all_there_is_words_alone_put_nothing_out():
+    made, _ = blind("a", "b", "c", "d")
+    for peer in range(5):
+        made.on_told(NOW, peer, [(Word.OUT, made.backends["a"].key, 0)])
+    assert made.backends["a"].out_until <= NOW
+    assert made.backends["a"].doubt > TRIAL
