--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -355,7 +355,7 @@
             backend.learn(listed)
             backend.warm_at = 0 if listed.started is None else listed.started + warm
             # What crossing locations costs, as response time, so that the solve weighs it.
-            backend.cost = 1.4 * self.crossing * self.objective * (backend.location != self.location)
+            backend.cost = 2.0 * self.crossing * self.objective * (backend.location != self.location)
         for name in list(self.backends if whole else named):
             if named.get(name, "gone") == "gone":
                 self.backends.pop(name).usable = False
