--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -237,6 +237,17 @@
         self.path.write_text(text)
         self.process.send_signal(signal.SIGHUP)
 
+    def close(self):
+        self.process.kill()
+        self.process.wait()
+        self.errors.close()
+
+    def ends_at_once(self):
+        """It has refused its files: exit code 2 and one line, which is handed back."""
+        assert self.process.wait(10) == 2
+        [line] = self.log().splitlines()
+        return line
+
     def log(self):
         self.errors.seek(0)
         return self.errors.read()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -66,9 +66,7 @@
     def close(self):
         if self.program is not None:
             self.program.process.send_signal(signal.SIGCONT)
-            self.program.process.kill()
-            self.program.process.wait()
-            self.program.errors.close()
+            self.program.close()
         for one in [*self.backends, self.discovery]:
             one.close()
 
@@ -203,8 +201,7 @@
     program = Program(tmp_path, document(discovery.address, [member("s-0", backend)])).wait_ready()
     assert program.ask(b"GET /site HTTP/1.1\r\n\r\n").status == "404"
     assert program.ask(request(extra="Site-Hops: 7\r\n")).status == "200"
-    program.process.kill()
-    program.process.wait()
+    program.close()
     backend.close()
     discovery.close()
 
@@ -224,6 +221,5 @@
     path = tmp_path / "gateway.toml"
     path.write_text(text)
     program = Program(tmp_path, document("127.0.0.1:1"), PROXY_GATEWAY=str(path))
-    assert program.process.wait(10) == 2
-    assert named in program.log() and str(path) in program.log()
-    assert len(program.log().splitlines()) == 1
+    line = program.ends_at_once()
+    assert named in line and str(path) in line
--- a/tests/test_jsonrpc.py
+++ b/tests/test_jsonrpc.py
@@ -70,12 +70,7 @@
 
     yield start
     for one in running:
-        if isinstance(one, Program):
-            one.process.kill()
-            one.process.wait()
-            one.errors.close()
-        else:
-            one.close()
+        one.close()
 
 
 class Talk:
@@ -341,8 +336,7 @@
     path = tmp_path / "jsonrpc.toml"
     path.write_text(text)
     program = Program(tmp_path, document("127.0.0.1:1"), PROXY_JSONRPC=str(path))
-    assert program.process.wait(10) == 2
-    assert named in program.log() and len(program.log().splitlines()) == 1
+    assert named in program.ends_at_once()
 
 
 # Properties.
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -48,12 +48,7 @@
 
     yield begin
     for one in running:
-        if isinstance(one, Program):
-            one.process.kill()
-            one.process.wait()
-            one.errors.close()
-        else:
-            one.close()
+        one.close()
 
 
 def sent(backends):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -194,8 +194,7 @@
     settings["feedback"] = {"how": "inline", "fields": ["inflight"]}
     started = Program(tmp_path, made)
     yield started.wait_ready()
-    started.process.kill()
-    started.process.wait()
+    started.close()
     backend.close()
     discovery.close()
 
