Experiments on loopback share members, discovery, start and end of nodes

Three plays each wrote out the list of members, the discovery agent, the start of a node's process, its end, the reuse of a connection and when a run is void; each now stands once in loopback.py.

--- a/basalthoist/experiments/loopback.py
+++ b/basalthoist/experiments/loopback.py
@@ -168,11 +168,14 @@
         else:
             self.counts["shed" if status in (429, 503) else "failed"] += 1
 
+    async def connection(self, address: tuple[str, int]) -> tuple:
+        return self.idle[address].pop() if self.idle[address] else await asyncio.open_connection(*address)
+
+    def late_ms(self) -> float:
+        return self.lateness.get_value_at_percentile(99) / 1000
+
     async def exchange(self, address: tuple[str, int], route: Route, work: float, ident: int) -> int:
-        if self.idle[address]:
-            reader, writer = self.idle[address].pop()
-        else:
-            reader, writer = await asyncio.open_connection(*address)
+        reader, writer = await self.connection(address)
         method = "GET" if route.semantics == "retriable" else "POST"
         length = "" if method == "GET" else "Content-Length: 0\r\n"
         head = f"{method} /{route.name}?work={int(work)} HTTP/1.1\r\nHost: app\r\n"
@@ -221,55 +224,75 @@
         return sock.getsockname()[1]
 
 
-async def play_on(scenario: Scenario, seconds: float, folder: Path) -> dict:
-    runs: dict[str, int] = {}
-    scripts = [Script(scenario, number, runs) for number in range(scenario.backends.count)]
-    for script in scripts:
-        await script.listen()
+async def members_of(scripts: list[Script], name: str = "s", locations: int = 1) -> list[dict]:
+    """Lets the scripted backends listen; the list of them as discovery tells it."""
     usual = {"flavor": "std", "phase": "ready", "size": 1.0, "up_since_ms": 0}
     members = []
     for number, script in enumerate(scripts):
-        named = {"id": f"s-{number}", "host_port": script.address, "cell": number}
-        members.append(usual | named | {"locality": str(number % scenario.locations)})
+        await script.listen()
+        named = {"id": f"{name}-{number}", "host_port": script.address, "cell": number}
+        members.append(usual | named | {"locality": str(number % locations)})
+    return members
+
+
+async def open_discovery(members: list[dict], watches: list | None = None) -> str:
     loop = asyncio.get_running_loop()
-    agent = await loop.create_server(lambda: DiscoveryAgent(members), "127.0.0.1", 0)
-    discovery = f"127.0.0.1:{agent.sockets[0].getsockname()[1]}"
-    nodes, addresses = [], []
+    agent = await loop.create_server(lambda: DiscoveryAgent(members, watches), "127.0.0.1", 0)
+    return f"127.0.0.1:{agent.sockets[0].getsockname()[1]}"
+
+
+async def start_node(folder: Path, name: str, made: dict, **more: str):
+    """A node's process and its log; `more` is added to its environment."""
+    path, log = folder / f"{name}.json", folder / f"{name}.log"
+    path.write_text(json.dumps(made))
+    command = [sys.executable, "-m", "basalthoist"]
+    environment = os.environ | {"PROXY_CONFIG": str(path)} | more
+    return await asyncio.create_subprocess_exec(*command, stderr=log.open("wb"), env=environment), log
+
+
+async def end_nodes(*processes) -> None:
+    for process in processes:
+        if process.returncode is None:
+            process.terminate()
+    for process in processes:
+        await process.wait()
+
+
+def void_of(late_ms: float) -> str | None:
+    """Why a run does not count, or None where it does."""
+    return f"the tool was {late_ms:.1f} ms late at p99" if late_ms > MOST_LATENESS_MS else None
+
+
+async def play_on(scenario: Scenario, seconds: float, folder: Path) -> dict:
+    runs: dict[str, int] = {}
+    scripts = [Script(scenario, number, runs) for number in range(scenario.backends.count)]
+    members = await members_of(scripts, locations=scenario.locations)
+    discovery = await open_discovery(members)
+    nodes, logs, addresses = [], [], []
     try:
         for number in range(scenario.nodes):
             address = ("127.0.0.1", own_port())
-            path = folder / f"n{number}.json"
             listen = "{}:{}".format(*address)
-            path.write_text(json.dumps(document_for(scenario, number, listen, discovery, members)))
-            log = (folder / f"n{number}.log").open("wb")
-            environment = os.environ | {"PROXY_CONFIG": str(path)}
-            nodes.append(
-                await asyncio.create_subprocess_exec(
-                    sys.executable, "-m", "basalthoist", stderr=log, env=environment
-                )
-            )
+            made = document_for(scenario, number, listen, discovery, members)
+            node, log = await start_node(folder, f"n{number}", made)
+            nodes.append(node)
+            logs.append(log)
             addresses.append(address)
-        for number, address in enumerate(addresses):
-            await ready(address, nodes[number], folder / f"n{number}.log")
+        for address, node, log in zip(addresses, nodes, logs, strict=True):
+            await ready(address, node, log)
         clients = Clients(scenario, addresses, seconds)
         await clients.run()
         for number, node in enumerate(nodes):
             if node.returncode is not None:
                 raise RuntimeError(f"node n{number} ended with {node.returncode} during the run")
     finally:
-        for node in nodes:
-            if node.returncode is None:
-                node.terminate()
-        for node in nodes:
-            await node.wait()
-    offered = max(clients.counts["offered"], 1)
-    lateness = clients.lateness.get_value_at_percentile(99) / 1000
+        await end_nodes(*nodes)
+    offered, lateness = max(clients.counts["offered"], 1), clients.late_ms()
     twice = sum(times > 1 for times in runs.values())
     figures = {"offered": offered, "kept": clients.kept / clients.value}
     figures |= {name: clients.counts[name] / offered for name in ("in_time", "late", "shed", "failed")}
     figures |= {f"p{p}_ms": clients.times.get_value_at_percentile(p) / 1000 for p in (50, 95, 99)}
-    void = f"the tool was {lateness:.1f} ms late at p99" if lateness > MOST_LATENESS_MS else None
-    return {"figures": figures, "lateness_p99_ms": lateness, "ran_twice": twice, "void": void}
+    return {"figures": figures, "lateness_p99_ms": lateness, "ran_twice": twice, "void": void_of(lateness)}
 
 
 async def ready(address: tuple[str, int], process, log: Path) -> None:
--- a/basalthoist/experiments/protocols.py
+++ b/basalthoist/experiments/protocols.py
@@ -2,15 +2,24 @@
 
 import asyncio
 import json
-import os
-import sys
 import tempfile
 import time
 from pathlib import Path
 
 from basalthoist.emulator.scenario import Route, Scenario
 
-from .loopback import MOST_LATENESS_MS, Clients, DiscoveryAgent, Script, document_for, own_port, ready
+from .loopback import (
+    Clients,
+    Script,
+    document_for,
+    end_nodes,
+    members_of,
+    open_discovery,
+    own_port,
+    ready,
+    start_node,
+    void_of,
+)
 from .sites import scenario_of
 from .statistics import Mean, mean_of
 
@@ -52,10 +61,7 @@
 
 class JsonClients(Clients):
     async def exchange(self, address: tuple[str, int], route: Route, work: float, ident: int) -> int:
-        if self.idle[address]:
-            reader, writer = self.idle[address].pop()
-        else:
-            reader, writer = await asyncio.open_connection(*address)
+        reader, writer = await self.connection(address)
         params = {"name": f"{self.name}{ident}", "work": int(work)}
         call = {"jsonrpc": "2.0", "id": ident, "method": route.name, "params": params}
         writer.write(json.dumps(call).encode() + b"\n")
@@ -75,46 +81,35 @@
     runs: dict[str, int] = {}
     make = JsonScript if json_rpc else Script
     scripts = [make(scenario, number, runs) for number in range(scenario.backends.count)]
-    usual = {"locality": "0", "flavor": "std", "phase": "ready", "size": 1.0, "up_since_ms": 0}
-    for script in scripts:
-        await script.listen()
-    members = [usual | {"id": f"s-{i}", "host_port": s.address, "cell": i} for i, s in enumerate(scripts)]
-    loop = asyncio.get_running_loop()
-    agent = await loop.create_server(lambda: DiscoveryAgent(members), "127.0.0.1", 0)
-    discovery = f"127.0.0.1:{agent.sockets[0].getsockname()[1]}"
-    address, front = ("127.0.0.1", own_port()), ("127.0.0.1", own_port())
-    path, log = folder / "node.json", folder / "node.log"
-    listen = "{}:{}".format(*address)
-    path.write_text(json.dumps(document_for(scenario, 0, listen, discovery, members)))
-    environment = os.environ | {"PROXY_CONFIG": str(path)}
+    members = await members_of(scripts)
+    discovery = await open_discovery(members)
+    address, front, more = ("127.0.0.1", own_port()), ("127.0.0.1", own_port()), {}
+    made = document_for(scenario, 0, "{}:{}".format(*address), discovery, members)
     if json_rpc:
         listen = "{}:{}".format(*front)
         methods = "".join(f"{route.name} = '{route.name}'\n" for route in scenario.routes)
         text = f"listen = '{listen}'\n[methods]\n{methods}"
-        environment["PROXY_JSONRPC"] = written(folder, "jsonrpc.toml", text)
-    command = [sys.executable, "-m", "basalthoist"]
-    process = await asyncio.create_subprocess_exec(*command, stderr=log.open("wb"), env=environment)
+        more["PROXY_JSONRPC"] = written(folder, "jsonrpc.toml", text)
+    process, log = await start_node(folder, "node", made, **more)
     try:
         await ready(address, process, log)
         kind, where = (JsonClients, front) if json_rpc else (Clients, address)
         await asyncio.sleep(0.1)
-        clients = kind(scenario, [where], seconds)
+        clients, loop = kind(scenario, [where], seconds), asyncio.get_running_loop()
         loop.call_later(seconds / 3, clients.jump, 2.0)
         loop.call_later(2 * seconds / 3, clients.jump, 1.0)
         await clients.run()
         if process.returncode is not None:
             raise RuntimeError(f"the node ended with {process.returncode}")
     finally:
-        if process.returncode is None:
-            process.terminate()
-        await process.wait()
-    lateness = clients.lateness.get_value_at_percentile(99) / 1000
+        await end_nodes(process)
+    lateness = clients.late_ms()
     return {
         "kept": clients.kept / clients.value, "offered": clients.counts["offered"],
         "p50_ms": clients.times.get_value_at_percentile(50) / 1000,
         "p99_ms": clients.times.get_value_at_percentile(99) / 1000,
         "ran_twice": sum(times > 1 for times in runs.values()), "lateness_p99_ms": lateness,
-        "void": f"the tool was {lateness:.1f} ms late at p99" if lateness > MOST_LATENESS_MS else None,
+        "void": void_of(lateness),
     }  # fmt: skip
 
 
--- a/basalthoist/experiments/sites.py
+++ b/basalthoist/experiments/sites.py
@@ -2,14 +2,23 @@
 
 import asyncio
 import json
-import os
-import sys
 import tempfile
 from pathlib import Path
 
 from basalthoist.emulator.scenario import Backends, Kind, Load, Network, Node, Route, Scenario
 
-from .loopback import MOST_LATENESS_MS, Clients, DiscoveryAgent, Script, document_for, own_port, ready
+from .loopback import (
+    Clients,
+    Script,
+    document_for,
+    end_nodes,
+    members_of,
+    open_discovery,
+    own_port,
+    ready,
+    start_node,
+    void_of,
+)
 
 GATEWAY = "site = '{own}'\nbeat_s = 0.2\nsilent_s = 1.0\nsteady_s = 0.5\ncalm_s = 1.0\n"
 GATEWAY += "[[sites]]\nname = '{other}'\ngateways = ['{gateway}']\n"
@@ -73,27 +82,18 @@
         self.address, self.process, self.members = ("127.0.0.1", own_port()), None, []
 
     async def open(self) -> None:
-        for number, script in enumerate(self.scripts):
-            await script.listen()
-            self.members.append({"id": f"{self.name}-{number}", "host_port": script.address, "locality": "0",
-                                 "flavor": "std", "cell": number, "phase": "ready", "size": 1.0,
-                                 "up_since_ms": 0})  # fmt: skip
-        loop = asyncio.get_running_loop()
-        agent = await loop.create_server(lambda: DiscoveryAgent(self.members, self.watches), "127.0.0.1", 0)
-        self.discovery = f"127.0.0.1:{agent.sockets[0].getsockname()[1]}"
+        self.members = await members_of(self.scripts, self.name)
+        self.discovery = await open_discovery(self.members, self.watches)
 
     async def start(self, other: str, link: Link | None) -> None:
         listen = "{}:{}".format(*self.address)
         made = document_for(self.scenario, 0, listen, self.discovery, self.members)
-        path, log = self.folder / f"{self.name}.json", self.folder / f"{self.name}.log"
-        path.write_text(json.dumps(made))
-        environment = os.environ | {"PROXY_CONFIG": str(path)}
+        more = {}
         if link is not None:
             gateway = self.folder / f"{self.name}.toml"
             gateway.write_text(GATEWAY.format(own=self.name, other=other, gateway=link.address))
-            environment["PROXY_GATEWAY"] = str(gateway)
-        command = [sys.executable, "-m", "basalthoist"]
-        self.process = await asyncio.create_subprocess_exec(*command, stderr=log.open("wb"), env=environment)
+            more["PROXY_GATEWAY"] = str(gateway)
+        self.process, log = await start_node(self.folder, self.name, made, **more)
         await ready(self.address, self.process, log)
 
     def tell(self, phase: str) -> None:
@@ -105,9 +105,8 @@
                 transport.write(b"%x\r\n%b\r\n" % (len(line), line))
 
     async def end(self) -> None:
-        if self.process is not None and self.process.returncode is None:
-            self.process.terminate()
-            await self.process.wait()
+        if self.process is not None:
+            await end_nodes(self.process)
 
 
 def scenario_of(rate: float, backends: int, seed: int) -> Scenario:
@@ -151,12 +150,12 @@
             parts[f"{name}_{phase}"] = sum(one.kept_at.get(s, 0) for s in at) / max(asked, 1)
     gone = sorted(s for s in a.asked_at if seconds / 3 <= s < 2 * seconds / 3)
     good = [s for s in gone if a.kept_at.get(s, 0) >= 0.9 * a.asked_at[s]]
-    lateness = max(one.lateness.get_value_at_percentile(99) / 1000 for one in clients)
-    void = f"the tool was {lateness:.1f} ms late at p99" if lateness > MOST_LATENESS_MS else None
+    lateness = max(one.late_ms() for one in clients)
     return {
         "kept": {name: one.kept / one.value for name, one in (("a", a), ("b", b))}, "in_time": parts,
         "seconds_to_leave": (good[0] - seconds / 3) if good else None,
-        "ran_twice": sum(times > 1 for times in runs.values()), "lateness_p99_ms": lateness, "void": void,
+        "ran_twice": sum(times > 1 for times in runs.values()), "lateness_p99_ms": lateness,
+        "void": void_of(lateness),
     }  # fmt: skip
 
 
