--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -31,6 +31,7 @@
     list_bytes: Count = 4 * 1024 * 1024
     log_lines_per_s: Count = 20
     backlog: Count = 512
+    admin_line_s: Positive = 5.0  # how long a caller at the operators' door has to end its line
     client_idle_s: Positive = 120.0  # a client's connection between exchanges
     client_kept_part: Annotated[float, msgspec.Meta(gt=0, lt=1)] = 0.2  # of the descriptors, by idle clients
     client_fresh_s: Positive = 0.1  # a connection as new as this is about to bring its first request
@@ -99,6 +100,7 @@
     seed: str
     name: str = ""
     listen: str = ""
+    admin: str = ""
     discovery: str = ""
     peer_listen: str = ""
     peers: list[str] = []
@@ -138,6 +140,10 @@
         self.name = environment.get("PROXY_NAME") or document.name or "node"
         listen = environment.get("PROXY_LISTEN") or document.listen
         self.listen = address("listen (PROXY_LISTEN)", listen)
+        admin = environment.get("PROXY_ADMIN") or document.admin
+        self.admin = address("admin (PROXY_ADMIN)", admin) if admin else None
+        # What outlives this process: other processes of the same node find it there.
+        self.folder = environment.get("TMPDIR", "") if admin else ""
         if before is None:
             discovery = environment.get("PROXY_DISCOVERY") or document.discovery
             self.discovery = address("discovery (PROXY_DISCOVERY)", discovery)
@@ -173,7 +179,7 @@
 
     def waits_for_restart(self, before: "Configuration") -> list[str]:
         """The keys that were changed in the file and that a running node can't take up."""
-        keys = ("name", "listen", "seed", "limits", "settings", "peer_listen", "peers", "shadow")
+        keys = ("name", "listen", "admin", "seed", "limits", "settings", "peer_listen", "peers", "shadow")
         return [key for key in keys if getattr(self.document, key) != getattr(before.document, key)]
 
 
--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -1,7 +1,5 @@
-"""Every decision of basalthoist.
-
-How to call it: one `Node(host, seed, settings, now)` a process start, then its `on_...` method for each thing
-that happens. It calls its host, whose interface is in host.py. `settings`: {"routes.0.value": 3.0, ...}."""
+"""Every decision. One `Node(host, seed, settings, now)` a process start, then its `on_...` method for each
+thing that happens. It calls its host, see host.py. `settings`: {"routes.0.value": 3.0, ...}."""
 
 from bisect import insort
 from collections import Counter, defaultdict
@@ -31,25 +29,25 @@
 
 class Backend:
     def __init__(self, listed: Listed, now: int, chance: Lcg) -> None:
-        self.name, self.out, self.away = listed.name, [], AWAY
+        self.name, self.out, self.away, self.called_back = listed.name, [], AWAY, 0  # when a ban on it ended
         self.key, self.rumours = crc32(listed.name.encode()) & 0xFFFF, {}  # for peers; who says it is sick
         self.place, self.credit, self.share, self.cost = chance.uniform(), 0.0, 0.0, 0.0  # place: in `choose`
         self.forget(now, chance)
 
-    def learn(self, listed: Listed) -> None:
-        self.location, self.kind, self.pod = listed.location, listed.kind, listed.pod
-        self.weight, self.started, self.usable = listed.weight, listed.started, listed.state == "healthy"
+    def learn(self, listed: Listed, banned: bool) -> None:
+        self.listed, self.location, self.kind, self.pod = listed, listed.location, listed.kind, listed.pod
+        self.weight, self.started = listed.weight, listed.started
+        self.usable = listed.state == "healthy" and not banned
 
     def forget(self, now: int, chance: Lcg) -> None:
         self.points, self.line, self.steep = [], [(0.0, inf)], inf  # points: [rate, time, samples, when]
-        self.warm_at, self.reported = 0, 0.0  # its whole rate, as it reports it
+        self.stage, self.held_rate, self.warm_at = 0, 0.0, 0  # 0: no stepwise profiling; 1, 2: its rates
+        self.reported, self.slot_time, self.slots = 0.0, 0.0, 0.0  # whole rate told; times, exchanges held
         self.restart_window(now)
-        self.slot_time, self.slots, self.pace = 0.0, 0.0, 1.0  # times, exchanges held; its kind's pace
         self.fails, self.doubt, self.out_until, self.last_answer = 0.0, 0.0, 0, now  # doubt: the test's sum
-        self.held, self.held_at, self.probe_at = 0.0, -SECOND, 0  # as it reports itself
+        self.held, self.held_at, self.probe_at, self.pace = 0.0, -SECOND, 0, 1.0  # as told; its kind's pace
         self.full_until, self.refusals, self.turned, self.budget = 0, 0, 0.0, 0.0  # in a row; share, not full
         self.tokens, self.tokens_at = chance.uniform(), now  # or each of hundreds sends it one while cold
-        self.stage, self.held_rate = 0, 0.0  # stage 0: no stepwise profiling; 1, 2: its rates
 
     def close_window(self, now: int, limit: float) -> bool:
         span = now - self.window_from
@@ -63,8 +61,7 @@
         return True
 
     def restart_window(self, now: int) -> None:
-        self.window_from, self.sent, self.count, self.total = now, 0, 0, 0.0
-        self.rates, self.reports = 0.0, 0
+        self.window_from, self.sent, self.count, self.total, self.rates, self.reports = now, 0, 0, 0.0, 0.0, 0
 
     def curve(self, mean_rate: float, mean_time: float, cores: float, now: int) -> None:
         """The profile as a non-decreasing line, its points blended with its kind's mean by their samples."""
@@ -113,8 +110,8 @@
         self.tokens, self.at = 0.0, -WINDOW_MOST
 
     def within(self, now: int, again: bool) -> bool:
-        most = max(3.0 * self.rate, 6.0)  # or chance passes for surplus at nodes with few exchanges
-        self.tokens, self.at = min(self.tokens + (now - self.at) * self.rate / SECOND, most), now
+        self.tokens += (now - self.at) * self.rate / SECOND  # 6 fit, or chance passes for surplus
+        self.tokens, self.at = min(self.tokens, max(3.0 * self.rate, 6.0)), now
         fits, self.came = self.tokens >= 1.0, self.came + (not again)
         self.tokens -= fits and not again  # or surplus shed comes back as a retry and passes for in share
         return fits
@@ -145,7 +142,7 @@
         self.routes = [Route(settings, i) for i in range(get("routes.count", 1))]
         quotas = [get(f"customers.{i}.quota_per_s", 0.0) for i in range(get("customers.count", 0))]
         self.customers = [Customer(quota, quota / self.nodes) for quota in quotas]
-        self.top_value = max(r.value for r in self.routes)
+        self.banned, self.top_value = set(), max(r.value for r in self.routes)
         self.objective, self.crossing = min(r.objective for r in self.routes), get("prices.cross_zone", 0.0)
         self.advice = get("policy_limits.max_retry_after", 0) // 2 if get("policy_limits.retry_after") else 0
         # Asking backends before a send pays where they report their load and a probe costs little.
@@ -161,9 +158,9 @@
         self.backends, self.exchanges, self.usable, self.held, self.due = {}, {}, [], [], []
         self.groups, self.fleet, self.users, self.total = [], 0, 1.0, 1.0  # groups: usable ones by location
         self.failing, self.mean_time, self.slot = 0.0, self.objective / 3.0, self.objective / 4.0
-        self.demand, self.arrivals, self.equal_time = 0.0, 0, float(self.objective)
+        self.equal_time = float(self.objective)
         # usual: sends a second to a warm backend; welcome: the part of the surplus that is let in
-        self.usual, self.sends, self.welcome = 0.0, 0, 1.0
+        self.demand, self.arrivals, self.usual, self.sends, self.welcome = 0.0, 0, 0.0, 0, 1.0
         self.sheds, self.all_sheds, self.shedding, self.list_failures, self.ask_again = 0, 0, False, 0, 0
         if get("discovery", "pushed") == "on_request":
             host.subscribe()
@@ -180,9 +177,8 @@
         ran, group = [t for t in tries if t.outcome not in NEVER_RAN], route.group
         if not ran or route.semantics == "retriable":
             return True
-        if route.semantics != "deduped" or now + 10 >= ran[0].sent_at + route.window:
-            return False
-        return group == "all" or getattr(backend, group, None) == getattr(ran[0].backend, group, self)
+        known = route.semantics == "deduped" and now + 10 < ran[0].sent_at + route.window
+        return known and (group == "all" or getattr(backend, group, 0) == getattr(ran[0].backend, group, 1))
 
     def may_shed(self, xchg: Exchange) -> bool:
         route = xchg.route
@@ -195,7 +191,7 @@
         return backend.tokens >= 1.0
 
     def choose(self, now: int) -> None:
-        """The backends this node uses, of each location its part, and the budgets of the cold ones."""
+        """The backends this node uses, of each location its part, budgets of the cold ones, the shares."""
         get, push = self.settings.get, 0.5 * self.settings.get("rules.fall_multiple", 1.0) / SECOND
         warm, start = max(get("rules.warm_within", 0), 1), get("rules.cold_from", 0.1)
         rate, before, self.usable = max(self.demand, self.arrivals), self.usable, []  # or too few exchanges
@@ -227,8 +223,8 @@
                 backend.budget = push * worth(backend) * (self.usual or self.demand / len(self.usable))
                 if not backend.stage and not backend.points:
                     backend.stage, backend.held_rate = 1, 0.0
-        # The median backend's, or a few sick ones pass for what is usual.
-        self.failing = sorted([b.fails for b in self.usable] or [0.0])[len(self.usable) // 2]
+        self.failing = sorted([b.fails for b in self.usable] or [0.0])[len(self.usable) // 2]  # the median
+        self.solve(now)
 
     def on_exchange(self, now: int, ident: int, route_no: int, customer_no: int, grace: int, again: bool,
                     spilled: bool = False):  # fmt: skip
@@ -237,7 +233,6 @@
         self.arrivals += not again
         if not self.demand and len(self.usable) < self.fleet:  # or it crowds a quiet node's few
             self.choose(now)
-            self.solve(now)
         route.usual_grace = max(route.usual_grace, 0 if again else grace)
         if again and grace < route.usual_grace:
             aim_at -= route.timeout - grace  # the client's earlier tries have used up part of its objective
@@ -310,9 +305,8 @@
                 elif not self.blind:
                     self.put_out(now, backend)
                 continue
-            step = -1.0 if word == Word.DONE else 1.0
-            held = figure / 4 if word == Word.HOLDS else max(self.ahead(backend, now) + step, 0.0)
-            backend.held, backend.held_at = held, now
+            held = self.ahead(backend, now) + (-1.0 if word == Word.DONE else 1.0)
+            backend.held, backend.held_at = figure / 4 if word == Word.HOLDS else max(held, 0.0), now
             backend.last_answer = now if word == Word.DONE else backend.last_answer
             self.talkers[backend.location][peer] += word == Word.SENT
 
@@ -347,12 +341,14 @@
         named = {listed.name: listed.state for listed in entries}
         for listed in entries:
             backend = self.backends.get(listed.name)
+            if backend is not None and backend.called_back:  # no list need have told of its restart
+                listed = listed._replace(started=max(listed.started or 0, backend.called_back))
             if backend is None:
                 backend = self.backends[listed.name] = Backend(listed, now, self.chance)
                 backend.place = backend.key / 65536 if self.spots else backend.place
             elif listed.started is not None and listed.started != backend.started:
                 backend.forget(now, self.chance)
-            backend.learn(listed)
+            backend.learn(listed, listed.name in self.banned)
             backend.warm_at = 0 if listed.started is None else listed.started + warm
             # What crossing locations costs, as response time, so that the solve weighs it.
             backend.cost = 2.0 * self.crossing * self.objective * (backend.location != self.location)
@@ -363,7 +359,15 @@
         fit = sorted((b for b in self.backends.values() if b.usable), key=lambda b: (b.location, b.place))
         self.fleet, self.groups = len(fit), [list(g) for _, g in groupby(fit, lambda b: b.location)]
         self.choose(now)
-        self.solve(now)
+
+    def on_maintenance(self, now: int, name: str, banned: bool) -> None:
+        """An operator's word, whatever lists say. Who is called back is new and cold, in its old place."""
+        (self.banned.add if banned else self.banned.discard)(name)
+        if (backend := self.backends.get(name)) is not None and not banned:
+            fresh = self.backends[name] = Backend(backend.listed, now, self.chance)
+            fresh.place, fresh.called_back, fresh.started = backend.place, now, now
+        if backend is not None:
+            self.on_list(now, [backend.listed], False)
 
     def on_wake(self, now: int, tag: str) -> None:
         if tag == "tick":
@@ -411,7 +415,6 @@
                 self.step(now, backend)
             backend.slot_time, backend.slots = fade * backend.slot_time, fade * backend.slots
         self.choose(now)
-        self.solve(now)
         if self.shedding != (self.sheds > (0.2 if self.shedding else 1.0) * max(self.demand, 3.0)):
             self.shedding = not self.shedding
             mode = f"{'on' if self.shedding else 'off'}: {self.sheds:.0f} shed in 10 s of {self.demand:.1f}/s"
@@ -545,8 +548,7 @@
             fit = [b for b in fit if b.turned < 0.05] or fit  # or its time goes by in being turned away
         if xchg.surplus and self.crossing > self.settings.get("surplus_value", 0.0):
             fit = [b for b in fit if b.location == self.location]
-        fit.sort(key=lambda b: -(b.credit + b.share))
-        return fit
+        return sorted(fit, key=lambda b: -(b.credit + b.share))
 
     def ahead(self, backend: Backend, now: int) -> float:
         # Guards against taking one last heard of as crowded for empty, or lost words for load.
@@ -555,10 +557,9 @@
 
     def expected(self, backend: Backend, now: int) -> float:
         slot = (backend.slot_time + PRIOR * self.slot * backend.pace) / (backend.slots + PRIOR)
-        time = slot * (self.ahead(backend, now) + 1.0)
-        if backend.out and backend.last_answer < backend.out[0].sent_at:
-            time = max(time, slot + now - backend.out[0].sent_at)
-        return time
+        since = backend.out[0].sent_at if backend.out else now  # silent for longer than it takes, or not
+        silent = now - since if backend.last_answer < since else 0
+        return max(slot * (self.ahead(backend, now) + 1.0), slot + silent)
 
     def pick(self, now: int, xchg: Exchange) -> Backend | None:
         fit, left = self.turns(now, xchg), xchg.aim_at - now
@@ -570,14 +571,13 @@
         stale = 20 if asking else self.slot / 2 if heard else inf  # or crowded ones heard of as idle fill
         best, best_time = None, inf
         for backend in fit:
-            unheard = now - backend.held_at > stale and backend.location < self.others_from
-            if len(backend.out) > most or unheard:
+            here = backend.location < self.others_from
+            if len(backend.out) > most or now - backend.held_at > stale and here:
                 continue
             time, cost = self.expected(backend, now), backend.cost
             # Guards against crowding a backend until it turns slower: a few times its idle time is enough.
-            most_time = (STRAIN if backend.reported else CROWD) * backend.line[0][1]
-            crowded = time > max(most_time, 0.2 * self.objective) and not self.hears
-            if crowded and (backend.out or backend.reported):
+            strain = max((STRAIN if backend.reported else CROWD) * backend.line[0][1], 0.2 * self.objective)
+            if time > strain and not self.hears and (backend.out or backend.reported):
                 continue
             near = 1.5 * self.slot if self.hears else max(self.equal_time - cost, 1.5 * self.slot)
             # Guards against shedding while some are idle: the time held counts queues of others' work.
@@ -637,7 +637,7 @@
     def look_again(self, now: int, backend: Backend) -> None:  # or exchanges are spent on dead ones
         if now < backend.out_until:  # put off meanwhile
             self.at(backend.out_until, self.look_again, backend)
-        elif self.settings.get("policy_limits.probes") and not backend.probe_at:
+        elif self.settings.get("policy_limits.probes") and backend.usable and not backend.probe_at:
             backend.out_until, backend.probe_at = now + AWAY_MOST, now
             self.host.probe(backend.name)
 
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -162,7 +162,7 @@
             self.transport.abort()
 
     def write(self, status: int, headers, body) -> None:
-        self.keep = self.keep and not self.door.leaving
+        self.keep = self.keep and not self.door.parting()
         head = self.head(status, [(b"Content-Length", b"%d" % len(body)), *headers])
         self.transport.writelines([head, body] if len(body) else [head])
         self.after_answer()
@@ -187,7 +187,7 @@
         """Writes the head and returns what is to be called with each part of the body."""
         self.chunked = length is None and self.version != "1.0"
         self.framed = self.chunked or length is not None
-        self.keep = self.keep and not self.door.leaving and self.framed
+        self.keep = self.keep and not self.door.parting() and self.framed
         if self.chunked:
             headers = [(b"Transfer-Encoding", b"chunked"), *headers]
         elif self.framed:
@@ -285,6 +285,7 @@
         self.fresh = int(self.limits.client_fresh_s * SECOND)
         self.longest = int(configuration.longest_s * SECOND)
         self.ready, self.leaving, self.lingered = False, False, False
+        self.standby, self.parts_from = False, 0  # from when on idle clients are let go, where it parts
         self.drained: asyncio.Future = loop.create_future()
         descriptors.makers_of_room.append(self.close_idlest)
         timers.every(SECOND // 4, self.sweep)
@@ -294,7 +295,7 @@
             return client.answer(503)
         path = message.target.partition(b"?")[0]
         if path == b"/ready":
-            return client.answer(200 if self.ready and not self.leaving else 503)
+            return client.answer(200 if self.serving() else 503)
         links = self.exchanges.links
         if links is not None and path == b"/site":
             return client.answer(200, [(b"content-type", b"application/json")], links.report())
@@ -352,6 +353,10 @@
         at = now()
         for client in list(self.clients):
             client.check_time(at)
+        if self.parting() and at >= self.parts_from:
+            for client in list(self.clients):
+                if at - client.since > self.fresh and client.idle():
+                    client.close()
 
     def close_idlest(self) -> bool:
         at, waiting = now(), None
@@ -368,10 +373,26 @@
             waiting.drop()
         return waiting is not None
 
-    # The end of the node: late arrivals are still taken, everything is answered, then it is drained.
+    # Parting with the clients, for a while or at the end: late arrivals are still taken and all is answered.
+
+    def parting(self) -> bool:
+        """Whether each answer closes its connection, and idle ones go."""
+        return self.leaving or self.standby
+
+    def serving(self) -> bool:
+        return self.ready and not self.parting()
+
+    def stand_by(self) -> None:
+        if not self.parting():
+            self.parts_from = now() + int(self.limits.linger_s * SECOND)
+        self.standby = True
+
+    def be_active(self) -> None:
+        self.standby = False
 
     def leave(self) -> None:
-        """From now on each answer closes its connection; connections are taken until `linger_over`."""
+        """The end of the node: connections are taken until `linger_over`, then it is drained."""
+        self.stand_by()
         self.leaving = True
         self.timers.after(int(self.limits.linger_s * SECOND), self.linger_over)
 
--- a/basalthoist/net/discovery.py
+++ b/basalthoist/net/discovery.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import httptools
 import msgspec
@@ -127,6 +128,7 @@
         self.revision, self.watch, self.opening, self.waiting = 0, None, None, None
         self.listed, self.failures = False, 0  # listed: the next thing to ask for is the watch
         self.on_first = lambda: None
+        self.on_names: Callable[[list[str]], None] = lambda names: None  # of each list and change
         self.silent = int(self.limits.watch_silent_s * SECOND)
         # Guards against a large tier that asks faster than discovery, which does not grow with it, answers.
         limits = self.limits
@@ -223,6 +225,7 @@
 
     def learn(self, said: MemberList) -> None:
         self.revision = said.revision
+        self.on_names([member.id for member in said.members])
         entries, present, left = [], set(), set()
         for member in said.members:
             listed = self.translator.listed(member)
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -210,6 +210,12 @@
     def on_list_failed(self) -> None:
         self.report(self.node.on_list_failed)
 
+    # What operators say.
+
+    def on_maintenance(self, name: str, banned: bool) -> None:
+        self.report(self.node.on_maintenance, name, banned)
+        self.upstream.rest_connections(name)
+
     # What peers say.
 
     def on_told(self, peer: int, words: Words) -> None:
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import errno
+from collections.abc import Awaitable, Callable
 
 from basalthoist.configuration import Configuration, ConfigurationError, load
 
+from .admin import Admin
 from .clients import Door, Listener
 from .descriptors import Descriptors
 from .discovery import Discovery
 from .exchanges import Exchanges
 from .log import Log
+from .maintenance import Maintenance
 from .peers import Peers
 from .timers import SECOND, Timers, now
 from .upstream import Upstream
@@ -29,6 +32,9 @@
         self.door = Door(configuration, loop, self.timers, self.exchanges, descriptors, self.log)
         self.discovery = Discovery(configuration, loop, self.timers, self.exchanges, self.upstream, self.log)
         self.exchanges.ask_discovery = self.discovery.ask
+        self.maintenance, self.admin = None, None
+        if configuration.admin is not None:
+            self.open_admin(configuration)
         loop.set_exception_handler(self.unforeseen)
         if gateway is not None:
             self.link(gateway)
@@ -36,6 +42,16 @@
         if jsonrpc is not None:
             self.open_front(jsonrpc)
 
+    def open_admin(self, configuration: Configuration) -> None:
+        """The operators' door and what can be asked for there."""
+        self.maintenance = Maintenance(configuration.folder, self.log, self.exchanges.on_maintenance)
+        self.discovery.on_names = self.maintenance.saw
+        self.maintenance.read()
+        call = self.maintenance.call
+        calls = {"status": self.status, "standby": self.stand_by, "active": self.be_active}
+        calls_on = {"maint-on": lambda name: call(name, True), "maint-off": lambda name: call(name, False)}
+        self.admin = Admin(calls, calls_on, self.timers, self.log, self.limits.admin_line_s)
+
     def open_front(self, told) -> None:
         """JSON-RPC. Its modules are loaded only where it is asked for."""
         from basalthoist.jsonrpc.front import Front
@@ -67,11 +83,13 @@
     async def serve(self) -> None:
         """Until it has been told to leave and has answered everything."""
         host, port = self.configuration.listen
+        if self.admin is not None:
+            await self.patient(lambda: self.admin.listen(self.loop, self.configuration.admin))
         self.discovery.on_first = self.get_ready
         self.discovery.start(self.configuration.known)
         self.timers.after(int(self.limits.first_list_s * SECOND), self.get_ready)
         await self.join_peers()
-        listener = await self.listen((host, port))
+        listener = await self.patient(self.listener)
         if listener is not None:
             self.log(f"listening on {host}:{port}")
             if self.front is not None:
@@ -81,6 +99,8 @@
                 await self.front.drained
             listener.close()
         self.upstream.close_all()
+        if self.admin is not None:
+            self.admin.close()
         if self.exchanges.shadow is not None:
             self.log(self.exchanges.shadow.line())
         self.log("all answered")
@@ -99,12 +119,15 @@
             # Guards against a node that does not serve because it cannot gossip.
             self.log(f"no talk with peers: {wrong}")
 
-    async def listen(self, address: tuple[str, int]) -> Listener | None:
+    async def listener(self) -> Listener:
+        return Listener(self.door, self.configuration.listen)
+
+    async def patient(self, listens: Callable[[], Awaitable]):
         """None: it was told to leave before the address was free."""
         give_up = now() + int(self.limits.bind_s * SECOND)
         while not self.door.drained.done():
             try:
-                return Listener(self.door, address)
+                return await listens()
             except OSError as wrong:
                 # Guards against a process before this one that has not yet let go of the address.
                 if wrong.errno != errno.EADDRINUSE or now() > give_up:
@@ -114,6 +137,28 @@
     def get_ready(self) -> None:
         self.door.ready = True
 
+    # What operators ask for; what is returned is why not.
+
+    def status(self) -> str:
+        if self.door.serving():
+            return ""
+        return "leaving" if self.door.leaving else "standby" if self.door.standby else "not ready yet"
+
+    def stand_by(self) -> str:
+        if not self.door.parting():
+            here = f"{len(self.door.clients)} clients, {len(self.exchanges.under_way)} exchanges"
+            self.log(f"standby, {here} here")
+        self.door.stand_by()
+        return ""
+
+    def be_active(self) -> str:
+        if self.door.leaving:
+            return "leaving"
+        if self.door.standby:
+            self.log("active again")
+        self.door.be_active()
+        return ""
+
     def reload(self) -> None:
         """The file is read again. A new address of discovery counts at once; the rest waits for a restart."""
         try:
--- a/basalthoist/net/upstream.py
+++ b/basalthoist/net/upstream.py
@@ -343,6 +343,11 @@
             self.close(pool)
         self.pools[name] = Pool(self, name, address, started)
 
+    def rest_connections(self, name: str) -> None:
+        """It is about to be restarted, or has been: what is idle leads to the process before."""
+        if (pool := self.pools.get(name)) is not None:
+            pool.drop_idle(now())
+
     def remove(self, name: str) -> None:
         if (pool := self.pools.pop(name, None)) is not None:
             self.close(pool)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,28 @@
+"""What tests of the program itself start with."""
+
+import pytest
+from helpers import DiscoveryStandIn, Program, StandIn, document, member
+
+
+@pytest.fixture
+def start(tmp_path):
+    """Starts stand-ins with the behaviours named, discovery that lists them, and the program."""
+    running = []
+
+    def begin(
+        *behaviours, known=None, wait=True, listed=True, mute=False, one_each=False, files=1024, told=(),
+        environment=None, **more,
+    ):  # fmt: skip
+        backends = [b if isinstance(b, str | StandIn) else StandIn(b) for b in behaviours]
+        entries = [member(f"s-{i}", b) for i, b in enumerate(backends)]
+        discovery = DiscoveryStandIn(entries if listed else [], mute, one_each)
+        made = document(discovery.address, entries if known is None else known, **more)
+        environment = {v: discovery.address for v in told} | (environment or {})
+        program = Program(tmp_path, made, files, **environment)
+        running.extend([b for b in backends if not isinstance(b, str)] + [discovery])
+        running.append(program)
+        return (program.wait_ready() if wait else program), backends, discovery
+
+    yield begin
+    for one in running:
+        one.close()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -230,6 +230,7 @@
         self.errors = (folder / "log").open("w+")
         command = ["/bin/sh", "-c", f'ulimit -n {files}; exec "{sys.executable}" -m basalthoist']
         environment |= {"PROXY_CONFIG": str(self.path), "PATH": ""}
+        self.environment = environment
         self.process = subprocess.Popen(command, stderr=self.errors, env=environment)
         self.address = address_of(made["listen"])
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -28,29 +28,6 @@
 from basalthoist.net.members import address_of
 
 
-@pytest.fixture
-def start(tmp_path):
-    """Starts stand-ins with the behaviours named, discovery that lists them, and the program."""
-    running = []
-
-    def begin(
-        *behaviours, known=None, wait=True, listed=True, mute=False, one_each=False, files=1024, told=(),
-        **more,
-    ):  # fmt: skip
-        backends = [b if isinstance(b, str | StandIn) else StandIn(b) for b in behaviours]
-        entries = [member(f"s-{i}", b) for i, b in enumerate(backends)]
-        discovery = DiscoveryStandIn(entries if listed else [], mute, one_each)
-        made = document(discovery.address, entries if known is None else known, **more)
-        program = Program(tmp_path, made, files, **{v: discovery.address for v in told})
-        running.extend([b for b in backends if not isinstance(b, str)] + [discovery])
-        running.append(program)
-        return (program.wait_ready() if wait else program), backends, discovery
-
-    yield begin
-    for one in running:
-        one.close()
-
-
 def sent(backends):
     return [r for b in backends if not isinstance(b, str) for r in b.seen]
 
