--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -52,6 +52,7 @@
     watch_line_s: Annotated[float, msgspec.Meta(ge=0)] = 0.008  # of discovery for a line, where calls weigh
     linger_s: Positive = 0.55  # after SIGTERM new connections are still taken for this long
     bind_s: Positive = 5.0  # how long the address may still be held by a process before this one
+    succession_s: Positive = 2.0  # how long a process before this one has to hand over
 
 
 class Route(msgspec.Struct):
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -162,11 +162,17 @@
             self.transport.abort()
 
     def write(self, status: int, headers, body) -> None:
-        self.keep = self.keep and not self.door.parting()
+        self.keep = self.keep and not self.parts()
         head = self.head(status, [(b"Content-Length", b"%d" % len(body)), *headers])
         self.transport.writelines([head, body] if len(body) else [head])
         self.after_answer()
 
+    def parts(self) -> bool:
+        """Whether this answer is its last: the node parts with its clients and no other request has come."""
+        if not self.door.parting() or not self.reader.idle():
+            return False
+        return not polled(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+
     def head(self, status: int, headers) -> bytes:
         closing = b"" if self.keep else b"Connection: close\r\n"
         return head_of(b"HTTP/1.1 %d %b" % (status, REASONS[status]), headers) + closing + b"\r\n"
@@ -187,7 +193,7 @@
         """Writes the head and returns what is to be called with each part of the body."""
         self.chunked = length is None and self.version != "1.0"
         self.framed = self.chunked or length is not None
-        self.keep = self.keep and not self.door.parting() and self.framed
+        self.keep = self.keep and not self.parts() and self.framed
         if self.chunked:
             headers = [(b"Transfer-Encoding", b"chunked"), *headers]
         elif self.framed:
@@ -281,7 +287,6 @@
         self.kept: dict[Client, None] = {}  # asked and idle, in the order in which they fell idle
         self.most_kept = int(self.limits.sockets * self.limits.client_kept_part)
         self.listener: Listener | None = None
-        self.for_upstream = int(descriptors.most * self.limits.upstream_part)
         self.fresh = int(self.limits.client_fresh_s * SECOND)
         self.longest = int(configuration.longest_s * SECOND)
         self.ready, self.leaving, self.lingered = False, False, False
@@ -343,7 +348,7 @@
         """It is answered and stays; beyond a part of the descriptors the one idle for longest goes for it."""
         # Guards against clients that ask once and keep their connection: those that come find none left.
         self.kept[client] = None
-        while len(self.kept) > self.most_kept:
+        while len(self.kept) > self.most_kept * self.descriptors.most // self.descriptors.whole:
             oldest = next(iter(self.kept))
             del self.kept[oldest]
             if oldest.idle():
@@ -410,7 +415,8 @@
             return
         if self.listener is not None:
             # Guards against closing on connections that the machine has accepted and the node has not seen.
-            self.listener.accept()
+            if not self.listener.pausing:
+                self.listener.accept()
             if self.listener.tasks:
                 return
         self.drained.set_result(None)
@@ -426,9 +432,13 @@
 class Listener:
     """Takes connections in itself, so that where descriptors run out they wait instead of being dropped."""
 
-    def __init__(self, door: Door, address: tuple[str, int]) -> None:
-        self.door, self.loop, self.listening = door, door.loop, True
-        self.sock = socket.create_server(address, family=family_of(address), backlog=door.limits.backlog)
+    def __init__(self, door: Door, address: tuple[str, int], given: socket.socket | None = None,
+                 shared: bool = False) -> None:  # fmt: skip
+        """`given`: what a process before this one listens on, and both take from; `shared`: SO_REUSEPORT."""
+        self.door, self.loop, self.listening, self.pausing = door, door.loop, True, False
+        self.sock = given or socket.create_server(
+            address, family=family_of(address), backlog=door.limits.backlog, reuse_port=shared
+        )
         self.sock.setblocking(False)
         self.tasks: set[asyncio.Task] = set()
         door.listener = self
@@ -439,7 +449,7 @@
         for _ in range(64):
             if descriptors.brimful():
                 descriptors.make_room(self.door.close_idlest)
-                return self.pause()
+                return self.rest()
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -447,8 +457,9 @@
             except OSError as wrong:
                 # Guards against EMFILE all the same: those that wait are taken in when there is room again.
                 self.door.log(f"no connection taken: {wrong}")
-                return self.pause()
-            welcome = descriptors.take(self.door.close_idlest, self.door.for_upstream)
+                return self.rest()
+            for_upstream = int(descriptors.most * self.door.limits.upstream_part)
+            welcome = descriptors.take(self.door.close_idlest, for_upstream)
             if not welcome:
                 descriptors.take_anyway()
             sock.setblocking(False)
@@ -465,13 +476,24 @@
             self.door.descriptors.give_back()
             sock.close()
 
+    def rest(self) -> None:
+        self.loop.remove_reader(self.sock)
+        self.door.timers.after(SECOND // 100, self.go_on)
+
+    def go_on(self) -> None:
+        if self.listening and not self.pausing:
+            self.loop.add_reader(self.sock, self.accept)
+
     def pause(self) -> None:
+        """Another process takes in who comes."""
+        self.pausing = True
         self.loop.remove_reader(self.sock)
-        self.door.timers.after(SECOND // 100, self.resume)
 
     def resume(self) -> None:
-        if self.listening:
-            self.loop.add_reader(self.sock, self.accept)
+        """That one has gone."""
+        if self.pausing:
+            self.pausing = False
+            self.go_on()
 
     def close(self) -> None:
         self.listening = False
--- a/basalthoist/net/descriptors.py
+++ b/basalthoist/net/descriptors.py
@@ -15,8 +15,16 @@
     """`most` may be in use, and half of `reserve` on top of it by those that are let in to be turned away."""
 
     def __init__(self, most: int, reserve: int = 0) -> None:
-        self.most, self.brim, self.used = most, most + reserve // 2, 0
+        self.whole, self.reserve, self.used = most, reserve, 0
         self.makers_of_room: list[Callable[[], bool]] = []
+        self.share(1)
+
+    def share(self, processes: int) -> None:
+        """The budget is that of so many processes; beyond this one's part what is idle goes."""
+        self.most = self.whole // processes
+        self.brim = self.most + self.reserve // 2 // processes**2  # each has some for itself
+        while self.used > self.most and self.make_room(lambda: False):
+            pass
 
     def take(self, own: Callable[[], bool], keep_free: int = 0) -> bool:
         """One more, closing something idle for it at the limit, by `own` first. False: there is none."""
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import socket
 from collections.abc import Awaitable, Callable
 
 from basalthoist.configuration import Configuration, ConfigurationError, load
@@ -14,6 +15,7 @@
 from .log import Log
 from .maintenance import Maintenance
 from .peers import Peers
+from .succession import Succession
 from .timers import SECOND, Timers, now
 from .upstream import Upstream
 
@@ -32,7 +34,8 @@
         self.door = Door(configuration, loop, self.timers, self.exchanges, descriptors, self.log)
         self.discovery = Discovery(configuration, loop, self.timers, self.exchanges, self.upstream, self.log)
         self.exchanges.ask_discovery = self.discovery.ask
-        self.maintenance, self.admin = None, None
+        self.maintenance, self.admin, self.succession = None, None, None
+        self.first_ready: asyncio.Future = loop.create_future()
         if configuration.admin is not None:
             self.open_admin(configuration)
         loop.set_exception_handler(self.unforeseen)
@@ -51,6 +54,11 @@
         calls = {"status": self.status, "standby": self.stand_by, "active": self.be_active}
         calls_on = {"maint-on": lambda name: call(name, True), "maint-off": lambda name: call(name, False)}
         self.admin = Admin(calls, calls_on, self.timers, self.log, self.limits.admin_line_s)
+        if configuration.folder:
+            told = configuration
+            self.succession = Succession(told.folder, told.name, told.listen, self.maintenance, self.loop,
+                                         self.log, self.limits.succession_s)  # fmt: skip
+            self.succession.changed = self.share
 
     def open_front(self, told) -> None:
         """JSON-RPC. Its modules are loaded only where it is asked for."""
@@ -85,15 +93,23 @@
         host, port = self.configuration.listen
         if self.admin is not None:
             await self.patient(lambda: self.admin.listen(self.loop, self.configuration.admin))
+        followed, given = False, None
+        if self.succession is not None:
+            followed, given = await self.succession.ask()
         self.discovery.on_first = self.get_ready
         self.discovery.start(self.configuration.known)
         self.timers.after(int(self.limits.first_list_s * SECOND), self.get_ready)
         await self.join_peers()
-        listener = await self.patient(self.listener)
+        if followed:
+            await self.first_ready  # until then the process before this one takes the clients
+        listener = await self.patient(lambda: self.listener(given))
         if listener is not None:
             self.log(f"listening on {host}:{port}")
+            if self.succession is not None:
+                self.succession.listening = listener.sock
+                self.succession.get_ready()
             if self.front is not None:
-                await self.front.listen(self.front.told.address())
+                await self.patient(lambda: self.front.listen(self.front.told.address()))
             await self.door.drained
             if self.front is not None:
                 await self.front.drained
@@ -101,6 +117,8 @@
         self.upstream.close_all()
         if self.admin is not None:
             self.admin.close()
+        if self.succession is not None:
+            self.succession.close()
         if self.exchanges.shadow is not None:
             self.log(self.exchanges.shadow.line())
         self.log("all answered")
@@ -119,8 +137,14 @@
             # Guards against a node that does not serve because it cannot gossip.
             self.log(f"no talk with peers: {wrong}")
 
-    async def listener(self) -> Listener:
-        return Listener(self.door, self.configuration.listen)
+    async def listener(self, given: socket.socket | None) -> Listener:
+        return Listener(self.door, self.configuration.listen, given, self.succession is not None)
+
+    def share(self) -> None:
+        """Another process of this node has come, has got ready or has gone: both have one machine's room."""
+        self.descriptors.share(1 + self.succession.others())
+        if self.door.leaving and self.door.listener is not None:
+            (self.door.listener.pause if self.succession.succeeded() else self.door.listener.resume)()
 
     async def patient(self, listens: Callable[[], Awaitable]):
         """None: it was told to leave before the address was free."""
@@ -136,11 +160,13 @@
 
     def get_ready(self) -> None:
         self.door.ready = True
+        if not self.first_ready.done():
+            self.first_ready.set_result(None)
 
     # What operators ask for; what is returned is why not.
 
     def status(self) -> str:
-        if self.door.serving():
+        if self.door.serving() and self.door.listener is not None:
             return ""
         return "leaving" if self.door.leaving else "standby" if self.door.standby else "not ready yet"
 
@@ -176,5 +202,7 @@
         if not self.door.leaving:
             self.log(f"told to leave, {len(self.exchanges.under_way)} exchanges under way")
             self.door.leave()
+            if self.succession is not None:
+                self.share()
             if self.front is not None:
                 self.front.leave()
