--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -27,7 +27,8 @@
     reserve: Count = 48  # descriptors kept free for listener, discovery, log, the loop and what is closing
     upstream_part: Annotated[float, msgspec.Meta(gt=0, lt=1)] = 0.3  # of the others, never taken by clients
     head_bytes: Count = 16 * 1024
-    body_bytes: Count = 64 * 1024
+    body_bytes: Count = 64 * 1024  # a body up to this is held whole, a longer one goes on as it comes
+    long_bytes: Count = 40 * 1024 * 1024  # a body over this is refused
     list_bytes: Count = 4 * 1024 * 1024
     log_lines_per_s: Count = 20
     backlog: Count = 512
@@ -35,8 +36,10 @@
     client_idle_s: Positive = 120.0  # a client's connection between exchanges
     client_kept_part: Annotated[float, msgspec.Meta(gt=0, lt=1)] = 0.2  # of the descriptors, by idle clients
     client_fresh_s: Positive = 0.1  # a connection as new as this is about to bring its first request
-    client_first_s: Positive = 2.4  # from connecting to the end of the first request
-    client_read_s: Positive = 2.2  # from the first byte of a request to its last; an answer not read
+    client_first_s: Positive = 2.6  # from connecting to the end of the first request
+    client_read_s: Positive = 2.6  # from the first byte of a request to its last
+    client_bytes_per_s: Positive = 60_000  # of a body; for what has come, both of these times are longer
+    client_stall_s: Positive = 10.0  # an answer of which nothing is read
     client_close_s: Positive = 1.0  # how long a client has to close after the last answer
     client_errors: Count = 8  # requests in error after which a connection is ended
     client_transit_s: Annotated[float, msgspec.Meta(ge=0)] = 0.001  # from a client's send to its arrival here
--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -4,7 +4,7 @@
 from bisect import insort
 from collections import Counter, defaultdict
 from heapq import heappop, heappush
-from itertools import groupby
+from itertools import count, groupby
 from math import inf, log
 from zlib import crc32
 
@@ -14,13 +14,12 @@
 SECOND = 10_000  # times are whole tenths of a millisecond
 WINDOW, WINDOW_MOST = 2 * SECOND, 8 * SECOND  # a profile window is lengthened until it holds SAMPLES
 SAMPLES, POINT_LIFE, SPREAD, CROWD = 4, 30 * SECOND, 4.0, 4.0
-FLOOR_SHARE = 0.2  # of an even share
+FLOOR_SHARE, LEAST = 0.2, 6  # of an even share; warm backends' worth that a node uses at the least
 PRIOR = 3.0  # samples' worth of the wider mean (kind's, fleet's) that every measured mean is blended with
 EJECT, TRIAL = 6.0, 3.0  # sums of the sequential test: over the first out, over the second one try at a time
 AWAY, AWAY_MOST = 2 * SECOND, 8 * SECOND
 WEAR, LISTENING = 3, 0.7  # service times to an end not told; part of the words whose senders are told
 STRAIN = 2.5  # times its idle time at which a backend that reports its whole rate is passed over
-LEAST = 6  # warm backends' worth that a node uses at the least, where there are as many
 
 
 def service_time(rate: float, time: float, cores: float) -> float:
@@ -34,10 +33,9 @@
         self.place, self.credit, self.share, self.cost = chance.uniform(), 0.0, 0.0, 0.0  # place: in `choose`
         self.forget(now, chance)
 
-    def learn(self, listed: Listed, banned: bool) -> None:
+    def learn(self, listed: Listed, usable: bool) -> None:
         self.listed, self.location, self.kind, self.pod = listed, listed.location, listed.kind, listed.pod
-        self.weight, self.started = listed.weight, listed.started
-        self.usable = listed.state == "healthy" and not banned
+        self.weight, self.started, self.usable = listed.weight, listed.started, usable
 
     def forget(self, now: int, chance: Lcg) -> None:
         self.points, self.line, self.steep = [], [(0.0, inf)], inf  # points: [rate, time, samples, when]
@@ -87,8 +85,7 @@
         slope = max(top * top / SECOND / self.steep, (top - self.line[0][1]) / rate, last)
         return rate + (time - top) / slope
 
-    def judge(self, failed: bool, usual: float) -> None:
-        """Sequential test: does it fail as the fleet usually does, or far more often?"""
+    def judge(self, failed: bool, usual: float) -> None:  # sequential: as the fleet, or far more often?
         sick = max(0.6, (1 + (usual := min(max(1.5 * usual, 0.02), 0.9))) / 2)  # rises when all fail
         step = log(sick / usual) if failed else log((1 - sick) / (1 - usual))
         self.doubt = min(max(self.doubt + step, 0.0), EJECT + 2)
@@ -118,13 +115,12 @@
 
 
 class Exchange:
-    def __init__(self, ident: int, route: Route, now: int, deadline: int, aim_at: int, surplus: bool,
-                 spilled: bool = False) -> None:  # fmt: skip
+    def __init__(self, ident: int, route: Route, now, deadline, aim_at, surplus: bool, spilled=False) -> None:
         self.id, self.route, self.deadline, self.aim_at = ident, route, deadline, aim_at
         self.surplus, self.spilled = surplus or spilled, spilled  # from another site: not sent to one again
         self.held, self.over, self.streaming, self.asked, self.settled = False, False, False, 0, False
         self.order = (self.surplus, -route.value, now, ident)
-        self.tries: list[UpstreamTry] = []
+        self.tries, self.spent = [], False  # spent: its body is no longer held whole
 
 
 class UpstreamTry:
@@ -154,7 +150,7 @@
         self.blind = tells and "inflight" not in get("feedback.fields", ())
         self.talkers, self.listeners, self.news, self.audiences = defaultdict(Counter), {}, {}, {}
         self.spots = [i * 0.618034 % 1.0 for i in range(self.nodes if tells and not self.blind else 0)]
-        self.probe_trip, self.heard_at, self.due_seq, self.woken_for = 10.0, -SECOND, 0, 0
+        self.probe_trip, self.heard_at, self.due_seq, self.woken_for = 10.0, -SECOND, count(), 0
         self.backends, self.exchanges, self.usable, self.held, self.due = {}, {}, [], [], []
         self.groups, self.fleet, self.users, self.total = [], 0, 1.0, 1.0  # groups: usable ones by location
         self.failing, self.mean_time, self.slot = 0.0, self.objective / 3.0, self.objective / 4.0
@@ -168,17 +164,16 @@
 
     def may_try(self, xchg: Exchange, backend: Backend, now: int) -> bool:
         get, tries, route = self.settings.get, xchg.tries, xchg.route
-        beyond = xchg.spilled and backend.location >= self.others_from
+        beyond = xchg.spent and tries or xchg.spilled and backend.location >= self.others_from
         if xchg.over or xchg.streaming or now >= xchg.deadline or beyond or not backend.usable:
             return False
         most, parallel = get("policy_limits.max_upstream_tries", 1), get("policy_limits.parallel_tries")
         if tries and (len(tries) >= most or not parallel and any(t.outcome is None for t in tries)):
             return False
-        ran, group = [t for t in tries if t.outcome not in NEVER_RAN], route.group
-        if not ran or route.semantics == "retriable":
-            return True
-        known = route.semantics == "deduped" and now + 10 < ran[0].sent_at + route.window
-        return known and (group == "all" or getattr(backend, group, 0) == getattr(ran[0].backend, group, 1))
+        ran, same = [t for t in tries if t.outcome not in NEVER_RAN], route.group
+        free = not ran or route.semantics == "retriable"
+        known = not free and route.semantics == "deduped" and now + 10 < ran[0].sent_at + route.window
+        return free or known and (same == "all" or getattr(backend, same, 0) == getattr(ran[0].backend, same))
 
     def may_shed(self, xchg: Exchange) -> bool:
         route = xchg.route
@@ -226,14 +221,13 @@
         self.failing = sorted([b.fails for b in self.usable] or [0.0])[len(self.usable) // 2]  # the median
         self.solve(now)
 
-    def on_exchange(self, now: int, ident: int, route_no: int, customer_no: int, grace: int, again: bool,
-                    spilled: bool = False):  # fmt: skip
+    def on_exchange(self, now: int, ident: int, route_no, customer_no, grace, again: bool, spilled=False):
         route, self.welcome = self.routes[route_no], min(self.welcome + 0.002, 1.0)
         aim_at = now + route.objective
         self.arrivals += not again
         if not self.demand and len(self.usable) < self.fleet:  # or it crowds a quiet node's few
             self.choose(now)
-        route.usual_grace = max(route.usual_grace, 0 if again else grace)
+        route.usual_grace = max(route.usual_grace, 0 if again else min(grace, route.timeout))
         if again and grace < route.usual_grace:
             aim_at -= route.timeout - grace  # the client's earlier tries have used up part of its objective
         surplus = customer_no < len(self.customers) and not self.customers[customer_no].within(now, again)
@@ -245,11 +239,10 @@
         self.place(now, xchg)
 
     def on_try_ended(self, now: int, ident: int, try_no: int, outcome: Outcome, took: int, over: bool, load):
-        xchg = self.exchanges.get(ident)
-        if xchg is None or try_no >= len(xchg.tries):
+        if (xchg := self.exchanges.get(ident)) is None or try_no >= len(xchg.tries):
             return
         upstream = xchg.tries[try_no]
-        backend, upstream.outcome = upstream.backend, outcome
+        backend, first, upstream.outcome = upstream.backend, upstream.outcome is None, outcome
         backend.out = [t for t in backend.out if t is not upstream]
         if load is not None and load.inflight is not None:
             held = load.inflight - (1.0 if self.telling and load.inflight else 0.0)  # it counts this one
@@ -262,7 +255,8 @@
         if load is not None and load.rate:
             backend.reported += (load.rate - backend.reported) * (0.5 if backend.reported else 1.0)
             backend.rates, backend.reports = backend.rates + load.rate, backend.reports + 1
-        self.measure(now, upstream, outcome, took)
+        if first or outcome != Outcome.COMPLETED:  # an answer passed on was measured as it began
+            self.measure(now, upstream, outcome, took)
         if over or xchg.over:
             self.finish(xchg)
         elif not any(t.outcome is None for t in xchg.tries):
@@ -287,8 +281,17 @@
             self.finish(self.exchanges[ident])
 
     def on_answer_started(self, now: int, ident: int, try_no: int) -> None:
-        if ident in self.exchanges:
-            self.exchanges[ident].streaming = True
+        if (xchg := self.exchanges.get(ident)) is not None and try_no < len(xchg.tries):
+            xchg.streaming, took = True, now - xchg.tries[try_no].sent_at
+            self.on_try_ended(now, ident, try_no, Outcome.COMPLETED, took, False, None)
+
+    def on_body_passed(self, now: int, ident: int, grace: int) -> None:
+        """A body too long to be kept goes out; then, with a grace, it is whole and its time counts."""
+        if (xchg := self.exchanges.get(ident)) is not None:
+            xchg.spent = True
+        if xchg is not None and grace:
+            xchg.deadline, xchg.aim_at, xchg.tries[-1].sent_at = now + grace, now + xchg.route.objective, now
+            self.at(xchg.deadline - self.settings.get("tick", 10), self.give_up, xchg)
 
     def on_told(self, now: int, peer: int, words: list[tuple[Word, int, int]]) -> None:
         """Hearsay: it moves turns and pauses, never a profile, and one peer alone puts nothing out."""
@@ -348,7 +351,7 @@
                 backend.place = backend.key / 65536 if self.spots else backend.place
             elif listed.started is not None and listed.started != backend.started:
                 backend.forget(now, self.chance)
-            backend.learn(listed, listed.name in self.banned)
+            backend.learn(listed, listed.state == "healthy" and listed.name not in self.banned)
             backend.warm_at = 0 if listed.started is None else listed.started + warm
             # What crossing locations costs, as response time, so that the solve weighs it.
             backend.cost = 2.0 * self.crossing * self.objective * (backend.location != self.location)
@@ -379,8 +382,7 @@
         self.arm(now)
 
     def at(self, when: int, act, what) -> None:
-        self.due_seq += 1
-        heappush(self.due, (when, self.due_seq, act, what))
+        heappush(self.due, (when, next(self.due_seq), act, what))
 
     def arm(self, now: int) -> None:
         if self.due and (not self.woken_for or self.due[0][0] < self.woken_for):
@@ -404,10 +406,9 @@
         # Guards against shedding at busy nodes what is in share, and bursts that raise their own part.
         for customer in self.customers:
             customer.usual, customer.came = customer.usual + (customer.came - customer.usual) * 0.05, 0
-        parts = sorted(c.usual / max(c.quota, 1e-6) for c in self.customers)
+        parts, self.arrivals, self.sends = sorted(c.usual / max(c.quota, 1e-6) for c in self.customers), 0, 0
         for customer in self.customers:
             customer.rate = customer.quota * max(1 / self.nodes, parts[len(parts) // 4])
-        self.arrivals = self.sends = 0
         # Guards against hundreds of nodes that each forget a slow backend in seconds and try it in turn.
         fade = min(0.97 ** (self.demand / max(len(self.usable), 1)), 0.85 if self.hears else 0.95)
         for backend in self.usable:
@@ -470,8 +471,8 @@
         cold = now < backend.warm_at
         backend.tokens, self.sends = backend.tokens - cold, self.sends + (not cold)
         self.host.send(xchg.id, backend.name, xchg.deadline - now)
-        silent = 8 * self.slot if self.spots else min(4 * self.mean_time, self.objective)
-        self.at(now + int(silent), self.check_overdue, upstream)
+        late = now + int(8 * self.slot if self.spots else min(4 * self.mean_time, self.objective))
+        self.at(late, self.check_overdue, upstream)
         return True
 
     def unhold(self, xchg: Exchange) -> None:
@@ -609,9 +610,9 @@
             fastest = max((b.share for b in self.usable if not b.stage), default=aim)
             backend.stage, backend.held_rate = 2, min(aim, fastest)
 
-    def check_overdue(self, now: int, upstream: UpstreamTry) -> None:  # silence since the send is a failure
-        if upstream.outcome is None and upstream.backend.last_answer < upstream.sent_at:
-            self.verdict(now, upstream, True, upstream.xchg.route.timeout)
+    def check_overdue(self, now: int, last: UpstreamTry) -> None:  # silence since the send is a failure
+        if last.outcome is None and last.backend.last_answer < last.sent_at and not last.xchg.spent:
+            self.verdict(now, last, True, last.xchg.route.timeout)
 
     def measure(self, now: int, upstream: UpstreamTry, outcome: Outcome, elapsed: int) -> None:
         backend = upstream.backend
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -13,6 +13,7 @@
 from .log import Log
 from .members import family_of
 from .timers import SECOND, Timers, now
+from .uploads import Upload
 
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
@@ -21,6 +22,7 @@
 }  # fmt: skip
 LAST_RECEIVED = struct.Struct("I")  # tcpi_last_data_recv of Linux' struct tcp_info, milliseconds
 METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))
+SWEEP = SECOND // 4  # between two looks at how long clients take
 PROBES = (b"/health", b"/status/load")
 
 
@@ -29,7 +31,11 @@
 
     def __init__(self, door: "Door", welcome: bool) -> None:
         self.door, self.welcome = door, welcome  # not welcome: no descriptor is left to do anything for it
-        self.reader = Reader(False, door.limits.head_bytes, door.limits.body_bytes)
+        limits = door.limits
+        self.reader = Reader(False, limits.head_bytes, limits.body_bytes, limits.long_bytes)
+        self.reader.on_long = self.long_body_begun
+        self.upload: Upload | None = None  # a body that goes on as it comes, until it is whole
+        self.unread, self.read_at = 0, now()  # bytes of answers that wait here, and when some last went
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
         self.born = self.since = now()  # since: when it last fell idle, or began to read or to be written to
@@ -59,7 +65,8 @@
         if self.ended:
             # Guards against reading on and on what nobody wants, such as a body of many megabytes.
             self.dropped += len(data)
-            if self.dropped > self.door.limits.body_bytes:
+            self.touch()
+            if self.dropped > self.door.limits.long_bytes:
                 self.transport.pause_reading()
             return
         if self.reader.idle() and self.exchange is None:
@@ -67,6 +74,8 @@
             self.door.kept.pop(self, None)
         try:
             self.reader.feed(data, now() - self.lain())
+            if self.upload is not None and self.reader.next() is not None:
+                self.end_body()
         except Exception as wrong:
             return self.not_read(wrong)
         if self.exchange is not None or self.writing:
@@ -104,8 +113,28 @@
         self.hold_back(False)
         self.advance()
 
+    def end_body(self) -> None:
+        self.hold_body(False)
+        upload, self.upload = self.upload, None
+        upload.end()
+
+    def hold_body(self, held: bool) -> None:
+        """Whoever gets the body's parts can take no more for now, or can again."""
+        if self.upload is not None and not self.ended and held != self.body_held:
+            self.body_held = held
+            (self.transport.pause_reading if held else self.transport.resume_reading)()
+
     # Stages of what it reads.
 
+    def long_body_begun(self, message: Message, length: int | None):
+        """The body is longer than what is kept: its exchange begins now."""
+        self.upload, self.body_held = Upload(self, length, self.door.limits.body_bytes), False
+        upload = self.upload
+        self.take(message)
+        if self.exchange is None:
+            self.upload = None  # it has been answered already; the rest is dropped
+        return upload.take
+
     def advance(self) -> None:
         if self.exchange is not None or self.writing or self.ended:
             return
@@ -113,6 +142,10 @@
             message = self.reader.next()
         except Exception as wrong:
             return self.not_read(wrong)
+        if self.ended:
+            return  # it has been answered before its body was whole
+        if message is not None and self.upload is not None:
+            return self.end_body()
         if message is not None:
             return self.take(message)
         if self.reader.wants_continue:
@@ -154,6 +187,7 @@
         self.exchange = None
         if self.ended or self.transport.is_closing():
             return
+        self.give_body_up()
         # Guards against a connection that breaks as it is written to: the decisions are on the way to here.
         try:
             self.write(status, headers, body)
@@ -161,6 +195,12 @@
             self.door.log(f"answer not written: {wrong!r}")
             self.transport.abort()
 
+    def give_body_up(self) -> None:
+        """An answer before the body is whole is the connection's last: what follows is the body's rest."""
+        if self.upload is not None or self.reader.message is not None:
+            self.hold_body(False)
+            self.keep, self.upload = False, None
+
     def write(self, status: int, headers, body) -> None:
         self.keep = self.keep and not self.parts()
         head = self.head(status, [(b"Content-Length", b"%d" % len(body)), *headers])
@@ -191,6 +231,8 @@
 
     def start_stream(self, headers, length: int | None):
         """Writes the head and returns what is to be called with each part of the body."""
+        if self.upload is not None:
+            self.keep = False  # as long as both go on it is not known which ends first
         self.chunked = length is None and self.version != "1.0"
         self.framed = self.chunked or length is not None
         self.keep = self.keep and not self.parts() and self.framed
@@ -198,7 +240,7 @@
             headers = [(b"Transfer-Encoding", b"chunked"), *headers]
         elif self.framed:
             headers = [(b"Content-Length", b"%d" % length), *headers]
-        self.transport.set_write_buffer_limits(high=self.door.limits.body_bytes)
+        self.transport.set_write_buffer_limits(high=self.door.limits.body_bytes // 2)
         self.transport.write(self.head(200, headers))
         return self.pass_on
 
@@ -212,6 +254,7 @@
 
     def end_stream(self, whole: bool) -> None:
         self.exchange = None
+        self.give_body_up()
         if not whole:
             if not self.framed:  # only a reset tells the client that it has not got all
                 reset = struct.pack("ii", 1, 0)
@@ -249,20 +292,34 @@
         return not polled(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
 
     def check_time(self, at: int) -> None:
-        waited = at - self.since
+        limits, waited = self.door.limits, at - self.since
+        if self.transport.is_closing():
+            return
+        unread = self.transport.get_write_buffer_size()
+        if unread != self.unread or not unread:
+            self.unread, self.read_at = unread, at
+        if unread:
+            # Guards against answers that are never read; one that is read slowly has its time.
+            if at - self.read_at > limits.client_stall_s * SECOND:
+                self.transport.abort()
+            return
+        # By progress: what has come of a body has taken its time.
+        come = int(self.reader.have / limits.client_bytes_per_s * SECOND)
         if self.exchange is not None:
-            if self.writing and waited > self.door.limits.client_read_s * SECOND:
-                self.transport.abort()  # a streamed answer that is not read
+            if self.upload is not None and self.body_held:
+                self.since += SWEEP  # it is not the client that takes this time
+            elif self.upload is not None and waited > limits.client_read_s * SECOND + come:
+                self.transport.abort()  # a body that stopped half-way
             return
         # Guards against crowds that connect and say nothing, or never bring their first request whole.
-        slow = not self.asked and at - self.born > self.door.limits.client_first_s * SECOND
+        slow = not self.asked and at - self.born > limits.client_first_s * SECOND + come
         if self.reader.idle() and not self.writing and not self.ended:
-            if (slow or waited > self.door.limits.client_idle_s * SECOND) and self.idle():
+            if (slow or waited > limits.client_idle_s * SECOND) and self.idle():
                 self.close()
         elif self.ended:
-            if waited > self.door.limits.client_close_s * SECOND:
+            if waited > limits.client_close_s * SECOND:
                 self.transport.abort()
-        elif slow or waited > self.door.limits.client_read_s * SECOND:
+        elif slow or waited > limits.client_read_s * SECOND + come:
             # Guards against requests that never come whole and answers that are never read.
             self.drop()
 
@@ -293,11 +350,13 @@
         self.standby, self.parts_from = False, 0  # from when on idle clients are let go, where it parts
         self.drained: asyncio.Future = loop.create_future()
         descriptors.makers_of_room.append(self.close_idlest)
-        timers.every(SECOND // 4, self.sweep)
+        timers.every(SWEEP, self.sweep)
 
     def take(self, client: Client, message: Message) -> None:
         if not client.welcome:
             return client.answer(503)
+        if message.target.startswith((b"http://", b"https://")):  # the absolute form, as to any proxy
+            message.target = b"/" + b"/".join(message.target.split(b"/", 3)[3:])
         path = message.target.partition(b"?")[0]
         if path == b"/ready":
             return client.answer(200 if self.serving() else 503)
@@ -328,7 +387,7 @@
         if spilled and not links.sites.accepts(self.hops(message)):
             return client.answer(503, [(b"not-started", b"1")])
         timeout = self.timeout(message, route)
-        self.exchanges.start(client, message, number, customer_no, timeout, again, spilled)
+        self.exchanges.start(client, message, number, customer_no, timeout, again, spilled, client.upload)
 
     def hops(self, message: Message) -> int:
         text = message.get(b"site-hops")
@@ -423,7 +482,7 @@
 
     def end_all(self) -> None:
         for client in list(self.clients):
-            if client.exchange is None:
+            if client.exchange is None and not client.transport.get_write_buffer_size():
                 client.transport.abort()
         self.check_drained()
         self.timers.after(SECOND // 10, self.end_all)
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -11,6 +11,7 @@
 from .log import Log
 from .peers import Words
 from .timers import SECOND, Timers, now
+from .uploads import Upload
 from .upstream import Call, Upstream, load_of
 
 OWN_HEADERS = frozenset((b"request-timeout-ms", b"host", b"site-hops", b"site-from"))  # written anew
@@ -21,7 +22,8 @@
 class Exchange:
     """An exchange that a client waits for: who asked, what is sent on, and its tries so far."""
 
-    __slots__ = "id name client head body deadline calls out open timer streams stream spilled ran".split()
+    __slots__ = "id name client head body deadline calls out open timer streams stream spilled".split()
+    __slots__ += ["ran", "upload"]
 
     def __init__(self, ident: int, name: bytes, client, head: bytes, body, deadline: int) -> None:
         self.name = name  # its Request-Id
@@ -31,6 +33,7 @@
         self.streams = False  # its route's answers are passed on as they come
         self.stream: Call | None = None  # the try whose answer is on its way to the client
         self.spilled, self.ran = False, False  # from another site; a try of it may have run
+        self.upload: Upload | None = None  # its body, where that is too long to be kept
 
     def parts(self, timeout: int, marks: bytes = b"") -> list:
         """The request towards a backend, which is told for how long the node will wait."""
@@ -47,6 +50,7 @@
         self.probes = configuration.told.policy_limits.probes
         self.probe_path = b"/status/load" if configuration.reports else b"/health"
         self.probe_time = int(configuration.limits.probe_s * SECOND)
+        self.limits = configuration.limits
         self.transit = int(configuration.limits.client_transit_s * SECOND)
         self.streamed = [route.streaming for route in configuration.routes]
         self.under_way: dict[int, Exchange] = {}
@@ -97,7 +101,7 @@
     # What clients bring.
 
     def start(self, client, message: Message, route: int, customer: int, timeout_ms: int,
-              again: bool, spilled: bool = False) -> Exchange:  # fmt: skip
+              again: bool, spilled: bool = False, upload: Upload | None = None) -> Exchange:  # fmt: skip
         """Takes an exchange. Its time counts from when the client sent it, not from when it is looked at."""
         name = message.get(b"request-id") or b""
         # Guards against a second copy of one that is open, or of which a try may still run, under its id.
@@ -105,17 +109,48 @@
             raise BadMessage(409, "an open request has this Request-Id")
         deadline = message.came_at + timeout_ms * 10 - self.transit
         headers = [(b"Host", message.get(b"host") or b""), *message.end_to_end(OWN_HEADERS)]
-        if len(message.body) or message.method not in (b"GET", b"DELETE"):
+        if upload is not None and upload.length is None:
+            headers.append((b"Transfer-Encoding", b"chunked"))
+        elif upload is not None:
+            headers.append((b"Content-Length", b"%d" % upload.length))
+        elif len(message.body) or message.method not in (b"GET", b"DELETE"):
             headers.append((b"Content-Length", b"%d" % len(message.body)))
         head = head_of(b"%b %b HTTP/1.1" % (message.method, message.target), headers)
         xchg = Exchange(self.new_id(), name, client, head, message.body, deadline)
         xchg.streams, xchg.spilled = self.streamed[route], spilled
+        if upload is not None:
+            self.follow(xchg, upload, timeout_ms)
         if spilled:
             self.links.sites.under_way += 1
         client.exchange = xchg
         self.begin(xchg, route, customer, again)
         return xchg
 
+    def follow(self, xchg: Exchange, upload: Upload, timeout_ms: int) -> None:
+        """Its time counts from its body's last byte; until then a client that is just fast enough has time."""
+        xchg.upload, grace = upload, timeout_ms * 10 - self.transit
+        to_come = (upload.length or self.limits.long_bytes) - len(upload.held)
+        xchg.deadline += int(to_come / self.limits.client_bytes_per_s * SECOND) + SECOND
+        upload.grace = max(grace, 1)
+
+        def tell(left: int) -> None:
+            if xchg.open:
+                self.report(self.node.on_body_passed, xchg.id, left)
+
+        def begun() -> None:
+            # Not at once: it is begun from within the decision that sends it.
+            self.loop.call_soon(tell, max(xchg.deadline - now(), 1) if upload.whole else 0)
+
+        def ended() -> None:
+            xchg.deadline = now() + upload.grace
+            if xchg.open:
+                xchg.timer.stop()
+                xchg.timer = self.timers.after(upload.grace + OVERDUE, partial(self.overdue, xchg))
+            if upload.spent:
+                self.loop.call_soon(tell, upload.grace)
+
+        upload.begun, upload.ended = begun, ended
+
     def new_id(self) -> int:
         self.last_id += 1
         return self.last_id
@@ -136,6 +171,9 @@
         self.report(self.node.on_exchange_gone, xchg.id)
         if xchg.stream is not None:
             xchg.stream.give_up(Outcome.CANCELLED)  # a begun answer is not the decisions' to call off
+        if xchg.upload is not None and not xchg.upload.whole:
+            for call in [c for c in xchg.calls if c is not None]:
+                call.give_up(Outcome.CANCELLED)  # nor one whose body will never be whole
 
     def site_load(self) -> bytes:
         """Towards another site: what is held here for each usable backend, so that a lane counts as one."""
@@ -172,10 +210,13 @@
 
     def try_ended(self, xchg: Exchange, number: int, began_at: int, outcome: Outcome,
                   answer: Message | None) -> None:  # fmt: skip
+        took = now() - began_at
         xchg.out -= 1
         xchg.ran |= outcome not in NEVER_RAN
         load = load_of(answer.get(b"server-load")) if answer is not None else None
         over = not xchg.open or xchg.stream is not None or outcome == Outcome.COMPLETED
+        if xchg.upload is not None and xchg.upload.whole:
+            took = min(took, now() - (xchg.deadline - xchg.upload.grace))  # not the time that the client took
         if xchg.open and xchg.stream is not None:
             xchg.client.end_stream(whole=outcome == Outcome.COMPLETED)
         elif xchg.open and over:
@@ -183,7 +224,6 @@
             xchg.client.answer(200, answer.end_to_end(KEPT_BACK) + own, answer.body)
         if over:
             self.close(xchg)
-        took = now() - began_at
         if not self.report(self.node.on_try_ended, xchg.id, number, outcome, took, over, load) and xchg.open:
             self.end_failed(xchg)
 
@@ -230,9 +270,12 @@
         number, began_at = len(xchg.calls), now()
         ended = partial(self.try_ended, xchg, number, began_at)
         xchg.out += 1
-        starts = partial(self.answer_begun, xchg, number) if xchg.streams else None
+        starts = partial(self.answer_begun, xchg, number)
         marks, told = self.links.head_for(backend, timeout) if self.links is not None else (b"", timeout)
-        call = self.upstream.call(backend, xchg.parts(told, marks), timeout, ended, starts)
+        if xchg.upload is not None:
+            told = min(told, xchg.upload.grace)  # which counts from its last byte there too
+        call = self.upstream.call(backend, xchg.parts(told, marks), timeout, ended, starts,
+                                  streams=xchg.streams, upload=xchg.upload)  # fmt: skip
         if call is None:
             self.loop.call_soon(ended, Outcome.NOT_SENT, None)
         xchg.calls.append(call)
--- a/basalthoist/net/framing.py
+++ b/basalthoist/net/framing.py
@@ -47,39 +47,39 @@
 
 
 class Reader:
-    """Fed with what a connection reads, `next()` gives message after message, or None until more has come."""
+    """Fed with what a connection reads, `next()` gives message after message, or None until more has come.
 
-    def __init__(self, answers: bool, head_bytes: int, body_bytes: int) -> None:
+    Bodies over `body_bytes` are not kept: `on_long` is told of the message and of its length, where that is
+    known, and what it returns gets the body's parts. `next()` then gives the message, bodiless, once it has ended.
+    """
+
+    def __init__(self, answers: bool, head_bytes: int, body_bytes: int, long_bytes: int = 0) -> None:
         self.answers, self.head_bytes, self.body_bytes = answers, head_bytes, body_bytes
+        self.long_bytes = max(long_bytes, body_bytes)  # over which a body is refused
         self.pending, self.came_at = b"", 0
-        # Told of the head of an answer and its length; what it returns gets the body's parts.
+        # As `on_long`, but told of every answer, as soon as its head has come.
         self.on_head = None
+        self.on_long = None
         self.restart()
 
     def restart(self) -> None:
         self.message: Message | None = None
         self.searched, self.need, self.have = 0, 0, 0
         self.body: memoryview | bytearray | None = None  # a slice while it came in one read, then a copy
-        self.parser, self.whole, self.followed, self.in_body = None, False, False, False
+        self.parser, self.whole, self.in_body, self.tail = None, False, False, b""
         self.until_end, self.wants_continue, self.sink = False, False, None
 
     # Called by httptools.
 
-    def on_message_begin(self) -> None:
-        if self.whole:  # bytes behind a chunked message, whose end inside what was read is not told
-            self.followed = True
-
     def on_url(self, url: bytes) -> None:
-        if not self.followed:
-            self.message.target += url
+        self.message.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.followed and not self.in_body:
+        if not self.in_body:
             self.message.headers.append((name.lower(), value))
 
     def on_body(self, data: bytes) -> None:
-        if not self.followed:
-            self.gather(data)
+        self.gather(data)
 
     def on_message_complete(self) -> None:
         self.whole = True
@@ -143,15 +143,28 @@
             self.message.method = parser.get_method()
         self.whole, self.in_body = False, True
         self.set_framing(parser)
-        if self.on_head is not None and self.message.status >= 200:
-            unknown = self.until_end or self.parser is not None
-            self.sink = self.on_head(self.message, None if unknown else self.need)
-        if self.need > self.body_bytes and self.sink is None:
+        if self.need > self.long_bytes:
             raise BadMessage(413, "body too large")
+        if self.on_head is not None and self.message.status >= 200:
+            self.sink = self.on_head(self.message, self.length())
+        # The first bytes of a long answer are waited for; a long request is held until it is in earnest.
+        if self.need > self.body_bytes and self.answers and self.sink is None:
+            self.pass_on()
         if rest:
             self.add(rest)
         return True
 
+    def length(self) -> int | None:
+        return None if self.until_end or self.parser is not None else self.need
+
+    def pass_on(self) -> None:
+        self.sink = self.on_long and self.on_long(self.message, self.length())
+        if self.sink is None:
+            raise BadMessage(413, "body too large")
+        if self.body is not None:
+            held, self.body = self.body, None
+            self.sink(held)
+
     def set_framing(self, parser) -> None:
         lengths = [v for k, v in self.message.headers if k == b"content-length"]
         codings = b",".join(v for k, v in self.message.headers if k == b"transfer-encoding").lower()
@@ -161,9 +174,12 @@
                 raise BadMessage(400, "unclear framing")
             self.parser = parser
         elif lengths:
-            if len(lengths) > 1 or not lengths[0].isdigit():
+            # The same length said again is a form that occurs; two lengths are two messages for somebody.
+            said = {length.strip() for value in lengths for length in value.split(b",")}
+            length = said.pop()
+            if said or not length.isdigit() or len(length) > 18:
                 raise BadMessage(400, "bad Content-Length")
-            self.need = int(lengths[0])
+            self.need = int(length)
         elif self.answers and self.message.status not in (204, 304) and self.message.status >= 200:
             # Guards against a head that lost its length: the answer would be waited for until its deadline.
             closes = b"close" in (self.message.get(b"connection") or b"").lower()
@@ -175,14 +191,7 @@
 
     def add(self, data: bytes | memoryview) -> None:
         if self.parser is not None:
-            try:
-                self.parser.feed_data(data)
-            except httptools.HttpParserUpgrade:
-                pass
-            except httptools.HttpParserError as wrong:
-                raise BadMessage(400, f"bad chunk: {wrong}") from None
-            if self.followed:
-                self.message.keep_alive = False
+            self.add_chunked(bytes(data))
         elif self.until_end:
             self.gather(data)
         else:
@@ -191,8 +200,25 @@
                 self.gather(memoryview(data)[:wanted])
             if len(data) > wanted:
                 self.pending += bytes(memoryview(data)[wanted:])
-        if self.have > self.body_bytes and self.sink is None:
+        if self.have > self.long_bytes:
             raise BadMessage(413, "body too large")
+        if self.have > self.body_bytes and self.sink is None:
+            self.pass_on()
+
+    def add_chunked(self, data: bytes) -> None:
+        # The parser does not say where in what it was fed a message ends, but each ends with an empty line.
+        while data and not self.whole:
+            end = (self.tail + data).find(b"\r\n\r\n")
+            cut = len(data) if end < 0 else end + 4 - len(self.tail)
+            part, data = data[:cut], data[cut:]
+            self.tail = b"" if end >= 0 else (self.tail + part)[-3:]
+            try:
+                self.parser.feed_data(part)
+            except httptools.HttpParserUpgrade:
+                pass
+            except httptools.HttpParserError as wrong:
+                raise BadMessage(400, f"bad chunk: {wrong}") from None
+        self.pending += data
 
     def gather(self, data: bytes | memoryview) -> None:
         self.have += len(data)
--- a/basalthoist/net/upstream.py
+++ b/basalthoist/net/upstream.py
@@ -16,6 +16,7 @@
 from .log import Log
 from .members import family_of
 from .timers import SECOND, Timers, now
+from .uploads import Upload
 
 NO_MORE_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
@@ -54,13 +55,15 @@
 class Call:
     """One request on its way to a backend. `done` is told once how it ended, never from within `submit`."""
 
-    __slots__ = ("pool", "parts", "done", "starts", "tells", "connection", "timer", "over", "began_at")
+    __slots__ = "pool parts done starts streams tells upload connection timer over began_at".split()
 
     def __init__(self, pool: "Pool", parts: list[bytes], done: Done, starts: Starts | None = None,
-                 tells: bool = False) -> None:  # fmt: skip
+                 tells=False, streams=False, upload: Upload | None = None) -> None:  # fmt: skip
         self.pool, self.parts, self.done = pool, parts, done
         self.tells = tells  # a probe: nobody is served with its answer, and it may be lost
-        self.starts = starts  # for an answer that is passed on as it comes
+        self.starts = starts  # for an answer that is passed on as it comes,
+        self.streams = streams  # long or not
+        self.upload = upload  # a body that is passed on as it comes
         self.connection: Connection | None = None
         self.timer, self.over, self.began_at = None, False, now()
 
@@ -80,6 +83,8 @@
             self.timer.stop()
         if self.connection is not None:
             self.connection.call = None
+        if self.upload is not None:
+            self.upload.detach()
 
     def give_up(self, outcome: Outcome) -> None:
         """Ends its sending at once, so that no later try is a second copy of one still out."""
@@ -97,10 +102,11 @@
     def __init__(self, pool: "Pool", sock: socket.socket) -> None:
         self.pool, self.sock = pool, sock
         limits = pool.upstream.limits
-        self.reader = Reader(True, limits.head_bytes, limits.body_bytes)
+        self.reader = Reader(True, limits.head_bytes, limits.body_bytes, limits.long_bytes)
         self.transport: asyncio.Transport | None = None
         self.call: Call | None = None
-        self.reader.on_head, self.held_back = self.answer_begun, False
+        self.reader.on_head, self.reader.on_long = self.answer_begun, self.long_answer_begun
+        self.held_back = False
         self.writing, self.cutting, self.idle_since, self.heard_at = False, False, now(), now()
 
     # Called by the event loop.
@@ -112,9 +118,15 @@
 
     def pause_writing(self) -> None:
         self.writing = True
+        self.hold_upload(True)
 
     def resume_writing(self) -> None:
         self.writing = False
+        self.hold_upload(False)
+
+    def hold_upload(self, held: bool) -> None:
+        if self.call is not None and self.call.upload is not None:
+            self.call.upload.hold_back(held)
 
     def data_received(self, data: bytes) -> None:
         if self.cutting:
@@ -132,6 +144,9 @@
             self.answered(answer)
 
     def answer_begun(self, answer: Message, length: int | None) -> Sink | None:
+        return self.long_answer_begun(answer, length) if self.call is not None and self.call.streams else None
+
+    def long_answer_begun(self, answer: Message, length: int | None) -> Sink | None:
         call = self.call
         if call is None or call.starts is None or answer.status != 200:
             return None
@@ -146,10 +161,19 @@
     def connection_lost(self, wrong: Exception | None) -> None:
         self.pool.lost(self)
         if self.call is not None:
-            self.call.finish(Outcome.CONNECT_FAILED if self.writing else Outcome.RESET)
+            self.call.finish(Outcome.CONNECT_FAILED if self.unwritten() else Outcome.RESET)
 
     # Called by the pool and its calls.
 
+    def unwritten(self) -> bool:
+        """Whether bytes of the request are still here, so that it cannot have run."""
+        return self.writing or self.call.upload is not None and not self.call.upload.whole
+
+    def send_on(self, parts: list) -> None:
+        """More of the body. A connection that breaks says so itself."""
+        if not self.cutting and not self.transport.is_closing():
+            self.transport.writelines(parts)
+
     def hold_back(self, held: bool) -> None:
         """Whoever gets the answer's parts can take no more for now, or can again."""
         if not self.cutting and held != self.held_back:
@@ -170,15 +194,17 @@
         # Guards against a failing write that ends a decision half-way: some of it may be on its way.
         try:
             self.transport.writelines(call.parts)
+            if call.upload is not None:
+                call.upload.attach(self)
         except Exception as wrong:
             self.pool.upstream.log(f"not written to {self.pool.name}: {wrong!r}")
             self.cut()
             call.finish_soon(Outcome.RESET)
 
     def answered(self, answer: Message) -> None:
-        call = self.call
+        call, unwritten = self.call, self.unwritten()
         call.release()
-        if answer.keep_alive and self.reader.idle() and not self.writing:
+        if answer.keep_alive and self.reader.idle() and not unwritten:
             self.pool.freed(self)
         else:
             self.cut()
@@ -357,12 +383,12 @@
         pool.drop_idle(now())
 
     def call(self, name: str, parts: list[bytes], timeout: int, done: Done, starts=None,
-             tells=False) -> Call | None:  # fmt: skip
+             tells=False, streams=False, upload=None) -> Call | None:  # fmt: skip
         """Starts a call that ends within `timeout` tenths; None where the backend is not known."""
         pool = self.pools.get(name)
         if pool is None:
             return None
-        call = Call(pool, parts, done, starts, tells)
+        call = Call(pool, parts, done, starts, tells, streams, upload)
         call.timer = self.timers.after(timeout, lambda: call.give_up(Outcome.TIMED_OUT))
         pool.submit(call)
         return call
