--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -133,13 +133,13 @@
     def __init__(self, host: Host, seed: int, settings: dict, now: int) -> None:
         self.host, self.settings, self.chance, get = host, settings, Lcg(seed), settings.get
         self.nodes, self.location = max(get("nodes", 1), 1), get("location", 0)
-        self.me = get("me", 0) % self.nodes
         self.others_from = len(get("locations")) if isinstance(get("locations"), list) else inf  # other sites
         self.routes = [Route(settings, i) for i in range(get("routes.count", 1))]
         quotas = [get(f"customers.{i}.quota_per_s", 0.0) for i in range(get("customers.count", 0))]
         self.customers = [Customer(quota, quota / self.nodes) for quota in quotas]
         self.banned, self.top_value = set(), max(r.value for r in self.routes)
         self.objective, self.crossing = min(r.objective for r in self.routes), get("prices.cross_zone", 0.0)
+        self.me, self.equal_time = get("me", 0) % self.nodes, float(self.objective)
         self.advice = get("policy_limits.max_retry_after", 0) // 2 if get("policy_limits.retry_after") else 0
         # Asking backends before a send pays where they report their load and a probe costs little.
         useful = get("policy_limits.probes", False) and "inflight" in get("feedback.fields", ())
@@ -154,7 +154,6 @@
         self.backends, self.exchanges, self.usable, self.held, self.due = {}, {}, [], [], []
         self.groups, self.fleet, self.users, self.total = [], 0, 1.0, 1.0  # groups: usable ones by location
         self.failing, self.mean_time, self.slot = 0.0, self.objective / 3.0, self.objective / 4.0
-        self.equal_time = float(self.objective)
         # usual: sends a second to a warm backend; welcome: the part of the surplus that is let in
         self.demand, self.arrivals, self.usual, self.sends, self.welcome = 0.0, 0, 0.0, 0, 1.0
         self.sheds, self.all_sheds, self.shedding, self.list_failures, self.ask_again = 0, 0, False, 0, 0
@@ -223,8 +222,7 @@
 
     def on_exchange(self, now: int, ident: int, route_no, customer_no, grace, again: bool, spilled=False):
         route, self.welcome = self.routes[route_no], min(self.welcome + 0.002, 1.0)
-        aim_at = now + route.objective
-        self.arrivals += not again
+        aim_at, self.arrivals = now + route.objective, self.arrivals + (not again)
         if not self.demand and len(self.usable) < self.fleet:  # or it crowds a quiet node's few
             self.choose(now)
         route.usual_grace = max(route.usual_grace, 0 if again else min(grace, route.timeout))
@@ -285,13 +283,15 @@
             xchg.streaming, took = True, now - xchg.tries[try_no].sent_at
             self.on_try_ended(now, ident, try_no, Outcome.COMPLETED, took, False, None)
 
-    def on_body_passed(self, now: int, ident: int, grace: int) -> None:
-        """A body too long to be kept goes out; then, with a grace, it is whole and its time counts."""
-        if (xchg := self.exchanges.get(ident)) is not None:
-            xchg.spent = True
-        if xchg is not None and grace:
-            xchg.deadline, xchg.aim_at, xchg.tries[-1].sent_at = now + grace, now + xchg.route.objective, now
-            self.at(xchg.deadline - self.settings.get("tick", 10), self.give_up, xchg)
+    def on_body_passed(self, now: int, ident: int, grace: int, whole: bool) -> None:
+        """A body too long to be kept goes out, or now is whole: only then it can run, and its time counts."""
+        if (xchg := self.exchanges.get(ident)) is None or not xchg.tries:
+            return
+        xchg.spent, last = True, xchg.tries[-1]
+        xchg.deadline, xchg.aim_at, last.sent_at = now + grace, now + xchg.route.objective, now
+        others = [t for t in last.backend.out if t is not last]
+        last.backend.out = others + [last] * (whole and last.outcome is None)
+        self.at(xchg.deadline - self.settings.get("tick", 10), self.give_up, xchg)
 
     def on_told(self, now: int, peer: int, words: list[tuple[Word, int, int]]) -> None:
         """Hearsay: it moves turns and pauses, never a profile, and one peer alone puts nothing out."""
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -127,19 +127,19 @@
         return xchg
 
     def follow(self, xchg: Exchange, upload: Upload, timeout_ms: int) -> None:
-        """Its time counts from its body's last byte; until then a client that is just fast enough has time."""
+        """Its time counts from its body's last byte; until then a client that is fast enough has time."""
         xchg.upload, grace = upload, timeout_ms * 10 - self.transit
         to_come = (upload.length or self.limits.long_bytes) - len(upload.held)
         xchg.deadline += int(to_come / self.limits.client_bytes_per_s * SECOND) + SECOND
         upload.grace = max(grace, 1)
 
-        def tell(left: int) -> None:
+        def tell() -> None:
             if xchg.open:
-                self.report(self.node.on_body_passed, xchg.id, left)
+                self.report(self.node.on_body_passed, xchg.id, max(xchg.deadline - now(), 1), upload.whole)
 
         def begun() -> None:
             # Not at once: it is begun from within the decision that sends it.
-            self.loop.call_soon(tell, max(xchg.deadline - now(), 1) if upload.whole else 0)
+            self.loop.call_soon(tell)
 
         def ended() -> None:
             xchg.deadline = now() + upload.grace
@@ -147,7 +147,7 @@
                 xchg.timer.stop()
                 xchg.timer = self.timers.after(upload.grace + OVERDUE, partial(self.overdue, xchg))
             if upload.spent:
-                self.loop.call_soon(tell, upload.grace)
+                self.loop.call_soon(tell)
 
         upload.begun, upload.ended = begun, ended
 
@@ -274,8 +274,10 @@
         marks, told = self.links.head_for(backend, timeout) if self.links is not None else (b"", timeout)
         if xchg.upload is not None:
             told = min(told, xchg.upload.grace)  # which counts from its last byte there too
-        call = self.upstream.call(backend, xchg.parts(told, marks), timeout, ended, starts,
-                                  streams=xchg.streams, upload=xchg.upload)  # fmt: skip
+        call = None
+        if xchg.upload is None or not xchg.upload.spent:  # else it is gone and cannot be sent
+            call = self.upstream.call(backend, xchg.parts(told, marks), timeout, ended, starts,
+                                      streams=xchg.streams, upload=xchg.upload)  # fmt: skip
         if call is None:
             self.loop.call_soon(ended, Outcome.NOT_SENT, None)
         xchg.calls.append(call)
--- a/basalthoist/net/framing.py
+++ b/basalthoist/net/framing.py
@@ -49,8 +49,8 @@
 class Reader:
     """Fed with what a connection reads, `next()` gives message after message, or None until more has come.
 
-    Bodies over `body_bytes` are not kept: `on_long` is told of the message and of its length, where that is
-    known, and what it returns gets the body's parts. `next()` then gives the message, bodiless, once it has ended.
+    Bodies over `body_bytes` are not kept: `on_long` is told of the message and of its length, where it
+    is known, and what it returns gets the body's parts. `next()` gives the message at its end, with no body.
     """
 
     def __init__(self, answers: bool, head_bytes: int, body_bytes: int, long_bytes: int = 0) -> None:
@@ -76,7 +76,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.in_body:
-            self.message.headers.append((name.lower(), value))
+            self.message.headers.append((name.lower(), value.strip(b" \t")))  # the parser leaves space behind
 
     def on_body(self, data: bytes) -> None:
         self.gather(data)
@@ -158,6 +158,7 @@
         return None if self.until_end or self.parser is not None else self.need
 
     def pass_on(self) -> None:
+        self.message.came_at = self.came_at
         self.sink = self.on_long and self.on_long(self.message, self.length())
         if self.sink is None:
             raise BadMessage(413, "body too large")
