A backend heard of as idle gets an exchange whatever it is foretold: no starving after a slow start

Logged each shed: the first answers of a start were slow, slot 118 ms, so every idle backend was foretold over the bound, nothing was sent, and nothing new was learned but by fading. Ruled out: descriptors, quotas (surplus=False), the list.

--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -581,8 +581,8 @@
             if time > strain and not self.hears and (backend.out or backend.reported):
                 continue
             near = 1.5 * self.slot if self.hears else max(self.equal_time - cost, 1.5 * self.slot)
-            # Guards against shedding while some are idle: the time held counts queues of others' work.
-            fits = self.ahead(backend, now) < 0.1 if self.telling else time <= bound
+            # Guards against shedding while some are heard of as idle: first slow answers would stay the last.
+            fits = self.hears and self.ahead(backend, now) < 0.1 or not self.telling and time <= bound
             if fits and time + cost * self.hears <= near:
                 best = backend
                 break
