--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -569,11 +569,11 @@
         bound = share * left if left > 0 else 0.3 * xchg.route.objective
         most = max(2.0, 2.0 * sum(len(b.out) for b in fit) / len(fit)) if fit else 0.0
         asking, heard = self.asks and not xchg.settled, self.asks and now - self.heard_at < SECOND
-        stale = 20 if asking else self.slot / 2 if heard else inf  # or crowded ones heard of as idle fill
-        best, best_time = None, inf
+        old = 20 if asking else self.slot / 2 if heard else inf  # or crowded ones heard of as idle fill
+        best, best_time, answered = None, inf, max((b.last_answer for b in fit), default=now)
+        lull = self.telling or self.asks and now - answered > self.objective
         for backend in fit:
-            here = backend.location < self.others_from
-            if len(backend.out) > most or now - backend.held_at > stale and here:
+            if len(backend.out) > most or now - backend.held_at > old and backend.location < self.others_from:
                 continue
             time, cost = self.expected(backend, now), backend.cost
             # Guards against crowding a backend until it turns slower: a few times its idle time is enough.
@@ -581,8 +581,8 @@
             if time > strain and not self.hears and (backend.out or backend.reported):
                 continue
             near = 1.5 * self.slot if self.hears else max(self.equal_time - cost, 1.5 * self.slot)
-            # Guards against shedding while some are heard of as idle: first slow answers would stay the last.
-            fits = self.hears and self.ahead(backend, now) < 0.1 or not self.telling and time <= bound
+            # Guards against shedding while some are heard of as idle: slow first answers would be the last.
+            fits = lull and self.ahead(backend, now) < 0.1 or not self.telling and time <= bound
             if fits and time + cost * self.hears <= near:
                 best = backend
                 break
--- a/basalthoist/net/framing.py
+++ b/basalthoist/net/framing.py
@@ -175,12 +175,9 @@
                 raise BadMessage(400, "unclear framing")
             self.parser = parser
         elif lengths:
-            # The same length said again is a form that occurs; two lengths are two messages for somebody.
-            said = {length.strip() for value in lengths for length in value.split(b",")}
-            length = said.pop()
-            if said or not length.isdigit() or len(length) > 18:
+            if len(lengths) > 1 or not lengths[0].isdigit():
                 raise BadMessage(400, "bad Content-Length")
-            self.need = int(length)
+            self.need = int(lengths[0])
         elif self.answers and self.message.status not in (204, 304) and self.message.status >= 200:
             # Guards against a head that lost its length: the answer would be waited for until its deadline.
             closes = b"close" in (self.message.get(b"connection") or b"").lower()
