--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -575,14 +575,14 @@
         for backend in fit:
             if len(backend.out) > most or now - backend.held_at > old and backend.location < self.others_from:
                 continue
-            time, cost = self.expected(backend, now), backend.cost
+            time, cost, idle = self.expected(backend, now), backend.cost, self.ahead(backend, now) < 0.1
             # Guards against crowding a backend until it turns slower: a few times its idle time is enough.
             strain = max((STRAIN if backend.reported else CROWD) * backend.line[0][1], 0.2 * self.objective)
             if time > strain and not self.hears and (backend.out or backend.reported):
                 continue
             near = 1.5 * self.slot if self.hears else max(self.equal_time - cost, 1.5 * self.slot)
             # Guards against shedding while some are heard of as idle: slow first answers would be the last.
-            fits = lull and self.ahead(backend, now) < 0.1 or not self.telling and time <= bound
+            fits = idle and (lull or self.asks and backend.slots < 1.5) or not self.telling and time <= bound
             if fits and time + cost * self.hears <= near:
                 best = backend
                 break
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -430,11 +430,19 @@
     assert (made.backends["a"].slot_time, made.backends["a"].count) == (200, 1)
 
 
-def test_an_idle_backend_is_used_though_its_first_answers_were_slow():
+@pytest.mark.parametrize(
+    ("slots", "answered", "used"),
+    [
+        (8.0, NOW - SECOND, True),  # nobody has answered for a second
+        (8.0, NOW, False),  # it is known to be slow
+        (1.0, NOW, True),  # its first answer was slow, as first ones are
+    ],
+)
+def test_an_idle_backend_is_used_though_its_first_answers_were_slow(slots, answered, used):
     settings = {"policy_limits__probes": True, "feedback__fields": ["inflight"], "prices__probe": 0.001}
     made, host = node([listed("a")], **settings)
     backend = made.backends["a"]
-    backend.slot_time, backend.slots = 80_000.0, 8.0  # ten thousand tenths each, over the objective of 3000
+    backend.slot_time, backend.slots = slots * 20_000.0, slots  # two seconds each, over the objective of 3000
     made.solve(NOW)
-    backend.held, backend.held_at, backend.last_answer = 0.0, NOW, NOW - SECOND
-    assert sent(made, host) == ["a"]
+    backend.held, backend.held_at, backend.last_answer = 0.0, NOW, answered
+    assert sent(made, host) == ["a"] * used
