--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -210,10 +210,7 @@
 
     def try_ended(self, xchg: Exchange, number: int, began_at: int, outcome: Outcome,
                   answer: Message | None) -> None:  # fmt: skip
-        call = xchg.calls[number]
-        # Its first byte tells of the backend; what comes after tells of the way, as of a slow peer.
-        ended_at = call.first_at if call is not None and outcome == Outcome.COMPLETED else 0
-        took = (ended_at or now()) - began_at
+        took = now() - began_at
         xchg.out -= 1
         xchg.ran |= outcome not in NEVER_RAN
         load = load_of(answer.get(b"server-load")) if answer is not None else None
--- a/basalthoist/net/upstream.py
+++ b/basalthoist/net/upstream.py
@@ -55,7 +55,7 @@
 class Call:
     """One request on its way to a backend. `done` is told once how it ended, never from within `submit`."""
 
-    __slots__ = "pool parts done starts streams tells upload connection timer over began_at first_at".split()
+    __slots__ = "pool parts done starts streams tells upload connection timer over began_at".split()
 
     def __init__(self, pool: "Pool", parts: list[bytes], done: Done, starts: Starts | None = None,
                  tells=False, streams=False, upload: Upload | None = None) -> None:  # fmt: skip
@@ -66,7 +66,6 @@
         self.upload = upload  # a body that is passed on as it comes
         self.connection: Connection | None = None
         self.timer, self.over, self.began_at = None, False, now()
-        self.first_at = 0  # when the first of its answer came
 
     def finish(self, outcome: Outcome) -> None:
         if not self.over:
@@ -135,7 +134,6 @@
         self.pool.heard_at = self.heard_at = now()
         if self.call is None:
             return self.cut()  # an answer that nothing was asked for
-        self.call.first_at = self.call.first_at or self.heard_at
         try:
             self.reader.feed(data, now())
             answer = self.reader.next()
