--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -4,6 +4,7 @@
 import errno
 import socket
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 from basalthoist.configuration import Configuration, ConfigurationError, load
 
@@ -35,6 +36,7 @@
         self.discovery = Discovery(configuration, loop, self.timers, self.exchanges, self.upstream, self.log)
         self.exchanges.ask_discovery = self.discovery.ask
         self.maintenance, self.admin, self.succession = None, None, None
+        self.peers_wait, self.joining = False, None
         self.first_ready: asyncio.Future = loop.create_future()
         if configuration.admin is not None:
             self.open_admin(configuration)
@@ -96,10 +98,13 @@
         followed, given = False, None
         if self.succession is not None:
             followed, given = await self.succession.ask()
+            # The process before this one holds the address that peers speak to.
+            self.peers_wait = followed and self.succession.predecessor is not None
         self.discovery.on_first = self.get_ready
         self.discovery.start(self.configuration.known)
         self.timers.after(int(self.limits.first_list_s * SECOND), self.get_ready)
-        await self.join_peers()
+        if not self.peers_wait:
+            await self.join_peers()
         if followed:
             await self.first_ready  # until then the process before this one takes the clients
         listener = await self.patient(lambda: self.listener(given))
@@ -130,8 +135,10 @@
             return
         own = told.peer_listen
         peers = Peers(told.peers, own, self.exchanges.on_told, self.timers, self.log)
+        opens = partial(self.loop.create_datagram_endpoint, lambda: peers, local_addr=own)
         try:
-            await self.loop.create_datagram_endpoint(lambda: peers, local_addr=own)
+            # Where it has followed another process, that one may hold the address for a moment more.
+            await (self.patient(opens) if self.joining is not None else opens())
             self.exchanges.tell_peers = peers.tell
         except OSError as wrong:
             # Guards against a node that does not serve because it cannot gossip.
@@ -143,6 +150,9 @@
     def share(self) -> None:
         """Another process of this node has come, has got ready or has gone: both have one machine's room."""
         self.descriptors.share(1 + self.succession.others())
+        if self.succession.predecessor is None and self.peers_wait:
+            self.peers_wait = False
+            self.joining = self.loop.create_task(self.join_peers())
         if self.door.leaving and self.door.listener is not None:
             (self.door.listener.pause if self.succession.succeeded() else self.door.listener.resume)()
 
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -12,6 +12,8 @@
 from helpers import Program, own_address, read_message, reply, request, silent, wait_for
 from test_operations import call
 
+from basalthoist.net.members import address_of
+
 QUICK = {"linger_s": 0.2, "succession_s": 0.5}
 
 
@@ -291,3 +293,31 @@
         for _ in range(150):
             stack.enter_context(program.connect())
         wait_for(lambda: len(os.listdir(f"/proc/{after.process.pid}/fd")) > held[1])
+
+
+def test_the_next_process_speaks_to_peers_once_the_address_is_free(upgraded):
+    own, other = own_address(), own_address()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+        peer.bind(address_of(other))
+        peer.settimeout(5)
+        limits = {"connect_timeout": 200000, "keepalive": 10000000, "max_upstream_tries": 3, "peers": True}
+        more = {"siblings": 2, "policy_limits": limits}
+        program, _, follow = upgraded(reply(), peer_listen=own, peers=[own, other], settings_more=more)
+        program.ask(request())
+        assert peer.recv(300)
+        after = follow()
+        program.process.terminate()
+        assert program.process.wait(5) == 0
+        wait_for(lambda: "before this one has ended" in after.log())
+
+        def told():
+            after.ask(request())
+            with contextlib.suppress(TimeoutError):
+                return peer.recvfrom(300)[1] == address_of(own)
+
+        peer.settimeout(0.2)
+        with contextlib.suppress(TimeoutError):
+            while peer.recv(300):  # what the old one has said
+                pass
+        wait_for(told)
+        assert "no talk with peers" not in after.log()
