--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -1,5 +1,4 @@
-"""Every decision. One `Node(host, seed, settings, now)` a process start, then its `on_...` method for each
-thing that happens. It calls its host, see host.py. `settings`: {"routes.0.value": 3.0, ...}."""
+"""Every decision. One `Node(host, seed, settings, now)` a start, `on_...` for each thing that happens."""
 
 from bisect import insort
 from collections import Counter, defaultdict
@@ -95,7 +94,7 @@
     def __init__(self, settings: dict, number: int) -> None:
         def get(name, default): return settings.get(f"routes.{number}.{name}", default)  # fmt: skip
 
-        self.semantics, self.group = get("semantics", "non-retriable"), get("group", "pod")
+        self.group, self.semantics, self.streams = get("group", "pod"), get("semantics", ""), get("streaming")
         self.value, self.late_value, self.usual_grace = get("value", 1.0), get("overdue_value", 0.0), 0
         self.window, self.timeout = get("dedup_window", 0), get("overall_timeout", 10 * SECOND)
         self.objective = get("latency_objective", 0) or int(0.8 * self.timeout)
@@ -129,7 +128,7 @@
         self.outcome, self.told = None, False  # None while it is out; told to peers
 
 
-class Node:
+class Node:  # calls its host, see host.py; settings: {"routes.0.value": 3.0, ...}
     def __init__(self, host: Host, seed: int, settings: dict, now: int) -> None:
         self.host, self.settings, self.chance, get = host, settings, Lcg(seed), settings.get
         self.nodes, self.location = max(get("nodes", 1), 1), get("location", 0)
@@ -169,10 +168,10 @@
         most, parallel = get("policy_limits.max_upstream_tries", 1), get("policy_limits.parallel_tries")
         if tries and (len(tries) >= most or not parallel and any(t.outcome is None for t in tries)):
             return False
-        ran, same = [t for t in tries if t.outcome not in NEVER_RAN], route.group
+        ran, by = [t for t in tries if t.outcome not in NEVER_RAN], route.group
         free = not ran or route.semantics == "retriable"
         known = not free and route.semantics == "deduped" and now + 10 < ran[0].sent_at + route.window
-        return free or known and (same == "all" or getattr(backend, same, 0) == getattr(ran[0].backend, same))
+        return free or known and (by == "all" or getattr(backend, by, 0) == getattr(ran[0].backend, by, 1))
 
     def may_shed(self, xchg: Exchange) -> bool:
         route = xchg.route
@@ -279,8 +278,9 @@
             self.finish(self.exchanges[ident])
 
     def on_answer_started(self, now: int, ident: int, try_no: int) -> None:
-        if (xchg := self.exchanges.get(ident)) is not None and try_no < len(xchg.tries):
+        if (xchg := self.exchanges.get(ident)) is not None:
             xchg.streaming, took = True, now - xchg.tries[try_no].sent_at
+        if xchg is not None and not xchg.route.streams:  # else the backend works on it to its end
             self.on_try_ended(now, ident, try_no, Outcome.COMPLETED, took, False, None)
 
     def on_body_passed(self, now: int, ident: int, grace: int, whole: bool) -> None:
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -422,6 +422,23 @@
     assert not made.exchanges and not host.take("send", "shed", "fail")
 
 
+def test_on_a_streaming_route_a_try_counts_to_its_end():
+    made, host = node([listed("a")], routes__0__streaming=True)
+    sent(made, host)
+    made.on_answer_started(NOW + 200, 1, 0)
+    backend = made.backends["a"]
+    assert len(backend.out) == 1 and not backend.slot_time
+    made.on_try_ended(NOW + 9_000, 1, 0, Outcome.COMPLETED, 9_000, True, None)
+    assert not backend.out and backend.slot_time == 9_000
+
+
+def test_a_group_that_backends_do_not_have_allows_no_other_backend():
+    made, host = node([listed("a"), listed("b")], semantics="deduped", routes__0__group="shelf")
+    sent(made, host)
+    made.on_try_ended(NOW + 20, 1, 0, Outcome.RESET, 20, False, None)
+    assert host.take("send", "shed", "fail") == [("fail", 1)]
+
+
 def test_a_long_answer_that_ends_well_is_measured_once():
     made, host = node([listed("a")])
     sent(made, host)
