--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -92,7 +92,7 @@
 
 class Route:
     def __init__(self, settings: dict, number: int) -> None:
-        def get(name, default): return settings.get(f"routes.{number}.{name}", default)  # fmt: skip
+        def get(name, default=0): return settings.get(f"routes.{number}.{name}", default)  # fmt: skip
 
         self.group, self.semantics, self.streams = get("group", "pod"), get("semantics", ""), get("streaming")
         self.value, self.late_value, self.usual_grace = get("value", 1.0), get("overdue_value", 0.0), 0
