--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -558,9 +558,9 @@
 
     def expected(self, backend: Backend, now: int) -> float:
         slot = (backend.slot_time + PRIOR * self.slot * backend.pace) / (backend.slots + PRIOR)
-        since = backend.out[0].sent_at if backend.out else now  # silent for longer than it takes, or not
-        silent = now - since if backend.last_answer < since else 0
-        return max(slot * (self.ahead(backend, now) + 1.0), slot + silent)
+        silent = backend.out and backend.last_answer < backend.out[0].sent_at
+        time = slot * (self.ahead(backend, now) + 1.0)
+        return max(time, slot + now - backend.out[0].sent_at) if silent else time
 
     def pick(self, now: int, xchg: Exchange) -> Backend | None:
         fit, left = self.turns(now, xchg), xchg.aim_at - now
@@ -570,19 +570,19 @@
         most = max(2.0, 2.0 * sum(len(b.out) for b in fit) / len(fit)) if fit else 0.0
         asking, heard = self.asks and not xchg.settled, self.asks and now - self.heard_at < SECOND
         old = 20 if asking else self.slot / 2 if heard else inf  # or crowded ones heard of as idle fill
-        best, best_time, answered = None, inf, max((b.last_answer for b in fit), default=now)
-        lull = self.telling or self.asks and now - answered > self.objective
+        best, best_time, asks = None, inf, self.asks
+        lull = self.telling or asks and fit and now - max(b.last_answer for b in fit) > self.objective
         for backend in fit:
             if len(backend.out) > most or now - backend.held_at > old and backend.location < self.others_from:
                 continue
-            time, cost, idle = self.expected(backend, now), backend.cost, self.ahead(backend, now) < 0.1
+            time, cost, new = self.expected(backend, now), backend.cost, lull or asks and backend.slots < 1.5
             # Guards against crowding a backend until it turns slower: a few times its idle time is enough.
             strain = max((STRAIN if backend.reported else CROWD) * backend.line[0][1], 0.2 * self.objective)
             if time > strain and not self.hears and (backend.out or backend.reported):
                 continue
             near = 1.5 * self.slot if self.hears else max(self.equal_time - cost, 1.5 * self.slot)
             # Guards against shedding while some are heard of as idle: slow first answers would be the last.
-            fits = idle and (lull or self.asks and backend.slots < 1.5) or not self.telling and time <= bound
+            fits = new and self.ahead(backend, now) < 0.1 or not self.telling and time <= bound
             if fits and time + cost * self.hears <= near:
                 best = backend
                 break
@@ -638,7 +638,7 @@
     def look_again(self, now: int, backend: Backend) -> None:  # or exchanges are spent on dead ones
         if now < backend.out_until:  # put off meanwhile
             self.at(backend.out_until, self.look_again, backend)
-        elif self.settings.get("policy_limits.probes") and backend.usable and not backend.probe_at:
+        elif self.settings.get("policy_limits.probes") and not (backend.probe_at or backend.name in self.banned):
             backend.out_until, backend.probe_at = now + AWAY_MOST, now
             self.host.probe(backend.name)
 
