--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -635,12 +635,12 @@
             backend.slot_time = backend.slot_time * 0.9 + (self.objective if full else elapsed)
             backend.slots, backend.count = backend.slots * 0.9 + 1.0, backend.count + 1
 
-    def look_again(self, now: int, backend: Backend) -> None:  # or exchanges are spent on dead ones
-        if now < backend.out_until:  # put off meanwhile
-            self.at(backend.out_until, self.look_again, backend)
-        elif self.settings.get("policy_limits.probes") and not (backend.probe_at or backend.name in self.banned):
-            backend.out_until, backend.probe_at = now + AWAY_MOST, now
-            self.host.probe(backend.name)
+    def look_again(self, now: int, sick: Backend) -> None:  # or exchanges are spent on dead ones
+        if now < sick.out_until:  # put off meanwhile
+            self.at(sick.out_until, self.look_again, sick)
+        elif self.settings.get("policy_limits.probes") and not (sick.probe_at or sick.name in self.banned):
+            sick.out_until, sick.probe_at = now + AWAY_MOST, now
+            self.host.probe(sick.name)
 
     def verdict(self, now: int, upstream: UpstreamTry, failed: bool, time: int) -> None:
         backend = upstream.backend
