--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -9,7 +9,7 @@
 
 from .descriptors import Descriptors, polled
 from .exchanges import Exchange, Exchanges
-from .framing import BadMessage, Message, Reader, head_of
+from .framing import LAST_CHUNK, BadMessage, Message, Reader, chunk_of, head_of
 from .log import Log
 from .members import family_of
 from .timers import SECOND, Timers, now
@@ -216,7 +216,11 @@
         """Whether this answer is its last: the node parts with its clients and no other request has come."""
         if not self.door.parting() or not self.reader.idle():
             return False
-        return not polled(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not self.more_came()
+
+    def more_came(self) -> bool:
+        """Whether bytes lie in the machine's buffer that have not been read here."""
+        return polled(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
 
     def head(self, status: int, headers) -> bytes:
         closing = b"" if self.keep else b"Connection: close\r\n"
@@ -253,7 +257,7 @@
         if self.ended or self.transport.is_closing():
             return
         if self.chunked:
-            self.transport.writelines([b"%x\r\n" % len(data), data, b"\r\n"])
+            self.transport.writelines(chunk_of(data))
         else:
             self.transport.write(data)
 
@@ -267,7 +271,7 @@
             self.transport.abort()
         elif not self.ended and not self.transport.is_closing():
             if self.chunked:
-                self.transport.write(b"0\r\n\r\n")
+                self.transport.write(LAST_CHUNK)
             self.transport.set_write_buffer_limits(high=0)
             self.after_answer()
 
@@ -294,7 +298,7 @@
             return False
         if self.transport.is_closing():
             return False
-        return not polled(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not self.more_came()
 
     def check_time(self, at: int) -> None:
         limits, waited = self.door.limits, at - self.since
--- a/basalthoist/net/framing.py
+++ b/basalthoist/net/framing.py
@@ -46,6 +46,13 @@
     return b"".join([first, b"\r\n", *(b"%b: %b\r\n" % header for header in headers)])
 
 
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def chunk_of(data) -> list:
+    return [b"%x\r\n" % len(data), data, b"\r\n"]
+
+
 class Reader:
     """Fed with what a connection reads, `next()` gives message after message, or None until more has come.
 
--- a/basalthoist/net/maintenance.py
+++ b/basalthoist/net/maintenance.py
@@ -62,8 +62,8 @@
         for name in self.banned - set(kept.banned):
             self.take(name, False)
 
-    def now_kept(self) -> Kept:
-        return Kept(sorted(self.banned), list(self.listed))
+    def kept(self, banned: set[str]) -> Kept:
+        return Kept(sorted(banned), list(self.listed))
 
     def keep(self, banned: set[str]) -> bool:
         """Whole or not at all: another file takes the old one's place."""
@@ -71,7 +71,7 @@
             return True
         beside = self.path.with_suffix(f".{os.getpid()}")
         try:
-            beside.write_bytes(msgspec.json.encode(Kept(sorted(banned), list(self.listed))))
+            beside.write_bytes(msgspec.json.encode(self.kept(banned)))
             os.replace(beside, self.path)
             return True
         except OSError as wrong:
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -128,7 +128,7 @@
             self.log(self.exchanges.shadow.line())
         self.log("all answered")
 
-    async def join_peers(self) -> None:
+    async def join_peers(self, patiently: bool = False) -> None:
         """Where the settings allow talk among nodes and the file names the addresses for it."""
         told = self.configuration
         if not told.told.policy_limits.peers or told.peer_listen is None or not told.peers:
@@ -137,8 +137,7 @@
         peers = Peers(told.peers, own, self.exchanges.on_told, self.timers, self.log)
         opens = partial(self.loop.create_datagram_endpoint, lambda: peers, local_addr=own)
         try:
-            # Where it has followed another process, that one may hold the address for a moment more.
-            await (self.patient(opens) if self.joining is not None else opens())
+            await (self.patient(opens) if patiently else opens())
             self.exchanges.tell_peers = peers.tell
         except OSError as wrong:
             # Guards against a node that does not serve because it cannot gossip.
@@ -152,7 +151,8 @@
         self.descriptors.share(1 + self.succession.others())
         if self.succession.predecessor is None and self.peers_wait:
             self.peers_wait = False
-            self.joining = self.loop.create_task(self.join_peers())
+            # It may hold their address for a moment more. The task is kept or it could be collected.
+            self.joining = self.loop.create_task(self.join_peers(patiently=True))
         if self.door.leaving and self.door.listener is not None:
             (self.door.listener.pause if self.succession.succeeded() else self.door.listener.resume)()
 
--- a/basalthoist/net/succession.py
+++ b/basalthoist/net/succession.py
@@ -8,7 +8,6 @@
 import os
 import socket
 import struct
-import time
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
@@ -100,7 +99,6 @@
         self.successors: list[Link] = []
         self.listening: socket.socket | None = None  # what a successor is given
         self.door: socket.socket | None = None
-        self.began = time.monotonic()
         self.answer: asyncio.Future | None = None
         self.changed: Callable[[], None] = lambda: None
         maintenance.spread = self.spread
@@ -211,7 +209,7 @@
         self.log(f"process {link.pid} is to follow")
         self.successors.append(link)
         given = [self.listening.fileno()] if self.listening is not None else []
-        link.say(Said(kept=self.maintenance.now_kept()), *given)
+        link.say(Said(kept=self.maintenance.kept(self.maintenance.banned)), *given)
         self.changed()
 
     # Between both.
--- a/basalthoist/net/uploads.py
+++ b/basalthoist/net/uploads.py
@@ -1,5 +1,7 @@
 """Bodies too long to be kept: they go on to a backend as they are read from the client."""
 
+from .framing import LAST_CHUNK, chunk_of
+
 
 class Upload:
     """Between a client's connection and the one try that its body goes out with.
@@ -29,11 +31,11 @@
         self.ended()
 
     def framed(self, data) -> list:
-        return [data] if self.length is not None else [b"%x\r\n" % len(data), data, b"\r\n"]
+        return [data] if self.length is not None else chunk_of(data)
 
     def finish(self) -> None:
         if self.length is None:
-            self.connection.send_on([b"0\r\n\r\n"])
+            self.connection.send_on([LAST_CHUNK])
 
     def attach(self, connection) -> None:
         """The try's head has been written there: what waits here follows it."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -286,3 +286,12 @@
         assert time.monotonic() < end, "waited in vain"
         time.sleep(0.005)
     return found
+
+
+def call(address, line, ending=b"\n"):
+    """An operator's call; without an ending it is ended by a half-close."""
+    with socket.create_connection(address_of(address), timeout=10) as sock, sock.makefile("rb") as source:
+        sock.sendall((line.encode() if isinstance(line, str) else line) + ending)
+        if not ending:
+            sock.shutdown(socket.SHUT_WR)
+        return source.read().decode()
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -6,21 +6,25 @@
 import time
 
 import pytest
-from helpers import NOW, SECOND, listed, node, own_address, read_message, reply, request, silent, wait_for
+from helpers import (
+    NOW,
+    SECOND,
+    call,
+    listed,
+    node,
+    own_address,
+    read_message,
+    reply,
+    request,
+    silent,
+    wait_for,
+)
 
 from basalthoist.decisions.host import Outcome
 from basalthoist.net.maintenance import MOST_NAMES, Kept, Maintenance
 from basalthoist.net.members import address_of
 
 
-def call(address, line, ending=b"\n"):
-    with socket.create_connection(address_of(address), timeout=10) as sock, sock.makefile("rb") as source:
-        sock.sendall((line.encode() if isinstance(line, str) else line) + ending)
-        if not ending:
-            sock.shutdown(socket.SHUT_WR)
-        return source.read().decode()
-
-
 @pytest.fixture
 def operated(start, tmp_path):
     """The program with an operators' door, and how to call there."""
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -9,8 +9,7 @@
 import time
 
 import pytest
-from helpers import Program, own_address, read_message, reply, request, silent, wait_for
-from test_operations import call
+from helpers import Program, call, own_address, read_message, reply, request, silent, wait_for
 
 from basalthoist.net.members import address_of
 
