--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -214,7 +214,7 @@
 
     def parts(self) -> bool:
         """Whether this answer is its last: the node parts with its clients and no other request has come."""
-        if not self.door.parting() or not self.reader.idle():
+        if not self.door.parting or not self.reader.idle():
             return False
         return not self.more_came()
 
@@ -356,7 +356,8 @@
         self.fresh = int(self.limits.client_fresh_s * SECOND)
         self.longest = int(configuration.longest_s * SECOND)
         self.ready, self.leaving, self.lingered = False, False, False
-        self.standby, self.parts_from = False, 0  # from when on idle clients are let go, where it parts
+        # While it parts, for a while or at the end, each answer closes its connection and idle ones go.
+        self.parting, self.parts_from = False, 0
         self.drained: asyncio.Future = loop.create_future()
         descriptors.makers_of_room.append(self.close_idlest)
         timers.every(SWEEP, self.sweep)
@@ -426,10 +427,14 @@
         at = now()
         for client in list(self.clients):
             client.check_time(at)
-        if self.parting() and at >= self.parts_from:
-            for client in list(self.clients):
-                if at - client.since > self.fresh and client.idle():
-                    client.close()
+        if self.parting and at >= self.parts_from:
+            self.close_idle(self.fresh)
+
+    def close_idle(self, rested: int) -> None:
+        at = now()
+        for client in list(self.clients):
+            if at - client.since > rested and client.idle():
+                client.close()
 
     def close_idlest(self) -> bool:
         at, waiting = now(), None
@@ -448,20 +453,16 @@
 
     # Parting with the clients, for a while or at the end: late arrivals are still taken and all is answered.
 
-    def parting(self) -> bool:
-        """Whether each answer closes its connection, and idle ones go."""
-        return self.leaving or self.standby
-
     def serving(self) -> bool:
-        return self.ready and not self.parting()
+        return self.ready and not self.parting
 
     def stand_by(self) -> None:
-        if not self.parting():
+        if not self.parting:
             self.parts_from = now() + int(self.limits.linger_s * SECOND)
-        self.standby = True
+        self.parting = True
 
     def be_active(self) -> None:
-        self.standby = False
+        self.parting = False
 
     def leave(self) -> None:
         """The end of the node: connections are taken until `linger_over`, then it is drained."""
@@ -471,9 +472,7 @@
 
     def linger_over(self) -> None:
         self.lingered = True
-        for client in list(self.clients):
-            if client.idle():
-                client.close()
+        self.close_idle(-1)
         self.check_drained()
         # Guards against clients that never end a request or read an answer: nothing taken is open by then.
         self.timers.after(self.longest, self.end_all)
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -178,10 +178,10 @@
     def status(self) -> str:
         if self.door.serving() and self.door.listener is not None:
             return ""
-        return "leaving" if self.door.leaving else "standby" if self.door.standby else "not ready yet"
+        return "leaving" if self.door.leaving else "standby" if self.door.parting else "not ready yet"
 
     def stand_by(self) -> str:
-        if not self.door.parting():
+        if not self.door.parting:
             here = f"{len(self.door.clients)} clients, {len(self.exchanges.under_way)} exchanges"
             self.log(f"standby, {here} here")
         self.door.stand_by()
@@ -190,7 +190,7 @@
     def be_active(self) -> str:
         if self.door.leaving:
             return "leaving"
-        if self.door.standby:
+        if self.door.parting:
             self.log("active again")
         self.door.be_active()
         return ""
