Nobody is taken in once the node has let go of its clients

A connection that came between the last look into the queue and the listener's close was accepted and died with the process, though another process of the node could have served it from the queue they share. The reader is taken off in the same turn as the last look.

--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -487,6 +487,8 @@
                 self.listener.accept()
             if self.listener.tasks:
                 return
+            # Guards against taking one more in on the way out, whom another process could have served.
+            self.listener.pause()
         self.drained.set_result(None)
 
     def end_all(self) -> None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -14,6 +14,7 @@
 from basalthoist.configuration import ConfigurationError, decode
 from basalthoist.decisions.host import Load, Outcome
 from basalthoist.net import members
+from basalthoist.net.clients import Door, Listener
 from basalthoist.net.descriptors import Descriptors
 from basalthoist.net.exchanges import Exchanges
 from basalthoist.net.framing import Message, Reader
@@ -313,3 +314,22 @@
     log("last")
     lines = capsys.readouterr().err.split("\n")
     assert lines[:4] == ["n0: line 0", "n0: line 1", "n0: 3 lines left out", "n0: last"]
+
+
+def test_once_all_is_answered_nobody_else_is_taken_in():
+    async def leave_and_connect():
+        loop = asyncio.get_running_loop()
+        told = decode(json.dumps(document("127.0.0.1:9")).encode(), {})
+        log = Log("n0", 20)
+        door = Door(told, loop, Timers(loop, log), None, Descriptors(100), log)
+        listener = Listener(door, told.listen)
+        door.stand_by()
+        door.linger_over()
+        assert door.drained.done()
+        with socket.create_connection(told.listen):
+            await asyncio.sleep(0.05)
+            assert not door.clients
+            listener.sock.accept()[0].close()  # it waits for whoever else takes clients from there
+        listener.close()
+
+    uvloop.run(leave_and_connect())
