--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -48,6 +48,7 @@
     connect_s: Positive = 1.0  # where the settings give no time for it
     probe_s: Positive = 0.1
     first_list_s: Positive = 0.3  # how long `/ready` waits for discovery before the saved list has to do
+    answer_hold_s: Positive = 0.005  # from its first bytes, for one of unknown length; then it is passed on
     stream_silent_s: Positive = 15.0  # an answer that was begun and of which nothing more comes
     watch_silent_s: Positive = 4.5
     watch_retry_s: Positive = 0.4  # before discovery is tried again; it doubles, spread by half either way
--- a/basalthoist/net/framing.py
+++ b/basalthoist/net/framing.py
@@ -169,12 +169,16 @@
     def length(self) -> int | None:
         return None if self.until_end or self.parser is not None else self.need
 
-    def pass_on(self) -> None:
+    def endless(self) -> bool:
+        """Whether part of a body has come that does not say how long it will be."""
+        return self.have > 0 and self.sink is None and self.length() is None
+
+    def pass_on(self, must: bool = True) -> None:
         self.message.came_at = self.came_at
         self.sink = self.on_long and self.on_long(self.message, self.length())
-        if self.sink is None:
+        if self.sink is None and must:
             raise BadMessage(413, "body too large")
-        if self.body is not None:
+        if self.sink is not None and self.body is not None:
             held, self.body = self.body, None
             self.sink(held)
 
--- a/basalthoist/net/upstream.py
+++ b/basalthoist/net/upstream.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
+from functools import partial
 
 from basalthoist.decisions.host import Load, Outcome
 from basalthoist.terms import FIELDS
@@ -106,7 +107,7 @@
         self.transport: asyncio.Transport | None = None
         self.call: Call | None = None
         self.reader.on_head, self.reader.on_long = self.answer_begun, self.long_answer_begun
-        self.held_back = False
+        self.held_back, self.waits = False, False  # waits: its answer is held for a moment longer
         self.writing, self.cutting, self.idle_since, self.heard_at = False, False, now(), now()
 
     # Called by the event loop.
@@ -142,6 +143,15 @@
             return self.fail(Outcome.ERROR)
         if answer is not None:
             self.answered(answer)
+        elif not self.waits and self.reader.endless():
+            self.waits = True
+            self.pool.upstream.timers.after(self.pool.upstream.hold, partial(self.waited, self.call))
+
+    def waited(self, call: "Call") -> None:
+        """Its answer is not a short one, or would be whole by now."""
+        # Guards against a deadline that cuts off a long answer whose backend writes it slowly.
+        if self.call is call and not self.cutting and self.reader.endless():
+            self.reader.pass_on(must=False)
 
     def answer_begun(self, answer: Message, length: int | None) -> Sink | None:
         return self.long_answer_begun(answer, length) if self.call is not None and self.call.streams else None
@@ -190,7 +200,7 @@
             return False  # its socket is already closed
 
     def carry(self, call: Call) -> None:
-        self.call, call.connection = call, self
+        self.call, call.connection, self.waits = call, self, False
         # Guards against a failing write that ends a decision half-way: some of it may be on its way.
         try:
             self.transport.writelines(call.parts)
@@ -352,7 +362,7 @@
                  idle_s: float) -> None:  # fmt: skip
         self.loop, self.timers, self.log, self.descriptors = loop, timers, log, descriptors
         self.limits, self.connect_timeout_s, self.idle = limits, connect_timeout_s, int(idle_s * SECOND)
-        self.rest = int(limits.upstream_rest_s * SECOND)
+        self.rest, self.hold = int(limits.upstream_rest_s * SECOND), int(limits.answer_hold_s * SECOND)
         self.connection = Connection  # what backends are spoken to by
         self.pools: dict[str, Pool] = {}
         descriptors.makers_of_room.append(self.close_idlest)
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -239,6 +239,35 @@
         assert source.readline() == b"HTTP/1.1 200 OK\r\n"
 
 
+@pytest.mark.parametrize(("head", "end"), FORMS[1:])
+def test_an_answer_of_unknown_length_that_comes_slowly_is_passed_on_past_its_deadline(start, head, end):
+    def slow(_, sock, asked):
+        chunked = b"chunked" in head
+        sock.sendall(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n")
+        for part in (LONG[:700], LONG[700:20_000]):
+            sock.sendall(chunk(part) if chunked else part)
+            time.sleep(0.5)
+        sock.sendall(end)
+        if not chunked:
+            raise EOFError
+
+    program, _, _ = start(slow)
+    with program.connect() as sock, sock.makefile("rb") as source:
+        began = time.monotonic()
+        sock.sendall(request("pay", timeout=300))
+        assert source.readline() == b"HTTP/1.1 200 OK\r\n"
+        assert time.monotonic() - began < 0.25
+        while source.readline().strip():
+            pass
+        assert read_chunks(source) == LONG[:20_000]
+
+
+def test_a_short_answer_of_unknown_length_that_breaks_off_at_once_leaves_another_try(start):
+    begun = raw(b"HTTP/1.1 200 OK\r\n" + CHUNKED.encode() + b"\r\n" + chunk(b"part"), then_close=True)
+    program, (first, _), _ = start(begun, reply())
+    assert {program.ask(request(ident=str(n))).status for n in range(30)} == {"200"} and first.seen
+
+
 def test_a_long_answer_that_breaks_off_can_be_told(start):
     program, _, _ = start(raw(b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + LONG[:100_000], True))
     with program.connect() as sock, sock.makefile("rb") as source:
