--- a/basalthoist/net/admin.py
+++ b/basalthoist/net/admin.py
@@ -10,12 +10,13 @@
 MOST_CALLERS = 8  # at once, within the descriptors that `reserve` keeps back
 
 Call = Callable[[], str]
-CallOn = Callable[[str], str]
+CallOn = Callable[[str, Callable[[str], None]], None]
 
 
 class Caller(asyncio.Protocol):
     def __init__(self, admin: "Admin") -> None:
-        self.admin, self.text, self.answered = admin, b"", False
+        self.admin, self.text = admin, b""
+        self.asked, self.answered, self.half_closed = False, False, False
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -23,33 +24,44 @@
         self.admin.came(self)
 
     def data_received(self, data: bytes) -> None:
-        if self.answered:
+        if self.asked:
             return
         self.text += data[: MOST_LINE + 1]
         line, ended, _ = self.text.partition(b"\n")
         if len(line) > MOST_LINE:
+            self.asked = True
             self.answer(f"FAILURE line over {MOST_LINE} bytes")
         elif ended:
-            self.answer(self.admin.said(line))
+            self.ask(line)
 
     def eof_received(self) -> bool:
         """A last line need not be ended by more than the end."""
-        if not self.answered and self.text:
-            self.answer(self.admin.said(self.text))
-        return False
+        self.half_closed = True
+        if not self.asked and self.text:
+            self.ask(self.text)
+        return self.asked and not self.answered  # then the connection stays for the answer
+
+    def ask(self, line: bytes) -> None:
+        self.asked = True
+        self.admin.said(line, self.answer)
 
     def connection_lost(self, wrong: Exception | None) -> None:
         self.admin.callers.pop(self, None)
 
     def answer(self, text: str) -> None:
         self.answered = True
+        if self.transport.is_closing():
+            return  # nobody waits any more
         self.transport.write(text.encode() + b"\n")
         # Guards against a reset that overtakes the answer, as closing with bytes unread would send.
-        self.transport.write_eof()
+        (self.transport.close if self.half_closed else self.transport.write_eof)()
 
 
 class Admin:
-    """`calls` take nothing, `calls_on` an id; what they return is why not, or nothing where it is done."""
+    """`calls` take nothing and return why not, or nothing where it is done.
+
+    `calls_on` take an id, and whom to tell the same once they know.
+    """
 
     def __init__(self, calls: dict[str, Call], calls_on: dict[str, CallOn], timers: Timers, log: Log,
                  line_s: float) -> None:  # fmt: skip
@@ -78,24 +90,27 @@
         if self.callers.pop(caller, self) is None:
             caller.transport.abort()
 
-    def said(self, line: bytes) -> str:
+    def said(self, line: bytes, answer: Callable[[str], None]) -> None:
         try:
             words = line.decode("ascii").rstrip("\r").split(" ")
         except UnicodeDecodeError:
-            return "FAILURE not a line of text"
+            return answer("FAILURE not a line of text")
         if not line.strip() or not all(word.isprintable() and word for word in words):
-            return "FAILURE expected a call, and an id where it takes one, a space between"
+            return answer("FAILURE expected a call, and an id where it takes one, a space between")
         call, named = words[0], words[1:]
+
+        def tell(wrong: str) -> None:
+            answer(f"FAILURE {wrong}" if wrong else f"SUCCESS {call}")
+
         try:
             if call in self.calls and not named:
-                wrong = self.calls[call]()
+                tell(self.calls[call]())
             elif call in self.calls_on and len(named) == 1:
-                wrong = self.calls_on[call](named[0])
+                self.calls_on[call](named[0], tell)
             else:
                 known = [*self.calls, *(f"{name} ID" for name in self.calls_on)]
-                return f"FAILURE expected one of: {', '.join(known)}"
+                answer(f"FAILURE expected one of: {', '.join(known)}")
         except Exception as wrong:
             # Guards against a call that breaks something here and takes the node along.
             self.log(f"call {call} failed: {wrong!r}")
-            return f"FAILURE {call} went wrong; the log says more"
-        return f"FAILURE {wrong}" if wrong else f"SUCCESS {call}"
+            answer(f"FAILURE {call} went wrong; the log says more")
--- a/basalthoist/net/maintenance.py
+++ b/basalthoist/net/maintenance.py
@@ -3,6 +3,7 @@
 import os
 from collections.abc import Callable, Iterable
 from contextlib import suppress
+from functools import partial
 from pathlib import Path
 
 import msgspec
@@ -12,21 +13,31 @@
 MOST_NAMES = 4096  # ids that are remembered as listed once, the latest of them
 
 
+Answer = Callable[[str], None]
+Aside = Callable[[Callable[[], str], Answer], None]
+
+
 class Kept(msgspec.Struct):
     banned: list[str]
     listed: list[str] = []
 
 
 class Maintenance:
-    """`tell` hands a change to the decisions, `spread` to another process of this node."""
+    """`tell` hands a change to the decisions, `spread` to another process of this node.
 
-    def __init__(self, folder: str, log: Log, tell: Callable[[str, bool], None]) -> None:
+    `aside` does work that may take long, such as writing a file, beside the event loop.
+    """
+
+    def __init__(self, folder: str, log: Log, tell: Callable[[str, bool], None], aside: Aside) -> None:
         # None: bans end with the process.
         self.path = Path(folder) / "maintenance.json" if folder else None
-        self.log, self.tell = log, tell
+        self.log, self.tell, self.aside = log, tell, aside
         self.spread: Callable[[str, bool], None] = lambda name, banned: None
         self.banned: set[str] = set()
+        self.on_file: set[str] = set()  # as the file has them, or another process does
         self.listed: dict[str, None] = {}  # in the order in which they were last listed
+        self.changed, self.writing = False, False  # since the file was last begun; it is being written
+        self.waiting: list[Answer] = []
 
     def saw(self, names: Iterable[str]) -> None:
         for name in names:
@@ -36,17 +47,27 @@
         while len(self.listed) > MOST_NAMES:
             del self.listed[next(iter(self.listed))]
 
-    def call(self, name: str, banned: bool) -> str:
-        """An operator's call; what is wrong with it, or nothing. Repeated it changes nothing."""
+    def call(self, name: str, banned: bool, answer: Answer) -> None:
+        """An operator's call. `answer` is told what is wrong with it, or nothing once it is kept."""
         if name not in self.listed and name not in self.banned:
-            return f"{name} was never listed"
+            return answer(f"{name} was never listed")
         if banned != (name in self.banned):
-            # Guards against a yes to a ban that an upgrade would forget: kept first, then followed.
-            if not self.keep(self.banned | {name} if banned else self.banned - {name}):
-                return f"not kept in {self.path}"
             self.take(name, banned)
             self.spread(name, banned)
-        return ""
+            self.changed = self.path is not None
+        if not self.changed and not self.writing:
+            return answer("")
+        self.waiting.append(answer)
+        self.keep()
+
+    def heard(self, name: str, banned: bool) -> None:
+        """A call at another process of this node, which answers it."""
+        (self.on_file.add if banned else self.on_file.discard)(name)
+        if banned != (name in self.banned):
+            self.take(name, banned)
+            # Guards against two processes that each write what the other has not yet heard of.
+            self.changed = self.path is not None
+            self.keep()
 
     def take(self, name: str, banned: bool) -> None:
         if banned != (name in self.banned):
@@ -57,6 +78,7 @@
     def take_all(self, kept: Kept) -> None:
         """What another process of this node goes by."""
         self.saw(kept.listed)
+        self.on_file = set(kept.banned)
         for name in kept.banned:
             self.take(name, True)
         for name in self.banned - set(kept.banned):
@@ -65,20 +87,47 @@
     def kept(self, banned: set[str]) -> Kept:
         return Kept(sorted(banned), list(self.listed))
 
-    def keep(self, banned: set[str]) -> bool:
+    def keep(self) -> None:
+        """One write at a time; what changes meanwhile is in the next."""
+        if self.writing or not self.changed:
+            return
+        kept, asked = self.kept(self.banned), self.waiting
+        self.writing, self.changed, self.waiting = True, False, []
+
+        def done(wrong: str) -> None:
+            self.writing = False
+            if wrong:
+                self.undo(wrong)
+                asked.extend(self.waiting)
+                self.waiting = []
+            else:
+                self.on_file = set(kept.banned)
+            for answer in asked:
+                answer(f"not kept in {self.path}" if wrong else "")
+            self.keep()
+
+        # Guards against a node that stands still for as long as the disk takes.
+        self.aside(partial(self.write, msgspec.json.encode(kept)), done)
+
+    def undo(self, wrong: str) -> None:
+        """Guards against a ban that an upgrade would forget: what can't be kept is not in force either."""
+        self.log(f"maintenance not kept: {wrong}")
+        self.changed = False
+        for name in sorted(self.banned ^ self.on_file):
+            self.take(name, name in self.on_file)
+            self.spread(name, name in self.on_file)
+
+    def write(self, data: bytes) -> str:
         """Whole or not at all: another file takes the old one's place."""
-        if self.path is None:
-            return True
         beside = self.path.with_suffix(f".{os.getpid()}")
         try:
-            beside.write_bytes(msgspec.json.encode(self.kept(banned)))
+            beside.write_bytes(data)
             os.replace(beside, self.path)
-            return True
+            return ""
         except OSError as wrong:
-            self.log(f"maintenance not kept: {wrong}")
             with suppress(OSError):
                 beside.unlink()
-            return False
+            return str(wrong)
 
     def read(self) -> None:
         if self.path is None:
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -4,6 +4,7 @@
 import errno
 import socket
 from collections.abc import Awaitable, Callable
+from concurrent.futures import ThreadPoolExecutor
 
 from basalthoist.configuration import Configuration, ConfigurationError, load
 
@@ -36,6 +37,7 @@
         self.discovery = Discovery(configuration, loop, self.timers, self.exchanges, self.upstream, self.log)
         self.exchanges.ask_discovery = self.discovery.ask
         self.maintenance, self.admin, self.succession = None, None, None
+        self.worker = ThreadPoolExecutor(1)  # its thread begins with the first work
         self.peers_wait, self.joining = False, None
         self.first_ready: asyncio.Future = loop.create_future()
         if configuration.admin is not None:
@@ -49,12 +51,14 @@
 
     def open_admin(self, configuration: Configuration) -> None:
         """The operators' door and what can be asked for there."""
-        self.maintenance = Maintenance(configuration.folder, self.log, self.exchanges.on_maintenance)
+        told = self.exchanges.on_maintenance
+        self.maintenance = Maintenance(configuration.folder, self.log, told, self.aside)
         self.discovery.on_names = self.maintenance.saw
         self.maintenance.read()
         call = self.maintenance.call
         calls = {"status": self.status, "standby": self.stand_by, "active": self.be_active}
-        calls_on = {"maint-on": lambda name: call(name, True), "maint-off": lambda name: call(name, False)}
+        calls_on = {"maint-on": lambda name, answer: call(name, True, answer),
+                    "maint-off": lambda name, answer: call(name, False, answer)}  # fmt: skip
         self.admin = Admin(calls, calls_on, self.timers, self.log, self.limits.admin_line_s)
         if configuration.folder:
             told = configuration
@@ -62,6 +66,16 @@
                                          self.log, self.limits.succession_s)  # fmt: skip
             self.succession.changed = self.share
 
+    def aside(self, work: Callable[[], str], done: Callable[[str], None]) -> None:
+        """Beside the event loop, one after another; `done` gets what it returns, or how it failed."""
+
+        def ended(future: asyncio.Future) -> None:
+            if not future.cancelled():
+                wrong = future.exception()
+                done(future.result() if wrong is None else repr(wrong))
+
+        self.loop.run_in_executor(self.worker, work).add_done_callback(ended)
+
     def open_front(self, told) -> None:
         """JSON-RPC. Its modules are loaded only where it is asked for."""
         from basalthoist.jsonrpc.front import Front
--- a/basalthoist/net/succession.py
+++ b/basalthoist/net/succession.py
@@ -216,7 +216,7 @@
 
     def heard(self, link: Link, said: Said) -> None:
         if said.name:
-            self.maintenance.take(said.name, said.banned)
+            self.maintenance.heard(said.name, said.banned)
             self.spread(said.name, said.banned, link)
 
     def spread(self, name: str, banned: bool, source: Link | None = None) -> None:
