--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -180,8 +180,8 @@
 
     def cold_allows(self, backend: Backend, now: int) -> bool:
         backend.tokens = min(backend.tokens + (now - backend.tokens_at) * backend.budget, 1.0)
-        backend.tokens_at = now
-        return backend.tokens >= 1.0
+        backend.tokens_at, calm = now, not backend.refusals and not backend.doubt  # one at a time while idle
+        return backend.tokens >= 1.0 or calm and self.asks and self.ahead(backend, now) < 0.1
 
     def choose(self, now: int) -> None:
         """The backends this node uses, of each location its part, budgets of the cold ones, the shares."""
@@ -469,7 +469,7 @@
         backend.out.append(upstream)
         backend.sent, backend.held = backend.sent + 1, backend.held + 1
         cold = now < backend.warm_at
-        backend.tokens, self.sends = backend.tokens - cold, self.sends + (not cold)
+        backend.tokens, self.sends = max(backend.tokens - cold, 0.0), self.sends + (not cold)
         self.host.send(xchg.id, backend.name, xchg.deadline - now)
         late = now + int(8 * self.slot if self.spots else min(4 * self.mean_time, self.objective))
         self.at(late, self.check_overdue, upstream)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,7 +1,7 @@
 import pytest
 from helpers import NOW, listed, node
 
-from basalthoist.decisions.host import Outcome
+from basalthoist.decisions.host import Load, Outcome
 from basalthoist.decisions.policy import Exchange, UpstreamTry
 
 TWO_PODS = [listed("a", pod=0), listed("b", pod=0), listed("c", pod=1)]
@@ -86,6 +86,30 @@
     assert 1 <= sent <= 2.0 * 0.25 * 40  # a multiple of 2, a quarter warm, 40 a second for one that is warm
 
 
+ASKED = {"policy_limits__probes": True, "feedback__fields": ["inflight"], "prices__probe": 0.001}
+
+
+@pytest.mark.parametrize("outcome", [Outcome.COMPLETED, Outcome.REJECTED, Outcome.ERROR])
+def test_an_idle_cold_backend_gets_one_at_a_time_beyond_its_budget(outcome):
+    made, host = node([listed("a", started=NOW)], **ASKED)
+    backend, sent = made.backends["a"], 0
+    for at in range(NOW + 10, NOW + 2000, 20):
+        backend.budget = backend.tokens = 0.0
+        backend.full_until = 0
+        made.on_exchange(at, at, 0, 0, 8000, False)
+        made.on_exchange(at, at + 1, 0, 0, 8000, False)
+        made.on_probe_ended(at, "a", Outcome.COMPLETED, 5, Load(0.0, None, None, None))
+        tries = host.take("send")
+        assert len(tries) <= 1 and len(backend.out) <= 1
+        sent += len(tries)
+        for ident in (at, at + 1):
+            made.on_exchange_gone(at + 9, ident)  # so that no other try follows
+        for call in tries:
+            made.on_try_ended(at + 10, call[1], 0, outcome, 10, True, Load(0.0, None, None, None))
+    # Whoever turns away or fails has no more than its budget: what it turns away counts as well.
+    assert sent > 50 if outcome == Outcome.COMPLETED else sent == 1
+
+
 def test_a_retry_of_shed_surplus_is_still_surplus():
     made, _ = node([listed("a")], customers__count=1, **{"customers__0__quota_per_s": 1.0})
     marks = []
