--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -43,7 +43,7 @@
         self.restart_window(now)
         self.fails, self.doubt, self.out_until, self.last_answer = 0.0, 0.0, 0, now  # doubt: the test's sum
         self.held, self.held_at, self.probe_at, self.pace = 0.0, -SECOND, 0, 1.0  # as told; its kind's pace
-        self.full_until, self.refusals, self.turned, self.budget = 0, 0, 0.0, 0.0  # in a row; share, not full
+        self.full_until, self.refusals, self.budget = 0, 0, 0.0  # refusals: in a row
         self.tokens, self.tokens_at = chance.uniform(), now  # or each of hundreds sends it one while cold
 
     def close_window(self, now: int, limit: float) -> bool:
@@ -64,9 +64,8 @@
         """The profile as a non-decreasing line, its points blended with its kind's mean by their samples."""
         blended: list[tuple[float, float, float]] = []
         for rate, time, samples, when in self.points or [(mean_rate, mean_time, PRIOR, now)]:
-            samples *= 0.5 ** ((now - when) / (5 * SECOND))
-            both = samples + PRIOR
-            blended.append((max(rate, 0.01), (time * samples + mean_time * PRIOR) / both, both))
+            both = samples * 0.5 ** ((now - when) / (5 * SECOND)) + PRIOR
+            blended.append((max(rate, 0.01), time + (mean_time - time) * PRIOR / both, both))
             while len(blended) > 1 and blended[-2][1] > blended[-1][1]:
                 (r0, t0, n0), (r1, t1, n1) = blended[-2:]
                 both = n0 + n1
@@ -79,10 +78,9 @@
         for (r0, t0), (r1, t1) in zip(self.line, self.line[1:], strict=False):
             if time <= t1:
                 return r0 + (r1 - r0) * (time - t0) / (t1 - t0) if t1 > t0 else r1
-        rate, top = self.line[-1]
-        last = (top - t0) / (rate - r0) if rate > r0 else 1e-6
-        slope = max(top * top / SECOND / self.steep, (top - self.line[0][1]) / rate, last)
-        return rate + (time - top) / slope
+        r1, t1 = self.line[-1]
+        last = (t1 - t0) / (r1 - r0) if r1 > r0 else 1e-6
+        return r1 + (time - t1) / max(t1 * t1 / SECOND / self.steep, (t1 - self.line[0][1]) / r1, last)
 
     def judge(self, failed: bool, usual: float) -> None:  # sequential: as the fleet, or far more often?
         sick = max(0.6, (1 + (usual := min(max(1.5 * usual, 0.02), 0.9))) / 2)  # rises when all fail
@@ -98,6 +96,8 @@
         self.value, self.late_value, self.usual_grace = get("value", 1.0), get("overdue_value", 0.0), 0
         self.window, self.timeout = get("dedup_window", 0), get("overall_timeout", 10 * SECOND)
         self.objective = get("latency_objective", 0) or int(0.8 * self.timeout)
+        self.free = self.semantics == "retriable"
+        self.harmless = self.free or self.semantics == "deduped" and self.group == "all"  # to be shed
 
 
 class Customer:  # its share at this node, as a bucket that fills at the share's rate
@@ -116,16 +116,15 @@
 class Exchange:
     def __init__(self, ident: int, route: Route, now, deadline, aim_at, surplus: bool, spilled=False) -> None:
         self.id, self.route, self.deadline, self.aim_at = ident, route, deadline, aim_at
-        self.surplus, self.spilled = surplus or spilled, spilled  # from another site: not sent to one again
-        self.held, self.over, self.streaming, self.asked, self.settled = False, False, False, 0, False
-        self.order = (self.surplus, -route.value, now, ident)
-        self.tries, self.spent = [], False  # spent: its body is no longer held whole
+        self.surplus, self.spilled = surplus or spilled, spilled  # from another site: gives way to own work
+        self.held = self.over = self.streaming = self.settled = self.spent = False  # spent: its body is gone
+        self.asked, self.tries, self.order = 0, [], (self.surplus, -route.value, now, ident)
 
 
 class UpstreamTry:
     def __init__(self, xchg: Exchange, backend: Backend, now: int, ahead: float) -> None:
         self.xchg, self.backend, self.sent_at, self.ahead = xchg, backend, now, ahead
-        self.outcome, self.told = None, False  # None while it is out; told to peers
+        self.outcome, self.told, self.overtaken = None, False, 0  # None while it is out; told to peers
 
 
 class Node:  # calls its host, see host.py; settings: {"routes.0.value": 3.0, ...}
@@ -152,9 +151,10 @@
         self.probe_trip, self.heard_at, self.due_seq, self.woken_for = 10.0, -SECOND, count(), 0
         self.backends, self.exchanges, self.usable, self.held, self.due = {}, {}, [], [], []
         self.groups, self.fleet, self.users, self.total = [], 0, 1.0, 1.0  # groups: usable ones by location
-        self.failing, self.mean_time, self.slot = 0.0, self.objective / 3.0, self.objective / 4.0
-        # usual: sends a second to a warm backend; welcome: the part of the surplus that is let in
-        self.demand, self.arrivals, self.usual, self.sends, self.welcome = 0.0, 0, 0.0, 0, 1.0
+        self.failing, self.lossy, self.cancels = 0.0, 0.0, get("policy_limits.cancel")  # see `overtake`
+        self.mean_time, self.slot = self.objective / 3.0, self.objective / 4.0
+        self.demand, self.arrivals, self.welcome = 0.0, 0, 1.0  # welcome: the part of the surplus let in
+        self.usual, self.sends = 0.0, 0  # usual: sends a second to a warm backend
         self.sheds, self.all_sheds, self.shedding, self.list_failures, self.ask_again = 0, 0, False, 0, 0
         if get("discovery", "pushed") == "on_request":
             host.subscribe()
@@ -169,14 +169,12 @@
         if tries and (len(tries) >= most or not parallel and any(t.outcome is None for t in tries)):
             return False
         ran, by = [t for t in tries if t.outcome not in NEVER_RAN], route.group
-        free = not ran or route.semantics == "retriable"
+        free = not ran or route.free
         known = not free and route.semantics == "deduped" and now + 10 < ran[0].sent_at + route.window
         return free or known and (by == "all" or getattr(backend, by, 0) == getattr(ran[0].backend, by, 1))
 
     def may_shed(self, xchg: Exchange) -> bool:
-        route = xchg.route
-        harmless = route.semantics == "retriable" or route.semantics == "deduped" and route.group == "all"
-        return harmless or all(t.outcome in NEVER_RAN for t in xchg.tries)
+        return xchg.route.harmless or all(t.outcome in NEVER_RAN for t in xchg.tries)
 
     def cold_allows(self, backend: Backend, now: int) -> bool:
         backend.tokens = min(backend.tokens + (now - backend.tokens_at) * backend.budget, 1.0)
@@ -188,8 +186,7 @@
         get, push = self.settings.get, 0.5 * self.settings.get("rules.fall_multiple", 1.0) / SECOND
         warm, start = max(get("rules.warm_within", 0), 1), get("rules.cold_from", 0.1)
         rate, before, self.usable = max(self.demand, self.arrivals), self.usable, []  # or too few exchanges
-        samples = SAMPLES * (3 if self.spots else 1)  # who hears of the others needs no more than a part
-        size = max(LEAST, rate * WINDOW_MOST / SECOND / samples) / max(self.fleet, 1)
+        size = max(LEAST, rate * WINDOW_MOST / SECOND / SAMPLES / 3 ** bool(self.spots)) / max(self.fleet, 1)
 
         def worth(b: Backend) -> float: return 1 - (1 - start) * max(b.warm_at - now, 0) / warm  # fmt: skip
 
@@ -228,7 +225,6 @@
         if again and grace < route.usual_grace:
             aim_at -= route.timeout - grace  # the client's earlier tries have used up part of its objective
         surplus = customer_no < len(self.customers) and not self.customers[customer_no].within(now, again)
-        # Guards against another site's work before this one's own: it waits and gives way like surplus.
         xchg = self.exchanges[ident] = Exchange(ident, route, now, now + grace, aim_at, surplus, spilled)
         if now >= aim_at and not route.late_value or surplus and self.chance.uniform() > self.welcome:
             return self.give_up(now, xchg)  # or clients' later tries make work that can only end late
@@ -252,6 +248,8 @@
         if load is not None and load.rate:
             backend.reported += (load.rate - backend.reported) * (0.5 if backend.reported else 1.0)
             backend.rates, backend.reports = backend.rates + load.rate, backend.reports + 1
+        if upstream.overtaken > 1 and (outcome != Outcome.CANCELLED or now >= xchg.aim_at):
+            self.lossy += ((outcome != Outcome.COMPLETED) - self.lossy) * 0.1
         if first or outcome != Outcome.COMPLETED:  # an answer passed on was measured as it began
             self.measure(now, upstream, outcome, took)
         if over or xchg.over:
@@ -270,6 +268,7 @@
             self.at(backend.out_until, lambda at, b: outcome and self.look_again(at, b), backend)
         if outcome == Outcome.COMPLETED and load is not None and load.inflight is not None:
             backend.held, backend.held_at, self.heard_at = load.inflight, now, now
+            self.overtake(now, backend, now - 1.5 * self.slot, round(load.inflight))
             self.probe_trip += (elapsed - self.probe_trip) * 0.05
         (self.drain if self.expected(backend, now) <= 1.5 * self.slot else self.arm)(now)  # few change it
 
@@ -295,9 +294,8 @@
 
     def on_told(self, now: int, peer: int, words: list[tuple[Word, int, int]]) -> None:
         """Hearsay: it moves turns and pauses, never a profile, and one peer alone puts nothing out."""
-        for word, key, figure in words if self.telling else ():
-            if (backend := self.keyed.get(key)) is None:
-                continue
+        known = [(word, self.keyed[key], figure) for word, key, figure in words if key in self.keyed]
+        for word, backend, figure in known if self.telling else ():
             if word == Word.OUT:
                 backend.rumours[peer] = now
                 others = sum(now - when < AWAY for when in backend.rumours.values())
@@ -343,8 +341,7 @@
         self.list_failures, warm = 0, self.settings.get("rules.warm_within", 0)
         named = {listed.name: listed.state for listed in entries}
         for listed in entries:
-            backend = self.backends.get(listed.name)
-            if backend is not None and backend.called_back:  # no list need have told of its restart
+            if (backend := self.backends.get(listed.name)) is not None and backend.called_back:
                 listed = listed._replace(started=max(listed.started or 0, backend.called_back))
             if backend is None:
                 backend = self.backends[listed.name] = Backend(listed, now, self.chance)
@@ -355,9 +352,8 @@
             backend.warm_at = 0 if listed.started is None else listed.started + warm
             # What crossing locations costs, as response time, so that the solve weighs it.
             backend.cost = 2.0 * self.crossing * self.objective * (backend.location != self.location)
-        for name in list(self.backends if whole else named):
-            if named.get(name, "gone") == "gone":
-                self.backends.pop(name).usable = False
+        for name in [n for n in (self.backends if whole else named) if named.get(n, "gone") == "gone"]:
+            self.backends.pop(name).usable = False
         self.keyed = {b.key: b for b in self.backends.values()}
         fit = sorted((b for b in self.backends.values() if b.usable), key=lambda b: (b.location, b.place))
         self.fleet, self.groups = len(fit), [list(g) for _, g in groupby(fit, lambda b: b.location)]
@@ -369,8 +365,7 @@
         if (backend := self.backends.get(name)) is not None and not banned:
             fresh = self.backends[name] = Backend(backend.listed, now, self.chance)
             fresh.place, fresh.called_back, fresh.started = backend.place, now, now
-        if backend is not None:
-            self.on_list(now, [backend.listed], False)
+        self.on_list(now, [backend.listed] if backend is not None else [], False)
 
     def on_wake(self, now: int, tag: str) -> None:
         if tag == "tick":
@@ -467,8 +462,7 @@
             upstream.told = self.tell(now, Word.SENT, backend)
         xchg.tries.append(upstream)
         backend.out.append(upstream)
-        backend.sent, backend.held = backend.sent + 1, backend.held + 1
-        cold = now < backend.warm_at
+        backend.sent, backend.held, cold = backend.sent + 1, backend.held + 1, now < backend.warm_at
         backend.tokens, self.sends = max(backend.tokens - cold, 0.0), self.sends + (not cold)
         self.host.send(xchg.id, backend.name, xchg.deadline - now)
         late = now + int(8 * self.slot if self.spots else min(4 * self.mean_time, self.objective))
@@ -493,8 +487,7 @@
 
     def finish(self, xchg: Exchange) -> None:
         out = [number for number, upstream in enumerate(xchg.tries) if upstream.outcome is None]
-        cancels = not xchg.over and self.settings.get("policy_limits.cancel") and not xchg.streaming
-        for number in out if cancels else ():
+        for number in out if self.cancels and not xchg.over and not xchg.streaming else ():
             self.host.cancel(xchg.id, number)
         xchg.over = True
         self.unhold(xchg)
@@ -546,7 +539,6 @@
         if xchg.tries or xchg.spilled:
             fit = [b for b in fit if self.may_try(xchg, b, now)]
             fit = [b for b in fit if b not in [t.backend for t in xchg.tries]] or fit
-            fit = [b for b in fit if b.turned < 0.05] or fit  # or its time goes by in being turned away
         if xchg.surplus and self.crossing > self.settings.get("surplus_value", 0.0):
             fit = [b for b in fit if b.location == self.location]
         return sorted(fit, key=lambda b: -(b.credit + b.share))
@@ -565,8 +557,7 @@
     def pick(self, now: int, xchg: Exchange) -> Backend | None:
         fit, left = self.turns(now, xchg), xchg.aim_at - now
         share = 0.35 if xchg.surplus else 0.5 + 0.25 * xchg.route.value / self.top_value
-        share += 0.2 * bool(self.telling)
-        bound = share * left if left > 0 else 0.3 * xchg.route.objective
+        bound = (share + 0.2 * bool(self.telling)) * left if left > 0 else 0.3 * xchg.route.objective
         most = max(2.0, 2.0 * sum(len(b.out) for b in fit) / len(fit)) if fit else 0.0
         asking, heard = self.asks and not xchg.settled, self.asks and now - self.heard_at < SECOND
         old = 20 if asking else self.slot / 2 if heard else inf  # or crowded ones heard of as idle fill
@@ -595,8 +586,7 @@
 
     def step(self, now: int, backend: Backend) -> None:
         """Stepwise profiling: a first low rate (stage 1), one near 0.8 of the objective (2), the solve."""
-        if not backend.points and now >= backend.warm_at:
-            backend.stage = 0  # too few exchanges here to profile it by: it counts as its kind's mean
+        backend.stage *= bool(backend.points) or now < backend.warm_at  # too few samples: as its kind's mean
         if not backend.stage or not backend.points:
             return
         rate, time = max(backend.points, key=lambda p: p[3])[:2]
@@ -617,11 +607,12 @@
     def measure(self, now: int, upstream: UpstreamTry, outcome: Outcome, elapsed: int) -> None:
         backend = upstream.backend
         if outcome == Outcome.COMPLETED:
-            backend.last_answer, backend.refusals, backend.turned = now, 0, 0.9 * backend.turned
+            backend.last_answer, backend.refusals = now, 0
             self.welcome *= 1.0 if upstream.xchg.surplus or now <= upstream.xchg.aim_at else 0.8
             backend.slot_time = backend.slot_time * 0.9 + elapsed
             backend.slots = backend.slots * 0.9 + upstream.ahead + 1.0
             self.verdict(now, upstream, False, elapsed)
+            self.overtake(now, backend, upstream.sent_at, 0)
         elif outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET):
             self.verdict(now, upstream, True, upstream.xchg.route.timeout)  # or its short times draw traffic
         elif outcome == Outcome.REJECTED:
@@ -630,11 +621,21 @@
                 backend.held, backend.held_at = max(self.ahead(backend, now), 2 * CROWD), now
             # Guards against passing by idle ones that turn some away, and full ones that keep a good profile.
             full = backend.refusals > 2 or backend.held_at < now or backend.held > CROWD
-            backend.turned, backend.full_until = backend.turned + 0.1 - full / 10, now + int(full * self.slot)
+            backend.full_until = now + int(full * self.slot)
             backend.total += upstream.xchg.route.timeout if full else elapsed
             backend.slot_time = backend.slot_time * 0.9 + (self.objective if full else elapsed)
             backend.slots, backend.count = backend.slots * 0.9 + 1.0, backend.count + 1
 
+    def overtake(self, now: int, backend: Backend, before: float, held: int) -> None:
+        """Guards against tries that are lost, or answered in part: it holds only so many sent before."""
+        older = [t for t in backend.out if t.sent_at < before] if self.asks else []
+        for late in older[: max(len(older) - held, 0)]:
+            late.overtaken, xchg = late.overtaken + 1, late.xchg
+            if late.overtaken > 1 and self.lossy > 0.8:
+                backend.out.remove(late)
+                if self.cancels and xchg.route.free and now < xchg.aim_at and not xchg.spent:
+                    self.host.cancel(xchg.id, xchg.tries.index(late))
+
     def look_again(self, now: int, sick: Backend) -> None:  # or exchanges are spent on dead ones
         if now < sick.out_until:  # put off meanwhile
             self.at(sick.out_until, self.look_again, sick)
