--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -12,6 +12,7 @@
 from .framing import LAST_CHUNK, BadMessage, Message, Reader, chunk_of, head_of
 from .log import Log
 from .members import family_of
+from .room import Room
 from .timers import SECOND, Timers, now
 from .uploads import Upload
 
@@ -85,6 +86,10 @@
                 self.transport.pause_reading()
             return
         self.advance()
+        if not self.ended and self.unfinished():
+            self.door.room.used += len(data)
+            if self.door.room.used > self.door.room.most:
+                self.door.keep_to_room()
 
     def touch(self) -> None:
         """`clients` is in the order of `since`: whose has been idle for longest comes first."""
@@ -300,6 +305,30 @@
             return False
         return not self.more_came()
 
+    def held(self) -> int:
+        """Bytes held for this connection and its exchange, on either side."""
+        if self.transport.is_closing():
+            return 0
+        held, xchg = self.reader.held() + self.transport.get_write_buffer_size(), self.exchange
+        if self.upload is not None:
+            held += len(self.upload.held)
+        if xchg is not None:
+            held += len(xchg.body)
+            for call in xchg.calls:
+                if call is not None and call.connection is not None:
+                    held += call.connection.reader.held()
+        return held
+
+    def unfinished(self) -> bool:
+        """Whether it is in the midst of bringing a request, which has not been taken yet."""
+        return self.exchange is None and not (self.ended or self.writing or self.reader.idle())
+
+    def make_room(self) -> None:
+        self.keep = False
+        self.answer(503, [(b"retry-after", b"1")])
+        self.reader.restart()
+        self.reader.pending = b""
+
     def check_time(self, at: int) -> None:
         limits, waited = self.door.limits, at - self.since
         if self.transport.is_closing():
@@ -351,6 +380,7 @@
         self.customers = {name.encode(): i for i, name in enumerate(configuration.customers)}
         self.clients: dict[Client, None] = {}
         self.kept: dict[Client, None] = {}  # asked and idle, in the order in which they fell idle
+        self.room = Room(self.limits.memory_mb)
         self.most_kept = int(self.limits.sockets * self.limits.client_kept_part)
         self.listener: Listener | None = None
         self.fresh = int(self.limits.client_fresh_s * SECOND)
@@ -428,9 +458,24 @@
         for client in list(self.clients):
             client.check_time(at)
         self.descriptors.keep_to_part()
+        self.keep_to_room()
         if self.parting and at >= self.parts_from:
             self.close_idle(self.fresh)
 
+    def keep_to_room(self) -> None:
+        # Guards against a crowd, each half-way through a body that is within its own bound.
+        held = [(client.held(), client) for client in list(self.clients)]
+        self.room.used = used = sum(size for size, _ in held)
+        over = used > self.room.most
+        if over and not self.room.over or self.room.over and used < 0.5 * self.room.most:
+            self.room.over = over
+            word = "refused until there is" if over else "taken again, there is"
+            self.log(f"unfinished requests are {word} room: {used >> 20} MB held")
+        for size, client in sorted(held, key=lambda pair: -pair[0]) if over else ():
+            if self.room.used > 0.9 * self.room.most and client.unfinished():
+                client.make_room()
+                self.room.used -= size
+
     def close_idle(self, rested: int) -> None:
         at = now()
         for client in list(self.clients):
--- a/basalthoist/net/framing.py
+++ b/basalthoist/net/framing.py
@@ -101,6 +101,10 @@
     def idle(self) -> bool:
         return self.message is None and not self.pending
 
+    def held(self) -> int:
+        """Bytes of what is not yet a whole message, or lies behind one."""
+        return len(self.pending) + (len(self.body) if self.body is not None else 0)
+
     def feed(self, data: bytes, now: int) -> None:
         self.came_at = now
         if self.message is not None:
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -175,6 +175,7 @@
     def share(self) -> None:
         """Another process of this node has come, has got ready or has gone: both have one machine's room."""
         self.descriptors.share(1 + self.succession.others())
+        self.door.room.share(1 + self.succession.others())
         if self.succession.predecessor is None and self.peers_wait:
             self.peers_wait = False
             # It may hold their address for a moment more. The task is kept or it could be collected.
@@ -195,6 +196,8 @@
             await asyncio.sleep(0.05)
 
     def get_ready(self) -> None:
+        if not self.door.ready:
+            self.door.room.begin()
         self.door.ready = True
         if not self.first_ready.done():
             self.first_ready.set_result(None)
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -321,6 +321,39 @@
     assert program.process.wait(5) == 0
 
 
+# Room.
+
+
+def resident_mb(program):
+    with open(f"/proc/{program.process.pid}/status") as file:
+        return int(next(line for line in file if line.startswith("VmRSS")).split()[1]) / 1024
+
+
+def test_a_crowd_half_way_through_its_bodies_keeps_within_the_memory_and_the_others_are_served(start):
+    limits = {"memory_mb": 40, "client_first_s": 30, "client_read_s": 30}
+    program, (backend,), _ = start(reply(), limits=limits)
+    head = request("pay", body=bytes(65_000))[:-65_000]
+    with contextlib.ExitStack() as stack:
+        crowd = [stack.enter_context(program.connect()) for _ in range(600)]
+        for number, sock in enumerate(crowd):
+            sock.sendall(head.replace(b"Request-Id: 1", b"Request-Id: %d" % (1000 + number)) + bytes(60_000))
+        wait_for(lambda: "refused until there is room" in program.log())
+        time.sleep(0.5)
+        assert resident_mb(program) < 40
+        assert program.ask(request("pay", body=bytes(30_000), ident="1")).status == "200"
+        statuses = []
+        for sock in crowd:
+            sock.settimeout(10)
+            with contextlib.suppress(OSError):
+                sock.sendall(bytes(5_000))
+            with sock.makefile("rb") as source:
+                answer = read_message(source)
+                statuses.append(answer.status)
+                assert answer.status == "200" or answer.headers["retry-after"] == "1"
+    assert {s: statuses.count(s) > 100 for s in set(statuses)} == {"200": True, "503": True}
+    assert len([r for r in backend.seen if r.headers["request-id"] != "1"]) == statuses.count("200")
+
+
 # Forms.
 
 
