--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -173,9 +173,6 @@
         known = not free and route.semantics == "deduped" and now + 10 < ran[0].sent_at + route.window
         return free or known and (by == "all" or getattr(backend, by, 0) == getattr(ran[0].backend, by, 1))
 
-    def may_shed(self, xchg: Exchange) -> bool:
-        return xchg.route.harmless or all(t.outcome in NEVER_RAN for t in xchg.tries)
-
     def cold_allows(self, backend: Backend, now: int) -> bool:
         backend.tokens = min(backend.tokens + (now - backend.tokens_at) * backend.budget, 1.0)
         backend.tokens_at, calm = now, not backend.refusals and not backend.doubt  # one at a time while idle
@@ -249,7 +246,9 @@
             backend.reported += (load.rate - backend.reported) * (0.5 if backend.reported else 1.0)
             backend.rates, backend.reports = backend.rates + load.rate, backend.reports + 1
         if upstream.overtaken > 1 and (outcome != Outcome.CANCELLED or now >= xchg.aim_at):
-            self.lossy += ((outcome != Outcome.COMPLETED) - self.lossy) * 0.1
+            lost, self.lossy = self.lossy > 0.8, 0.9 * self.lossy + 0.1 * (outcome != Outcome.COMPLETED)
+            if lost != (self.lossy > 0.8):
+                self.host.log(f"overtaken tries: {self.lossy:.0%} unanswered, taken for lost: {not lost}")
         if first or outcome != Outcome.COMPLETED:  # an answer passed on was measured as it began
             self.measure(now, upstream, outcome, took)
         if over or xchg.over:
@@ -478,7 +477,7 @@
         if xchg.over or xchg.streaming:
             return
         self.welcome *= 1.0 if xchg.surplus else 0.8  # surplus goes before what is in share
-        if self.may_shed(xchg):
+        if xchg.route.harmless or all(t.outcome in NEVER_RAN for t in xchg.tries):
             self.sheds, self.all_sheds = self.sheds + 1, self.all_sheds + (not xchg.surplus)
             self.host.shed(xchg.id, self.advice)
         else:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -338,6 +338,7 @@
 @pytest.mark.parametrize(("outcome", "believed"), [(Outcome.CANCELLED, True), (Outcome.COMPLETED, False)])
 def test_what_being_overtaken_means_is_learned_from_how_such_tries_end(outcome, believed):
     made, host, backend = lossy(believed=0.5)
+    lines = []
     for number in range(20):
         ident, at = 100 + 3 * number, NOW + 20_000 + 10_000 * number
         for one in range(3):
@@ -347,6 +348,7 @@
             answer(made, ident + one, at + 100)
         made.on_exchange_gone(at + 7900, ident)
         made.on_try_ended(at + 7900, ident, 0, outcome, 7900, True, None)
-        host.take()
+        lines += host.take("log")
     assert (made.lossy > 0.8) is believed
+    assert any("taken for lost: True" in c[1] for c in lines) is believed
     assert believed or made.lossy < 0.2
