The shadow follows what is newly known of a try: lost ones, and bodies that are gone

Shadow.follow copies an exchange field by field and had missed spent (long bodies) and overtaken (lost tries): after a difference such a try stood as load in the shadow only. What stands as load is read off the real backend now, instead of being derived from the outcome a second time. Only the shadow's counts are touched; the test fails without it.

--- a/basalthoist/shadow.py
+++ b/basalthoist/shadow.py
@@ -130,7 +130,7 @@
             return
         route = node.routes[self.real.routes.index(real.route)]
         copy = Exchange(ident, route, now, real.deadline, real.aim_at, real.surplus, real.spilled)
-        copy.streaming, copy.over = real.streaming, real.over
+        copy.streaming, copy.over, copy.spent = real.streaming, real.over, real.spent
         copy.asked, copy.settled, copy.order = real.asked, real.settled, real.order
         for number, theirs in enumerate(real.tries):
             backend = node.backends.get(theirs.backend.name)
@@ -138,8 +138,10 @@
                 backend = mine.tries[number].backend if mine and number < len(mine.tries) else theirs.backend
             upstream = UpstreamTry(copy, backend, theirs.sent_at, theirs.ahead)
             upstream.outcome, upstream.told = theirs.outcome, theirs.told
+            upstream.overtaken = theirs.overtaken
             copy.tries.append(upstream)
-            if upstream.outcome is None and backend is not theirs.backend:
+            # Not those that count as lost, nor those whose body is still on its way there.
+            if theirs in theirs.backend.out and backend is not theirs.backend:
                 backend.out.append(upstream)
                 node.at(now + node.objective, node.check_overdue, upstream)
         node.exchanges[ident] = copy
--- a/tests/test_shadow.py
+++ b/tests/test_shadow.py
@@ -41,6 +41,20 @@
     return host, event, shadow
 
 
+def test_what_is_followed_stands_as_it_does_at_the_real_node():
+    host, event, shadow = watched({}, FLEET)
+    for ident in (1, 2):
+        event("on_exchange", NOW + 1, ident, 0, 0, 8000, False)
+    taken_for_lost, out = shadow.real.exchanges[1], shadow.real.exchanges[2]
+    taken_for_lost.tries[0].overtaken, taken_for_lost.spent = 2, True
+    taken_for_lost.tries[0].backend.out.remove(taken_for_lost.tries[0])
+    for real in (taken_for_lost, out):
+        shadow.follow(real.id, NOW + 2)
+        here = shadow.node.exchanges[real.id]
+        assert (here.spent, here.tries[0].overtaken) == (real.spent, real.tries[0].overtaken)
+        assert (here.tries[0] in here.tries[0].backend.out) is (real is out)
+
+
 def a_day(host, event):
     """Exchanges that complete, one whose backend dies, one client that leaves, one that is held and shed."""
     now = NOW
