Bans are taken up in one place, refusals in one, a share and a threshold are derived or named once

Found reading the change once more; behaviour as before. Maintenance.take says whether it changed anything, go_by_file serves both an undo and another process's bans, kept needs no argument; Client.make_room goes through refuse; Descriptors derives whether it shares; the share of overtaken tries that counts stands once in the module.

--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -18,7 +18,7 @@
 EJECT, TRIAL = 6.0, 3.0  # sums of the sequential test: over the first out, over the second one try at a time
 AWAY, AWAY_MOST = 2 * SECOND, 8 * SECOND
 WEAR, LISTENING = 3, 0.7  # service times to an end not told; part of the words whose senders are told
-STRAIN = 2.5  # times its idle time at which a backend that reports its whole rate is passed over
+STRAIN, LOSSY = 2.5, 0.8  # idle times at which who reports a whole rate is passed over; see `overtake`
 
 
 def service_time(rate: float, time: float, cores: float) -> float:
@@ -246,8 +246,8 @@
             backend.reported += (load.rate - backend.reported) * (0.5 if backend.reported else 1.0)
             backend.rates, backend.reports = backend.rates + load.rate, backend.reports + 1
         if upstream.overtaken > 1 and (outcome != Outcome.CANCELLED or now >= xchg.aim_at):
-            lost, self.lossy = self.lossy > 0.8, 0.9 * self.lossy + 0.1 * (outcome != Outcome.COMPLETED)
-            if lost != (self.lossy > 0.8):
+            lost, self.lossy = self.lossy > LOSSY, 0.9 * self.lossy + 0.1 * (outcome != Outcome.COMPLETED)
+            if lost != (self.lossy > LOSSY):
                 self.host.log(f"overtaken tries: {self.lossy:.0%} unanswered, taken for lost: {not lost}")
         if first or outcome != Outcome.COMPLETED:  # an answer passed on was measured as it began
             self.measure(now, upstream, outcome, took)
@@ -630,7 +630,7 @@
         older = [t for t in backend.out if t.sent_at < before] if self.asks else []
         for late in older[: max(len(older) - held, 0)]:
             late.overtaken, xchg = late.overtaken + 1, late.xchg
-            if late.overtaken > 1 and self.lossy > 0.8:
+            if late.overtaken > 1 and self.lossy > LOSSY:
                 backend.out.remove(late)
                 if self.cancels and xchg.route.free and now < xchg.aim_at and not xchg.spent:
                     self.host.cancel(xchg.id, xchg.tries.index(late))
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -182,7 +182,7 @@
             self.door.log(f"request not read: {wrong!r}")
         self.refuse(wrong.status if isinstance(wrong, BadMessage) else 500)
 
-    def refuse(self, status: int) -> None:
+    def refuse(self, status: int, headers=()) -> None:
         """Where a message ends is no longer known: nothing more is read from this connection."""
         if self.upload is not None and self.exchange is not None:
             xchg, self.exchange = self.exchange, None
@@ -191,7 +191,7 @@
                 return self.transport.abort()
         if self.exchange is None:
             self.keep = False
-            self.answer(status)
+            self.answer(status, headers)
 
     def answer(self, status: int, headers=(), body=b"") -> None:
         self.exchange = None
@@ -324,8 +324,7 @@
         return self.exchange is None and not (self.ended or self.writing or self.reader.idle())
 
     def make_room(self) -> None:
-        self.keep = False
-        self.answer(503, [(b"retry-after", b"1")])
+        self.refuse(503, [(b"retry-after", b"1")])
         self.reader.restart()
         self.reader.pending = b""
 
--- a/basalthoist/net/descriptors.py
+++ b/basalthoist/net/descriptors.py
@@ -21,14 +21,14 @@
 
     def share(self, processes: int) -> None:
         """The budget is that of so many processes; beyond this one's part what is idle goes."""
-        self.shared = processes > 1
         self.most = self.whole // processes
         self.brim = self.most + self.reserve // 2 // processes**2  # each has some for itself
         self.keep_to_part()
 
     def keep_to_part(self) -> None:
         # Again and again, as what was too fresh to be called idle when the other process came goes later.
-        while self.shared and self.used > self.most and self.make_room(lambda: False):
+        shared = self.most < self.whole
+        while shared and self.used > self.most and self.make_room(lambda: False):
             pass
 
     def take(self, own: Callable[[], bool], keep_free: int = 0) -> bool:
--- a/basalthoist/net/maintenance.py
+++ b/basalthoist/net/maintenance.py
@@ -51,8 +51,7 @@
         """An operator's call. `answer` is told what is wrong with it, or nothing once it is kept."""
         if name not in self.listed and name not in self.banned:
             return answer(f"{name} was never listed")
-        if banned != (name in self.banned):
-            self.take(name, banned)
+        if self.take(name, banned):
             self.spread(name, banned)
             self.changed = self.path is not None
         if not self.changed and not self.writing:
@@ -63,35 +62,41 @@
     def heard(self, name: str, banned: bool) -> None:
         """A call at another process of this node, which answers it."""
         (self.on_file.add if banned else self.on_file.discard)(name)
-        if banned != (name in self.banned):
-            self.take(name, banned)
+        if self.take(name, banned):
             # Guards against two processes that each write what the other has not yet heard of.
             self.changed = self.path is not None
             self.keep()
 
-    def take(self, name: str, banned: bool) -> None:
-        if banned != (name in self.banned):
-            (self.banned.add if banned else self.banned.discard)(name)
-            self.log(f"maintenance of {name} {'begins' if banned else 'ends'}, {len(self.banned)} left out")
-            self.tell(name, banned)
+    def take(self, name: str, banned: bool) -> bool:
+        """Whether it is a change."""
+        if banned == (name in self.banned):
+            return False
+        (self.banned.add if banned else self.banned.discard)(name)
+        self.log(f"maintenance of {name} {'begins' if banned else 'ends'}, {len(self.banned)} left out")
+        self.tell(name, banned)
+        return True
+
+    def go_by_file(self) -> list[str]:
+        """Takes up what stands in `on_file`, bans first; the names that changed."""
+        changed = sorted(self.banned ^ self.on_file, key=lambda name: (name in self.banned, name))
+        for name in changed:
+            self.take(name, name in self.on_file)
+        return changed
 
     def take_all(self, kept: Kept) -> None:
         """What another process of this node goes by."""
         self.saw(kept.listed)
         self.on_file = set(kept.banned)
-        for name in kept.banned:
-            self.take(name, True)
-        for name in self.banned - set(kept.banned):
-            self.take(name, False)
+        self.go_by_file()
 
-    def kept(self, banned: set[str]) -> Kept:
-        return Kept(sorted(banned), list(self.listed))
+    def kept(self) -> Kept:
+        return Kept(sorted(self.banned), list(self.listed))
 
     def keep(self) -> None:
         """One write at a time; what changes meanwhile is in the next."""
         if self.writing or not self.changed:
             return
-        kept, asked = self.kept(self.banned), self.waiting
+        kept, asked = self.kept(), self.waiting
         self.writing, self.changed, self.waiting = True, False, []
 
         def done(wrong: str) -> None:
@@ -113,8 +118,7 @@
         """Guards against a ban that an upgrade would forget: what can't be kept is not in force either."""
         self.log(f"maintenance not kept: {wrong}")
         self.changed = False
-        for name in sorted(self.banned ^ self.on_file):
-            self.take(name, name in self.on_file)
+        for name in self.go_by_file():
             self.spread(name, name in self.on_file)
 
     def write(self, data: bytes) -> str:
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -150,7 +150,7 @@
         own = told.peer_listen
         peers = Peers(told.peers, own, self.exchanges.on_told, self.timers, self.log)
 
-        async def opens() -> bool:
+        async def opens() -> None:
             # Not by `local_addr`: the loop's own word for an address in use does not say that it is that.
             sock = socket.socket(family_of(own), socket.SOCK_DGRAM)
             try:
@@ -160,7 +160,6 @@
             except OSError:
                 sock.close()
                 raise
-            return True
 
         try:
             await (self.patient(opens) if patiently else opens())
--- a/basalthoist/net/succession.py
+++ b/basalthoist/net/succession.py
@@ -209,7 +209,7 @@
         self.log(f"process {link.pid} is to follow")
         self.successors.append(link)
         given = [self.listening.fileno()] if self.listening is not None else []
-        link.say(Said(kept=self.maintenance.kept(self.maintenance.banned)), *given)
+        link.say(Said(kept=self.maintenance.kept()), *given)
         self.changed()
 
     # Between both.
