--- a/basalthoist/__main__.py
+++ b/basalthoist/__main__.py
@@ -6,7 +6,7 @@
 
 import uvloop
 
-from .configuration import ConfigurationError, load, load_gateway, load_jsonrpc
+from .configuration import ConfigurationError, load, load_fleet, load_gateway, load_jsonrpc
 from .net.service import Service
 
 
@@ -27,7 +27,7 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         configuration = load()
-        others = load_gateway(), load_jsonrpc(configuration)
+        others = load_gateway(), load_jsonrpc(configuration), load_fleet(configuration)
     except ConfigurationError as wrong:
         print(f"basalthoist: configuration: {wrong}", file=sys.stderr)
         return 2
--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -3,7 +3,8 @@
 import os
 import resource
 from collections.abc import Mapping
-from typing import Annotated
+from hashlib import blake2b
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -232,6 +233,67 @@
         return address_of(self.listen)
 
 
+class FleetDocument(msgspec.Struct, forbid_unknown_fields=True):
+    """The file that PROXY_FLEET names: then this node acts on the verdicts of that fleet. docs/fleet.md."""
+
+    fleet: Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9-]+$")]
+    nodes: Annotated[dict[str, str], msgspec.Meta(min_length=1)]  # each one's address for the fleet's words
+    voters: Annotated[list[str], msgspec.Meta(min_length=1)]
+    lease_s: Seconds = 2.0  # how long a voter's promise runs; as long is a fleet without author after its end
+    beat_s: Seconds = 0.2  # between two beats of the author; a change needs about one to reach all
+    fresh_s: Seconds = 1.0  # A: a node whose view was confirmed within it counts as in touch
+    stale_s: Seconds = 4.0  # B: at this age at the latest a node knows that its view is stale
+    when_stale: Literal["stand_by", "serve"] = "stand_by"
+    drift: Annotated[float, msgspec.Meta(ge=0, le=0.1)] = 0.001  # how far a clock's rate may be off
+    answer_s: Seconds = 6.0  # how long an operator's call is tried
+    most_verdicts: Annotated[int, msgspec.Meta(gt=0, le=4096)] = 4096
+
+    def bounds(self):
+        from .fleet.bounds import Bounds
+
+        tenths = [int(s * 10_000) for s in (self.lease_s, self.beat_s, self.fresh_s, self.stale_s)]
+        strict = self.when_stale == "stand_by"
+        return Bounds(*tenths, self.drift, int(self.answer_s * 10_000), strict, self.most_verdicts)
+
+    def key(self) -> bytes:
+        """What all nodes of the fleet must have alike; their addresses may differ from place to place."""
+        alike = [self.fleet, sorted(self.nodes), sorted(self.voters), *self.bounds()]
+        return blake2b(msgspec.json.encode(alike), digest_size=16).digest()
+
+
+def load_fleet(configuration: Configuration, environment: Mapping[str, str] = os.environ):
+    told = read_toml("PROXY_FLEET", FleetDocument, environment)
+    if told is None:
+        return None
+    path, voters, beats = environment["PROXY_FLEET"], told.voters, told.lease_s / told.beat_s
+
+    def refuse(key: str, expected: str, got: object) -> None:
+        raise ConfigurationError(f"{path}: {key}: expected {expected}, got {got}")
+
+    addresses = {}
+    for name, text in told.nodes.items():
+        at = address(f"{path}: nodes.{name}", text)
+        # Guards against two nodes that would answer for one another.
+        if at in addresses:
+            refuse(f"nodes.{name}", "an address of its own", f"{text} as for {addresses[at]}")
+        addresses[at] = name
+    if configuration.name not in told.nodes:
+        refuse("nodes", f"this node, {configuration.name}", ", ".join(told.nodes))
+    for number, name in enumerate(voters):
+        if name not in told.nodes:
+            refuse(f"voters[{number}]", "one of nodes", repr(name))
+        # Guards against a majority that is none: one vote counted twice.
+        if name in voters[:number]:
+            refuse(f"voters[{number}]", "each voter once", repr(name))
+    if beats < 4:
+        refuse("beat_s", f"at most a quarter of lease_s, {told.lease_s / 4:g}", told.beat_s)
+    if told.fresh_s < 2 * told.beat_s:
+        refuse("fresh_s", f"at least two beats, {2 * told.beat_s:g}", told.fresh_s)
+    if told.stale_s < told.fresh_s:
+        refuse("stale_s", f"at least fresh_s, {told.fresh_s:g}", told.stale_s)
+    return told
+
+
 def read_toml(variable: str, kind: type, environment: Mapping[str, str]):
     """The file that a variable names, or None where it names none: then there is no such part."""
     path = environment.get(variable)
--- /dev/null
+++ b/basalthoist/experiments/cluster/timeline.py
@@ -0,0 +1,124 @@
+"""Faults as data: what happens to whom, from when, for how long; read and checked here. In seconds."""
+
+from pathlib import Path
+from random import Random
+from typing import Annotated, Literal
+
+import msgspec
+
+from basalthoist.emulator.scenario import ScenarioError, decode, text_of
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+Part = Annotated[float, msgspec.Meta(ge=0, le=1)]
+LINK = ("cut", "one_way", "stall", "delay", "lose", "double", "corrupt")
+PROCESS = ("kill", "freeze")
+Kind = Literal["cut", "one_way", "stall", "delay", "lose", "double", "corrupt", "kill", "freeze", "discovery"]
+Folder = Literal["kept", "lost", "old"]
+Lie = Literal["", "forgets", "torn", "no_space", "bad_write", "bad_read", "flip", "slow"]
+
+
+class Event(msgspec.Struct, forbid_unknown_fields=True):
+    """`who`: nodes by number, or "author". A link fault lies between them and `others`, or all others.
+
+    cut: nothing passes either way; one_way: nothing passes from `who`; stall: held back, then all let go;
+    delay: up to `ms` later, by chance, so also out of order; lose, double, corrupt: a `part` of all;
+    kill: SIGKILL, and a new start at the end, with its folder kept, lost or as it was at its start before;
+    freeze: SIGSTOP to SIGCONT; discovery: cut off from it.
+    """
+
+    kind: Kind
+    at_s: NotNegative
+    for_s: Positive = 2.0
+    who: list[int | Literal["author"]] = []
+    others: list[int] = []
+    part: Part = 0.3
+    ms: Positive = 50.0
+    folder: Folder = "kept"
+
+
+class Machine(msgspec.Struct, forbid_unknown_fields=True):
+    """What of a node's machine lies: its disk, its clock's rate (1.0005: half a thousandth fast) or hand."""
+
+    node: int
+    disk: Lie = ""
+    rate: Annotated[float, msgspec.Meta(gt=0.5, lt=2)] = 1.0
+    wall_s: float = 0.0  # the wall clock is stepped by so much, every two seconds, there and back
+
+
+class Ban(msgspec.Struct, forbid_unknown_fields=True):
+    at_s: NotNegative
+    backend: int
+    node: int = 0  # at whose door
+    on: bool = True
+
+
+class Timeline(msgspec.Struct, forbid_unknown_fields=True):
+    name: str = "unnamed"
+    seed: int = 1
+    nodes: Annotated[int, msgspec.Meta(ge=1, le=9)] = 5
+    voters: Annotated[int, msgspec.Meta(ge=1, le=9)] = 5
+    backends: Annotated[int, msgspec.Meta(ge=2, le=20)] = 4
+    rate: Positive = 20.0  # requests a second to each node
+    length_s: Positive = 12.0
+    lease_s: Positive = 1.0
+    beat_s: Positive = 0.1
+    fresh_s: Positive = 0.5
+    stale_s: Positive = 1.5
+    drift: Annotated[float, msgspec.Meta(ge=0, le=0.1)] = 0.001
+    answer_s: Positive = 4.0
+    when_stale: Literal["stand_by", "serve"] = "stand_by"
+    grace_ms: NotNegative = 100.0  # an exchange that was sent just before
+    bans: list[Ban] = []
+    events: list[Event] = []
+    machines: list[Machine] = []
+
+    def __post_init__(self) -> None:
+        if self.voters > self.nodes:
+            raise ValueError(f"voters: expected at most nodes, {self.nodes}, got {self.voters}")
+        for number, event in enumerate(self.events):
+            named = [*(w for w in event.who if w != "author"), *event.others]
+            if not event.who or any(not 0 <= who < self.nodes for who in named):
+                raise ValueError(f"events[{number}].who: expected nodes 0 to {self.nodes - 1} or \"author\"")
+        for number, machine in enumerate(self.machines):
+            if not 0 <= machine.node < self.nodes:
+                raise ValueError(f"machines[{number}].node: expected 0 to {self.nodes - 1}")
+            if abs(machine.rate - 1) > self.drift + 1e-9:
+                raise ValueError(f"machines[{number}].rate: expected within drift, {self.drift}, of 1")
+        for number, ban in enumerate(self.bans):
+            if not 0 <= ban.backend < self.backends or not 0 <= ban.node < self.nodes:
+                raise ValueError(f"bans[{number}]: expected a backend and a node that there are")
+
+
+def read(path: str | Path) -> Timeline:
+    return decode(text_of(path), str(path), Timeline)
+
+
+def drawn(seed: int, nodes: int = 5, length_s: float = 12.0) -> Timeline:
+    """A timeline by chance: two to five faults that overlap, some on the author, and calls between them."""
+    chance = Random(seed)
+    events, bans = [], []
+    for _ in range(chance.randint(2, 5)):
+        kind = chance.choice((*LINK, *PROCESS, *PROCESS, "cut", "discovery"))
+        who = ["author"] if chance.random() < 0.4 else [chance.randrange(nodes)]
+        if kind in ("cut", "delay", "lose") and chance.random() < 0.5:
+            who = sorted(chance.sample(range(nodes), chance.randint(1, nodes // 2)))
+        at, lasts = chance.uniform(2.5, length_s - 4), chance.choice((0.4, 1.0, 2.5, 4.0))
+        folder = chance.choice(("kept", "kept", "lost", "old"))
+        events.append(Event(kind, round(at, 2), lasts, who, [], chance.choice((0.1, 0.3)),
+                            chance.choice((30.0, 300.0)), folder))  # fmt: skip
+    on: set[int] = set()
+    for number in range(chance.randint(3, 6)):
+        backend = chance.randrange(3)  # one is never banned
+        at = round(2.5 + (length_s - 5) * number / 6, 2)
+        bans.append(Ban(at, backend, chance.randrange(nodes), backend not in on))
+        on ^= {backend}
+    lies = ("", "", "forgets", "torn", "no_space", "bad_write", "bad_read", "flip", "slow")
+    clocks = [(chance.choice((0.999, 1.0, 1.001)), chance.choice((0.0, 0.0, 7200.0))) for _ in range(nodes)]
+    machines = [Machine(n, chance.choice(lies), *clock) for n, clock in enumerate(clocks)]
+    voters = nodes if nodes % 2 else nodes - 1
+    return Timeline("drawn", seed, nodes, voters, length_s=length_s, bans=bans, events=events,
+                    machines=machines)  # fmt: skip
+
+
+__all__ = ["Ban", "Event", "Machine", "ScenarioError", "Timeline", "drawn", "read"]
--- a/basalthoist/experiments/loopback.py
+++ b/basalthoist/experiments/loopback.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import json
 import os
 import sys
@@ -17,6 +18,7 @@
 
 from basalthoist.emulator.clients import work_of
 from basalthoist.emulator.scenario import Route, Scenario
+from basalthoist.net.members import address_of
 
 MOST_LATENESS_MS = 5.0
 SEMANTICS = {"retriable": "idempotent", "deduped": "deduplicated", "non-retriable": "at_most_once"}
@@ -217,11 +219,14 @@
     }  # fmt: skip
 
 
-def own_port() -> int:
-    import socket
+PORTS = itertools.count(20_000)
 
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return sock.getsockname()[1]
+
+def own_address() -> str:
+    """One of this process alone: ports given out by the machine could be another's a moment later."""
+    pid = os.getpid()
+    host = f"127.{64 + pid // 62500 % 128}.{pid // 250 % 250 + 1}.{pid % 250 + 1}"
+    return f"{host}:{next(PORTS)}"
 
 
 async def members_of(scripts: list[Script], name: str = "s", locations: int = 1) -> list[dict]:
@@ -271,8 +276,8 @@
     nodes, logs, addresses = [], [], []
     try:
         for number in range(scenario.nodes):
-            address = ("127.0.0.1", own_port())
-            listen = "{}:{}".format(*address)
+            listen = own_address()
+            address = address_of(listen)
             made = document_for(scenario, number, listen, discovery, members)
             node, log = await start_node(folder, f"n{number}", made)
             nodes.append(node)
--- a/basalthoist/experiments/protocols.py
+++ b/basalthoist/experiments/protocols.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from basalthoist.emulator.scenario import Route, Scenario
+from basalthoist.net.members import address_of
 
 from .loopback import (
     Clients,
@@ -15,7 +16,7 @@
     end_nodes,
     members_of,
     open_discovery,
-    own_port,
+    own_address,
     ready,
     start_node,
     void_of,
@@ -83,7 +84,7 @@
     scripts = [make(scenario, number, runs) for number in range(scenario.backends.count)]
     members = await members_of(scripts)
     discovery = await open_discovery(members)
-    address, front, more = ("127.0.0.1", own_port()), ("127.0.0.1", own_port()), {}
+    address, front, more = address_of(own_address()), address_of(own_address()), {}
     made = document_for(scenario, 0, "{}:{}".format(*address), discovery, members)
     if json_rpc:
         listen = "{}:{}".format(*front)
--- a/basalthoist/experiments/sites.py
+++ b/basalthoist/experiments/sites.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from basalthoist.emulator.scenario import Backends, Kind, Load, Network, Node, Route, Scenario
+from basalthoist.net.members import address_of
 
 from .loopback import (
     Clients,
@@ -14,7 +15,7 @@
     end_nodes,
     members_of,
     open_discovery,
-    own_port,
+    own_address,
     ready,
     start_node,
     void_of,
@@ -79,7 +80,7 @@
         self.name, self.scenario, self.runs, self.folder = name, scenario, runs, folder
         self.scripts = [Script(scenario, number, runs) for number in range(scenario.backends.count)]
         self.watches: list = []
-        self.address, self.process, self.members = ("127.0.0.1", own_port()), None, []
+        self.address, self.process, self.members = address_of(own_address()), None, []
 
     async def open(self) -> None:
         self.members = await members_of(self.scripts, self.name)
--- /dev/null
+++ b/basalthoist/fleet/bounds.py
@@ -0,0 +1,24 @@
+"""What a fleet's file sets, in whole tenths of a millisecond, and what follows from it."""
+
+from typing import NamedTuple
+
+
+class Bounds(NamedTuple):
+    """`lease`: of a voter's promise; `fresh`, `stale`: A and B of docs/fleet.md; `drift`: rho of a clock."""
+
+    lease: int
+    beat: int  # between two beats of the author
+    fresh: int
+    stale: int
+    drift: float
+    answer: int  # how long an operator's call is tried
+    strict: bool = True  # a node whose view is stale stands by
+    most: int = 4096  # verdicts
+
+    def own_lease(self) -> int:
+        """How long a candidate may count on a promise, from its own send: shorter than it lasts there."""
+        return int(self.lease * (1 - self.drift) / (1 + self.drift))
+
+    def longest_view(self) -> int:
+        """How long a node may act by a view that was confirmed, on another's clock from the receipt."""
+        return int(self.stale * (1 + self.drift) / (1 - self.drift)) + 1
--- /dev/null
+++ b/basalthoist/fleet/replica.py
@@ -0,0 +1,552 @@
+"""One node's part in the fleet: voter, candidate, author, and whoever acts on what counts. docs/fleet.md.
+
+`on_heard` for each word that comes, `on_tick` on one timer, `on_call` for operators; it acts by its host.
+Times are whole tenths of a millisecond of this node's own clock; other nodes' times only come back to them.
+"""
+
+from typing import NamedTuple, Protocol
+
+from .bounds import Bounds
+from .lease import Promises, Voter, next_ballot
+from .register import ENCODE, Fetch, Held, Trail, Verdict, whole
+from .wire import Answer, Ask, Beat, Call, Changes, No, Piece, Release, Touch, Vote, Want, Word
+
+LONG_AGO = -(1 << 60)
+AT_ONCE = 1100  # bytes of changes that go in one datagram
+MOST_CALLS = 256  # under way at the author
+
+
+class Host(Protocol):
+    """What a replica can make happen."""
+
+    def send(self, name: str, word: Word) -> None: ...
+    def act(self, held: Held) -> None: ...  # go by these verdicts from now on
+    def keep(self, held: Held) -> None: ...  # as a hint for a later life
+    def answered(self, ident: int, text: str) -> None: ...  # to an operator here
+    def log(self, line: str) -> None: ...
+
+
+class Known:
+    """What the author knows of a node, in that node's present life."""
+
+    def __init__(self) -> None:
+        self.held, self.acting, self.sound = -1, -1, False
+        self.token, self.confirmed, self.may_until, self.heard_at = 0, False, LONG_AGO, LONG_AGO
+
+
+class Waiting(NamedTuple):
+    """An operator's call at the author: which node has it, and from which version on it is in force."""
+
+    name: str
+    ident: int
+    version: int
+    until: int
+
+
+class Replica:
+    def __init__(self, host: Host, me: str, nodes: list[str], voters: list[str], bounds: Bounds, chance,
+                 now: int, hint: Held | None = None) -> None:  # fmt: skip
+        self.host, self.me, self.nodes, self.voters, self.bounds = host, me, nodes, voters, bounds
+        self.chance, self.others = chance, [name for name in nodes if name != me]
+        self.voter = Voter(bounds, now) if me in voters else None
+        self.ballot, self.author, self.heard_at = 0, "", now  # the latest author's, as far as is known
+        self.own, self.seen, self.found = 0, 0, None  # ballot it stands or leads by; highest; a set for that
+        self.held = hint or Held(0, 0, {})  # proposed last; a hint until this life has heard of an author
+        self.acting, self.trail = Held(0, 0, {}), Trail()
+        self.view_at = LONG_AGO  # this node's send of the touch that was confirmed last
+        self.fetch: Fetch | None = None
+        self.role, self.patience = "follows", self.draw_patience()
+        self.promises, self.votes, self.began_at = Promises(bounds, len(voters)), {}, now
+        self.known: dict[str, Known] = {}
+        self.committed, self.beat_at, self.queue, self.waiting = -1, LONG_AGO, [], []
+        self.done: dict[tuple[str, int], int] = {}  # calls that this author took lately, and their version
+        self.calls: dict[int, tuple[list[Verdict], int, int, bool]] = {}  # own operators': until, asked, sent
+        self.first_held: dict[Verdict, int] = {}
+        self.by_hint = False
+        if hint is not None and not bounds.strict:
+            self.act_on(now, hint)
+            self.by_hint = True
+
+    # Its view, and how things stand.
+
+    def age(self, now: int) -> int:
+        """Of the view: what this node acts on was current at some moment within it."""
+        return now - self.view_at
+
+    def fresh(self, now: int) -> bool:
+        return self.age(now) <= self.bounds.fresh
+
+    def stale(self, now: int) -> bool:
+        return self.age(now) > self.bounds.stale
+
+    def may_send(self, now: int) -> bool:
+        return not (self.bounds.strict and self.stale(now))
+
+    def leads(self, now: int) -> bool:
+        return self.role == "leads" and self.promises.hold(now)
+
+    # Time.
+
+    def on_tick(self, now: int) -> None:
+        if self.role == "leads":
+            self.lead(now)
+        elif self.role == "asks":
+            self.campaign(now)
+        elif self.voter is not None and self.voter.awake(now) and now - self.heard_at > self.patience:
+            self.stand(now)
+        if self.fetch is not None and now - self.fetch.asked_at > self.bounds.beat:
+            self.want(now)
+        for ident in list(self.calls):
+            self.pass_on(now, ident)
+
+    def draw_patience(self) -> int:
+        """By chance, or all voters would stand at once, and again."""
+        return int(self.bounds.lease * (0.7 + 0.8 * self.chance.uniform()))
+
+    # Candidate.
+
+    def stand(self, now: int) -> None:
+        above = max(self.ballot, self.seen, self.own, self.voter.ballot, self.held.ballot)
+        self.own = next_ballot(above, self.voters.index(self.me), len(self.voters))
+        self.role, self.began_at, self.beat_at, self.votes = "asks", now, LONG_AGO, {}
+        self.promises = Promises(self.bounds, len(self.voters))
+        self.author, self.fetch, self.found = "", None, None
+        if self.voter.asked(now, self.own):
+            self.campaign(now)
+        else:
+            self.retire(now, 0)
+
+    def campaign(self, now: int) -> None:
+        if now - self.began_at > self.bounds.own_lease():
+            return self.retire(now, 0)
+        if now - self.beat_at >= self.bounds.beat:
+            self.beat_at = now
+            if not self.voter.asked(now, self.own):
+                return self.retire(now, 0)
+            self.promises.given(self.me, now)
+            self.to_voters(Ask(self.own, now))
+        self.count(now)
+
+    def to_voters(self, word: Word) -> None:
+        for name in self.voters:
+            if name != self.me:
+                self.host.send(name, word)
+
+    def retire(self, now: int, more: int) -> None:
+        """It gives this ballot up for good, so that nobody needs to wait for it."""
+        self.to_voters(Release(self.own))
+        self.voter.released(self.own)
+        self.role, self.author, self.fetch, self.found = "follows", "", None, None
+        self.heard_at, self.patience = now, more + self.draw_patience() // 2
+
+    def count(self, now: int) -> None:
+        """Whether those whose promise runs know together all that was ever acknowledged."""
+        running = self.promises.running(now)
+        votes = {name: self.votes[name] for name in running if name in self.votes}
+        votes[self.me] = self.held.ballot, self.held.version, self.held.digest, self.voter.sound
+        sound = [vote for vote in votes.values() if vote[3]]
+        if len(sound) >= self.promises.needed:
+            best = max(sound)
+        elif len(votes) == len(self.voters):
+            best = max(votes.values(), key=lambda vote: vote[:2])  # all that is left anywhere
+        else:
+            return
+        self.seen = max(self.seen, best[0])
+        if best[0] >= self.own:
+            return self.retire(now, 0)  # a file knew of a higher one
+        for held in (self.held, self.found):
+            if held is not None and held.digest == best[2]:
+                return self.begin(now, held)
+        if self.fetch is None or self.fetch.digest != best[2]:
+            source = next(name for name, vote in votes.items() if vote[2] == best[2])
+            self.fetch = Fetch(best[1], best[2], source)
+            self.want(now)
+
+    def begin(self, now: int, held: Held) -> None:
+        self.role, self.author, self.ballot, self.fetch, self.found = "leads", self.me, self.own, None, None
+        self.voter.sound = True
+        self.began_at, self.beat_at, self.committed = now, LONG_AGO, -1
+        self.known = {name: Known() for name in self.others}
+        self.queue, self.waiting, self.done = [], [], {}
+        self.hold(now, held.under(self.ballot))
+        count = len(self.promises.running(now))
+        self.host.log(
+            f"author by ballot {self.ballot}, {count} of {len(self.voters)} voters, version {held.version}"
+        )
+        self.lead(now)
+
+    # Author.
+
+    def lead(self, now: int) -> None:
+        self.voter.beaten(now, self.ballot)
+        self.promises.given(self.me, now)
+        if not self.promises.hold(now):
+            # Guards against one that stood still, or was cut off: somebody else may be author by now.
+            self.host.log(f"author no more: {len(self.promises.running(now))} of {len(self.voters)} voters")
+            return self.step_down(now)
+        self.commit(now)
+        if now - self.beat_at >= self.bounds.beat:
+            self.beat(now)
+        if self.committed >= 0:
+            self.view_at = now
+            self.take_back(now)
+        self.tell(now)
+
+    def step_down(self, now: int) -> None:
+        self.role, self.author, self.waiting, self.queue = "follows", "", [], []
+        self.heard_at, self.patience = now, self.draw_patience()
+
+    def beat(self, now: int) -> None:
+        self.beat_at = now
+        held = self.held
+        for name, known in self.known.items():
+            echo = known.token, known.confirmed
+            self.host.send(name, Beat(self.ballot, now, held.version, held.digest, self.committed, *echo))
+
+    def commit(self, now: int) -> None:
+        held, needed = self.held, self.promises.needed
+        if self.committed != held.version:
+            hold = sum(name in self.known and self.known[name].sound and self.known[name].held >= held.version
+                       for name in self.voters)  # fmt: skip
+            if hold + self.voter.sound < needed:
+                return
+            self.committed = held.version
+            for known in self.known.values():
+                known.confirmed = known.confirmed and known.acting >= held.version
+            self.act_on(now, held)
+            self.beat(now)
+        if self.queue:
+            changes, self.queue = self.queue, []
+            self.propose(now, changes)
+
+    def propose(self, now: int, changes: list[Verdict]) -> None:
+        before, changes = self.held, self.held.news(changes)
+        if not changes:  # they undo one another
+            self.waiting = [call._replace(version=min(call.version, before.version)) for call in self.waiting]
+            return
+        after = before.changed(self.ballot, changes)
+        self.trail.add(before, after, changes)
+        self.hold(now, after)
+        word = Changes(self.ballot, after.version, after.digest, before.digest, [changes])
+        small = len(ENCODE(changes)) < AT_ONCE
+        for name in self.others if small else ():
+            self.host.send(name, word)
+        self.commit(now)  # where it is the only voter
+        self.beat(now)
+
+    def take_back(self, now: int) -> None:
+        """Verdicts with an end of their own: by the time that this node has held them, so never too early."""
+        settled = self.held.digest == self.acting.digest
+        for key, verdict in self.acting.verdicts.items() if settled else ():
+            since = self.first_held.get(verdict, now)
+            if verdict.lasts_s and now - since >= verdict.lasts_s * 10_000:
+                self.queue.append(Verdict(*key, on=False, who="end", why="its time is over"))
+        if self.queue:
+            self.commit(now)
+
+    def may_act_on_older(self, now: int, version: int) -> dict[str, int]:
+        """The nodes that may still act on an older one, with for how long; -1: until they are back."""
+        found = {}
+        for name, known in self.known.items():
+            if known.acting < version:
+                until = max(known.may_until, self.began_at + self.bounds.longest_view())
+                if not self.bounds.strict:
+                    found[name] = -1
+                elif until > now:
+                    found[name] = until - now
+        return found
+
+    def tell(self, now: int) -> None:
+        """Operators whose call has come to an end, one way or the other."""
+        if self.waiting and self.promises.hold(now):
+            ended = {call: text for call in self.waiting if (text := self.verdict_on(now, call))}
+            self.waiting = [call for call in self.waiting if call not in ended]
+            for call, text in ended.items():
+                self.answer(call.name, call.ident, text)
+
+    def verdict_on(self, now: int, call: Waiting) -> str:
+        version, count = call.version, len(self.nodes)
+        if self.committed >= version:
+            late = self.may_act_on_older(now, version)
+            if not late:
+                out = sorted(name for name, known in self.known.items() if known.acting < version)
+                if not out:
+                    return f"SUCCESS version {version} in force at {count} of {count}"
+                return f"SUCCESS version {version} at {count - len(out)} of {count}, {' '.join(out)} shut out"
+            if now >= call.until:
+                most = max(late.values())
+                how = "until back in touch" if min(late.values()) < 0 else f"for {most / 10_000:.1f} s more"
+                names = " ".join(sorted(late))
+                return f"FAILURE version {version} kept, {names} may act on {version - 1} {how}"
+        elif now >= call.until:
+            return f"FAILURE version {version} proposed, not known whether it is kept"
+        return ""
+
+    def answer(self, name: str, ident: int, text: str) -> None:
+        if name == self.me:
+            self.settle(ident, text)
+        else:
+            self.host.send(name, Answer(ident, text))
+
+    # Operators.
+
+    def on_call(self, now: int, ident: int, changes: list[Verdict]) -> None:
+        """`Host.answered` gets what came of it, within `answer` and a little."""
+        self.calls[ident] = changes, now + self.bounds.answer, LONG_AGO, False
+        self.pass_on(now, ident)
+
+    def pass_on(self, now: int, ident: int) -> None:
+        changes, until, asked_at, handed_on = self.calls[ident]
+        if now > until + 4 * self.bounds.beat:
+            return self.settle(ident, self.no_author(now, handed_on))
+        if now - asked_at < 3 * self.bounds.beat:
+            return
+        if self.leads(now):
+            self.calls[ident] = changes, until, now, True
+            self.take_call(now, self.me, Call(ident, changes))
+        elif self.author and self.author != self.me:
+            self.calls[ident] = changes, until, now, True
+            self.host.send(self.author, Call(ident, changes))
+
+    def no_author(self, now: int, handed_on: bool) -> str:
+        near = len(self.promises.running(now))
+        reach = f": {near} of {len(self.voters)} voters in reach" if self.voter is not None else ""
+        known = "; not known whether the change is kept" if handed_on else ""
+        return f"FAILURE no author{reach}{known}"
+
+    def settle(self, ident: int, text: str) -> None:
+        if self.calls.pop(ident, None) is not None:
+            self.host.answered(ident, text)
+
+    def take_call(self, now: int, name: str, call: Call) -> None:
+        """At the author. The same call may come several times, also one that another author began on."""
+        if not call.changes:
+            return self.answer(name, call.ident, f"SUCCESS {self.status(now)}")
+        key = name, call.ident
+        if any((w.name, w.ident) == key for w in self.waiting):
+            return
+        if len(self.waiting) >= MOST_CALLS:
+            return self.answer(name, call.ident, "FAILURE too many calls under way")
+        if len(self.held.verdicts) + len(self.queue) + len(call.changes) > self.bounds.most:
+            return self.answer(name, call.ident, f"FAILURE {self.bounds.most} verdicts at most")
+        # What is under way may yet be lost with this author: the answer waits for all that it builds on.
+        busy = self.committed != self.held.version
+        if key in self.done:  # its answer was lost
+            version = self.done[key]
+        else:
+            self.queue += call.changes
+            version = self.held.version + bool(self.held.news(self.queue))
+            self.done[key] = version
+            while len(self.done) > 4 * MOST_CALLS:
+                del self.done[next(iter(self.done))]
+        self.waiting.append(Waiting(name, call.ident, version, now + self.bounds.answer))
+        if not busy:
+            self.commit(now)
+        self.tell(now)
+
+    def status(self, now: int) -> str:
+        held = self.acting
+        head = f"author {self.author or 'none'} ballot {self.ballot} version {held.version}"
+        head += f" {len(held.verdicts)} verdicts"
+        if self.role != "leads":
+            return f"{head}, {self.me} {self.touch_text(now)}"
+        rows = [f"{self.me} {held.version}"]
+        for name in sorted(self.known):
+            known = self.known[name]
+            left = max(known.may_until, self.began_at + self.bounds.longest_view()) - now
+            acts = str(known.acting) if known.acting >= 0 else "unheard"
+            near = known.confirmed and now - known.heard_at <= self.bounds.fresh
+            away = "" if near else f" out of touch {max(left, 0) / 10_000:.1f} s left"
+            rows.append(f"{name} {acts}{away}")
+        return f"{head}: {', '.join(rows)}"
+
+    def touch_text(self, now: int) -> str:
+        if self.view_at == LONG_AGO:
+            return "never confirmed"
+        state = "in touch" if self.fresh(now) else "stale" if self.stale(now) else "out of touch"
+        return f"{state}, confirmed {self.age(now) / 10_000:.1f} s ago"
+
+    # What comes from others.
+
+    def on_heard(self, now: int, name: str, word: Word) -> None:
+        kind = type(word)
+        if kind is Beat:
+            self.on_beat(now, name, word)
+        elif kind is Touch:
+            self.on_touch(now, name, word)
+        elif kind is Ask:
+            self.on_ask(now, name, word)
+        elif kind is Vote:
+            self.on_vote(now, name, word)
+        elif kind is No:
+            self.on_no(now, word)
+        elif kind is Release and self.voter is not None and self.ballot_of(word.ballot, name):
+            self.voter.released(word.ballot)
+        elif kind is Want:
+            self.on_want(name, word)
+        elif kind is Changes:
+            self.on_changes(now, word)
+        elif kind is Piece and self.fetch is not None and word.digest == self.fetch.digest:
+            made = self.fetch.take(word.index, word.count, word.data, 0)
+            if made is not None:
+                self.fetched(now, made)
+            elif word.index % 8 == 7 or not self.fetch.parts:
+                self.want(now)
+        elif kind is Call and self.leads(now):
+            self.take_call(now, name, word)
+        elif kind is Answer:
+            self.settle(word.ident, word.text)
+
+    def on_life(self, name: str) -> None:
+        """That node has begun a new life: what was known of the one before is over."""
+        if name in self.known:
+            until = self.known[name].may_until
+            self.known[name] = Known()
+            self.known[name].may_until = until
+        self.votes.pop(name, None)
+
+    def ballot_of(self, ballot: int, name: str) -> bool:
+        return name in self.voters and self.voters.index(name) == ballot % len(self.voters)
+
+    def on_ask(self, now: int, name: str, word: Ask) -> None:
+        if self.voter is None or not self.ballot_of(word.ballot, name):
+            return
+        if self.role == "leads" and not self.promises.hold(now):
+            self.step_down(now)
+        self.seen = max(self.seen, word.ballot)
+        if self.role != "leads" and self.voter.asked(now, word.ballot):
+            if self.role == "asks":
+                self.role, self.fetch = "follows", None
+            self.heard_at = now  # somebody is at it
+            held = self.held
+            vote = Vote(word.ballot, word.sent, held.ballot, held.version, held.digest, self.voter.sound)
+            self.host.send(name, vote)
+        elif self.voter.awake(now):
+            self.host.send(name, No(self.voter.bound(now), max(self.voter.until - now, 0)))
+
+    def on_vote(self, now: int, name: str, word: Vote) -> None:
+        if self.role == "asks" and word.ballot == self.own and name in self.voters:
+            self.promises.given(name, word.sent)
+            self.votes[name] = word.held_ballot, word.version, word.digest, word.sound
+            self.count(now)
+
+    def on_no(self, now: int, word: No) -> None:
+        """Another promise runs there, or has been given to a higher ballot: it is no use to go on now."""
+        self.seen = max(self.seen, word.ballot)
+        if self.role == "asks" and (word.ballot > self.own or word.more):
+            self.retire(now, word.more)
+
+    def on_beat(self, now: int, name: str, beat: Beat) -> None:
+        if not self.ballot_of(beat.ballot, name):
+            return
+        if beat.ballot < self.ballot or self.voter is not None and not self.voter.beaten(now, beat.ballot):
+            return  # an author of before, or one that this voter may no longer help
+        if self.role != "follows":
+            self.step_down(now)
+        self.ballot, self.heard_at = beat.ballot, now
+        if self.author != name:
+            self.author, self.fetch = name, None
+            self.host.log(f"follows {name}, ballot {beat.ballot}, version {beat.version}")
+        news = self.held.order() < (beat.ballot, beat.version)
+        if self.held.digest == beat.digest:
+            if news:
+                self.hold(now, self.held.under(beat.ballot))
+        elif news and (self.fetch is None or self.fetch.digest != beat.digest):
+            self.fetch = Fetch(beat.version, beat.digest, name)
+        if self.held.ballot == beat.ballot and self.held.version == beat.committed:
+            self.act_on(now, self.held)
+        same = self.held.ballot == beat.ballot and self.held.digest == beat.digest
+        if self.voter is not None and not self.voter.sound and same:
+            # The author held its lease when it confirmed a touch sent after the silence.
+            self.voter.sound = beat.echo >= self.voter.silent_until
+        if beat.confirmed:
+            self.view_at = max(self.view_at, beat.echo)
+        self.touch(now, beat.sent)
+
+    def touch(self, now: int, beat_sent: int) -> None:
+        held = self.held.version if self.held.ballot == self.ballot else -1
+        voter, acting = self.voter, self.acting.version
+        state = (voter.awake(now), voter.sound) if voter is not None else (False, False)
+        self.host.send(self.author, Touch(self.ballot, beat_sent, held, acting, now, *state))
+
+    def on_touch(self, now: int, name: str, touch: Touch) -> None:
+        if self.role != "leads" or touch.ballot != self.ballot or name not in self.known:
+            return
+        known = self.known[name]
+        if touch.sent < known.token:
+            return  # overtaken by a later one
+        if touch.awake and name in self.voters:
+            self.promises.given(name, touch.beat_sent)
+        known.held, known.acting, known.sound = touch.held, touch.acting, touch.sound
+        known.token, known.confirmed = touch.sent, 0 <= self.committed == touch.acting
+        known.heard_at = now
+        if known.confirmed:
+            known.may_until = now + self.bounds.longest_view()
+        if self.promises.hold(now):
+            self.commit(now)
+            self.tell(now)
+
+    # Sets on their way.
+
+    def want(self, now: int) -> None:
+        fetch = self.fetch
+        fetch.asked_at = now
+        have = [] if fetch.count else [self.held.digest, self.acting.digest]
+        self.host.send(fetch.source, Want(fetch.version, fetch.digest, have, fetch.missing()))
+
+    def on_want(self, name: str, word: Want) -> None:
+        held = next((h for h in (self.held, self.acting) if h.digest == word.digest), None)
+        if held is None:
+            return
+        for digest in word.have:
+            steps = self.trail.since(digest, held.digest)
+            if steps is not None and len(ENCODE(steps)) < AT_ONCE:
+                return self.host.send(name, Changes(held.ballot, held.version, held.digest, digest, steps))
+        count = held.pieces()
+        for index in (word.pieces or range(min(count, 16)))[:16]:
+            if 0 <= index < count:
+                self.host.send(name, Piece(held.version, held.digest, index, count, held.piece(index)))
+
+    def on_changes(self, now: int, word: Changes) -> None:
+        """Only onto what they build on, and only where what comes out is what was meant."""
+        asked = self.fetch is not None and self.fetch.digest == word.digest
+        news = word.ballot == self.ballot and self.author not in ("", self.me)
+        before = next((h for h in (self.held, self.acting) if h.digest == word.before), None)
+        if before is None or not (asked or news) or self.held.digest == word.digest:
+            return
+        steps = [before]
+        for changes in word.steps:
+            steps.append(steps[-1].changed(word.ballot, changes))
+        if steps[-1].digest == word.digest and steps[-1].version == word.version:
+            for step, after, changes in zip(steps, steps[1:], word.steps, strict=False):
+                self.trail.add(step, after, changes)
+            self.fetched(now, steps[-1])
+
+    def fetched(self, now: int, made: Held) -> None:
+        self.fetch = None
+        if self.role == "asks":
+            self.found = made
+            return self.count(now)
+        # Guards against an older one that was long under way, after this voter has said that it holds more.
+        news = self.held.order() < (self.ballot, made.version)
+        # Guards against taking more from an author after a vote for another said what is held here.
+        bound = self.voter.bound(now) if self.voter is not None else 0
+        if self.role == "follows" and self.author and self.ballot >= bound and news:
+            self.hold(now, made.under(self.ballot))
+            self.touch(now, LONG_AGO)
+
+    def hold(self, now: int, held: Held) -> None:
+        fresh = held.digest != self.held.digest
+        self.held = held
+        if fresh:
+            self.host.keep(held)
+        self.first_held = {verdict: self.first_held.get(verdict, now) for verdict in held.verdicts.values()}
+
+    def act_on(self, now: int, held: Held) -> None:
+        if held.version > self.acting.version or self.by_hint:
+            self.acting, self.by_hint = held, False
+            self.host.act(held)
+
+
+def hint_from(data: bytes, ballot: int, version: int, digest: bytes) -> Held | None:
+    return whole(ballot, version, digest, data)
--- a/basalthoist/net/admin.py
+++ b/basalthoist/net/admin.py
@@ -66,6 +66,7 @@
     def __init__(self, calls: dict[str, Call], calls_on: dict[str, CallOn], timers: Timers, log: Log,
                  line_s: float) -> None:  # fmt: skip
         self.calls, self.calls_on, self.timers, self.log = calls, calls_on, timers, log
+        self.calls_fleet: dict[str, Callable[[Callable[[str], None]], None]] = {}  # what the fleet answers
         self.patience = int(line_s * SECOND)
         self.callers: dict[Caller, None] = {}  # in the order in which they came
         self.server: asyncio.Server | None = None
@@ -100,15 +101,18 @@
         call, named = words[0], words[1:]
 
         def tell(wrong: str) -> None:
-            answer(f"FAILURE {wrong}" if wrong else f"SUCCESS {call}")
+            whole = wrong.startswith(("SUCCESS ", "FAILURE "))  # the fleet's word, as it is
+            answer(wrong if whole else f"FAILURE {wrong}" if wrong else f"SUCCESS {call}")
 
         try:
             if call in self.calls and not named:
                 tell(self.calls[call]())
+            elif call in self.calls_fleet and not named:
+                self.calls_fleet[call](tell)
             elif call in self.calls_on and len(named) == 1:
                 self.calls_on[call](named[0], tell)
             else:
-                known = [*self.calls, *(f"{name} ID" for name in self.calls_on)]
+                known = [*self.calls, *self.calls_fleet, *(f"{name} ID" for name in self.calls_on)]
                 answer(f"FAILURE expected one of: {', '.join(known)}")
         except Exception as wrong:
             # Guards against a call that breaks something here and takes the node along.
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -4,6 +4,7 @@
 import select
 import socket
 import struct
+from collections.abc import Callable
 
 from basalthoist.configuration import Configuration
 
@@ -17,9 +18,10 @@
 from .uploads import Upload
 
 REASONS = {
-    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
-    409: b"Conflict", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
-    500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
+    200: b"OK", 400: b"Bad Request", 403: b"Forbidden", 404: b"Not Found", 405: b"Method Not Allowed",
+    408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large",
+    431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
+    503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
 LAST_RECEIVED = struct.Struct("I")  # tcpi_last_data_recv of Linux' struct tcp_info, milliseconds
 METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))
@@ -387,6 +389,9 @@
         self.ready, self.leaving, self.lingered = False, False, False
         # While it parts, for a while or at the end, each answer closes its connection and idle ones go.
         self.parting, self.parts_from = False, 0
+        self.parts_for: set[str] = set()  # whose word it is: an operator's, or that of a view gone stale
+        self.may_send: Callable[[], bool] = lambda: True
+        self.shut: set[bytes] = set()  # customers that the fleet has shut out
         self.drained: asyncio.Future = loop.create_future()
         descriptors.makers_of_room.append(self.close_idlest)
         timers.every(SWEEP, self.sweep)
@@ -420,6 +425,10 @@
         customer = message.get(b"tenant")
         if self.customers and customer not in self.customers:
             raise BadMessage(400, "unknown Tenant")  # or none named, which would pass by every share
+        if customer in self.shut:
+            raise BadMessage(403, "customer shut out")
+        if not self.may_send():
+            return client.answer(503, [(b"retry-after", b"1")])
         customer_no = self.customers[customer] if self.customers else 0
         again = message.get(b"client-retry") == b"1"
         spilled = links is not None and message.get(b"site-hops") is not None
@@ -501,13 +510,18 @@
     def serving(self) -> bool:
         return self.ready and not self.parting
 
-    def stand_by(self) -> None:
+    def stand_by(self, word: str = "operator") -> None:
         if not self.parting:
             self.parts_from = now() + int(self.limits.linger_s * SECOND)
+        self.parts_for.add(word)
         self.parting = True
 
-    def be_active(self) -> None:
-        self.parting = False
+    def be_active(self, word: str = "operator") -> None:
+        self.parts_for.discard(word)
+        self.parting = self.leaving or bool(self.parts_for)
+
+    def shut_out(self, names: set[str]) -> None:
+        self.shut = {name.encode() for name in names}
 
     def leave(self) -> None:
         """The end of the node: connections are taken until `linger_over`, then it is drained."""
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -60,6 +60,7 @@
         self.probe_parts: Callable[[], list[bytes]] = lambda: [asks]
         self.ask_discovery: Callable[[], None] = lambda: None
         self.tell_peers: Callable[[Words, list[int]], None] = lambda words, peers: None
+        self.may_send: Callable[[], bool] = lambda: True
         self.shadow, began_at = None, now()
         self.node = Node(self, configuration.seed, configuration.settings, began_at)
         if configuration.shadow_settings is not None:
@@ -275,7 +276,9 @@
         if xchg.upload is not None:
             told = min(told, xchg.upload.grace)  # which counts from its last byte there too
         call = None
-        if xchg.upload is None or not xchg.upload.spent:  # else it is gone and cannot be sent
+        gone = xchg.upload is not None and xchg.upload.spent  # its body, and cannot be sent again
+        # Guards against a process that stood still and sends by what it knew before.
+        if not gone and self.may_send():
             call = self.upstream.call(backend, xchg.parts(told, marks), timeout, ended, starts,
                                       streams=xchg.streams, upload=xchg.upload)  # fmt: skip
         if call is None:
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -5,10 +5,12 @@
 import socket
 from collections.abc import Awaitable, Callable
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 
 from basalthoist.configuration import Configuration, ConfigurationError, load
 
 from .admin import Admin
+from .bans import Bans
 from .clients import Door, Listener
 from .descriptors import Descriptors
 from .discovery import Discovery
@@ -24,7 +26,7 @@
 
 class Service:
     def __init__(self, configuration: Configuration, loop: asyncio.AbstractEventLoop, gateway=None,
-                 jsonrpc=None) -> None:  # fmt: skip
+                 jsonrpc=None, fleet=None) -> None:  # fmt: skip
         limits = configuration.limits
         self.configuration, self.loop, self.limits = configuration, loop, limits
         self.log = Log(configuration.name, limits.log_lines_per_s)
@@ -40,6 +42,7 @@
         self.worker = ThreadPoolExecutor(1)  # its thread begins with the first work
         self.peers_wait, self.joining = False, None
         self.first_ready: asyncio.Future = loop.create_future()
+        self.bans, self.fleet = Bans(self.exchanges.on_maintenance), None
         if configuration.admin is not None:
             self.open_admin(configuration)
         loop.set_exception_handler(self.unforeseen)
@@ -48,11 +51,12 @@
         self.front, self.descriptors = None, descriptors
         if jsonrpc is not None:
             self.open_front(jsonrpc)
+        if fleet is not None:
+            self.open_fleet(fleet)
 
     def open_admin(self, configuration: Configuration) -> None:
         """The operators' door and what can be asked for there."""
-        told = self.exchanges.on_maintenance
-        self.maintenance = Maintenance(configuration.folder, self.log, told, self.aside)
+        self.maintenance = Maintenance(configuration.folder, self.log, self.bans.here, self.aside)
         self.discovery.on_names = self.maintenance.saw
         self.maintenance.read()
         call = self.maintenance.call
@@ -83,6 +87,42 @@
         self.front = Front(told, self.configuration, self.loop, self.timers, self.exchanges, self.descriptors,
                            self.log)  # fmt: skip
 
+    def open_fleet(self, told) -> None:
+        """Verdicts of a fleet. Its modules are loaded only where a file names one."""
+        from .fleet import Fleet
+
+        def stands_by(stale: bool) -> None:
+            (self.door.stand_by if stale else self.door.be_active)("fleet")
+
+        self.fleet = Fleet(told, self.configuration, self.timers, self.log, self.bans, self.door.shut_out,
+                           stands_by, self.aside)  # fmt: skip
+        self.exchanges.may_send = self.door.may_send = self.fleet.may_send
+        if self.admin is not None:
+            self.admin.calls_fleet["fleet-status"] = self.fleet.status
+            for call, kind, on in (("fleet-on", "ban", True), ("fleet-off", "ban", False),
+                                   ("fleet-shut-customer", "customer", True),
+                                   ("fleet-let-customer", "customer", False)):  # fmt: skip
+                self.admin.calls_on[call] = partial(self.fleet.call, kind, on)
+
+    async def join_fleet(self) -> None:
+        """It serves without its fleet where it cannot have the address: by what it knows, or standing by."""
+
+        async def opens() -> None:
+            sock = socket.socket(family_of(own), socket.SOCK_DGRAM)
+            try:
+                sock.setblocking(False)
+                sock.bind(own)
+                await self.loop.create_datagram_endpoint(lambda: self.fleet, sock=sock)
+            except OSError:
+                sock.close()
+                raise
+
+        own = self.fleet.addresses[self.configuration.name]
+        try:
+            await self.patient(opens)
+        except OSError as wrong:
+            self.log(f"fleet: no talk with it: {wrong}")
+
     def link(self, told) -> None:
         """Other sites. Its modules are loaded only where there are any."""
         from basalthoist.gateway.links import Links
@@ -119,6 +159,9 @@
         self.timers.after(int(self.limits.first_list_s * SECOND), self.get_ready)
         if not self.peers_wait:
             await self.join_peers()
+        if self.fleet is not None:
+            # The task is kept or it could be collected.
+            self.joining_fleet = self.loop.create_task(self.join_fleet())
         if followed:
             await self.first_ready  # until then the process before this one takes the clients
         listener = await self.patient(lambda: self.listener(given))
@@ -138,6 +181,8 @@
             self.admin.close()
         if self.succession is not None:
             self.succession.close()
+        if self.fleet is not None:
+            self.fleet.close()
         if self.exchanges.shadow is not None:
             self.log(self.exchanges.shadow.line())
         self.log("all answered")
@@ -206,10 +251,14 @@
     def status(self) -> str:
         if self.door.serving() and self.door.listener is not None:
             return ""
-        return "leaving" if self.door.leaving else "standby" if self.door.parting else "not ready yet"
+        return "leaving" if self.door.leaving else " and ".join(self.reasons()) or "not ready yet"
+
+    def reasons(self) -> list[str]:
+        words = {"operator": "standby", "fleet": "view of the fleet stale"}
+        return [words[word] for word in sorted(self.door.parts_for, reverse=True)]
 
     def stand_by(self) -> str:
-        if not self.door.parting:
+        if "operator" not in self.door.parts_for:
             here = f"{len(self.door.clients)} clients, {len(self.exchanges.under_way)} exchanges"
             self.log(f"standby, {here} here")
         self.door.stand_by()
@@ -218,7 +267,7 @@
     def be_active(self) -> str:
         if self.door.leaving:
             return "leaving"
-        if self.door.parting:
+        if "operator" in self.door.parts_for:
             self.log("active again")
         self.door.be_active()
         return ""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,9 +1,7 @@
 """A host that records what a node asks of it, short ways to make nodes, and stand-ins on sockets."""
 
 import contextlib
-import itertools
 import json
-import os
 import signal
 import socket
 import struct
@@ -14,11 +12,11 @@
 
 from basalthoist.decisions.host import Listed
 from basalthoist.decisions.policy import Node
+from basalthoist.experiments.loopback import own_address
 from basalthoist.net.members import address_of
 
 SECOND = 10_000
 NOW = 100 * SECOND
-PORTS = itertools.count(20_000)
 
 
 class RecordingHost:
@@ -214,13 +212,6 @@
     return made | more
 
 
-def own_address():
-    """One of this process alone: ports given out by the machine could be another's a moment later."""
-    pid = os.getpid()
-    host = f"127.{64 + pid // 62500 % 128}.{pid // 250 % 250 + 1}.{pid % 250 + 1}"
-    return f"{host}:{next(PORTS)}"
-
-
 class Program:
     """`python -m basalthoist`, ready to be asked."""
 
--- /dev/null
+++ b/tests/test_cluster.py
@@ -0,0 +1,123 @@
+"""Several processes of the program with a fleet, faults between them, judged from the ledgers."""
+
+import msgspec
+import pytest
+
+from basalthoist.emulator.scenario import ScenarioError
+from basalthoist.experiments.cluster.checker import Run, Said, judge
+from basalthoist.experiments.cluster.rig import play
+from basalthoist.experiments.cluster.timeline import Ban, Event, Machine, Timeline, drawn, read
+
+ON, BACK = Ban(2.0, 0), Ban(7.0, 0, 1, False)
+
+
+def at_author(kind, for_s=3.0, **more):
+    return Event(kind, 2.5, for_s, ["author"], **more)
+
+
+PLAYS = {
+    "killed": [at_author("kill", 1.0)],
+    "killed and its folder lost": [at_author("kill", 1.0, folder="lost")],
+    "frozen past its lease": [at_author("freeze")],
+    "hears nobody": [Event("one_way", 2.5, 3.0, [0, 1, 2, 3, 4], [0, 1])],
+    "is not heard": [at_author("one_way")],
+    "stalls, then all goes through": [at_author("stall")],
+    "split 3 to 2": [Event("cut", 2.5, 3.0, [0, 1])],
+    "split 2 to 2 to 1": [Event("cut", 2.5, 3.0, [0, 1]), Event("cut", 2.5, 3.0, [2, 3], [4])],
+    "discovery and links gone": [Event("cut", 2.5, 3.0, [0, 1]), Event("discovery", 2.5, 3.0, [0, 1, 2])],
+    "flapping": [Event("cut", 2.5 + 0.6 * i, 0.3, [1, 2]) for i in range(5)],
+}
+
+
+@pytest.mark.parametrize("events", PLAYS.values(), ids=PLAYS)
+def test_promises_are_kept(events, tmp_path):
+    """One ban before the faults, one in their midst, one taken back after them."""
+    said = []
+    bans = [ON, Ban(3.4, 1, 2), Ban(3.6, 2, 4), BACK]
+    result = play(Timeline(bans=bans, events=events, length_s=9.0), said.append, tmp_path)
+    assert result["broken"] == [], said
+    assert result["calls"][0]["text"] == "SUCCESS version 1 in force at 5 of 5"
+    assert result["runs"] > 300, "no load, nothing shown"
+
+
+def test_a_minority_restarts_with_disks_that_lie(tmp_path):
+    lies = [Machine(n, lie) for n, lie in enumerate(("forgets", "torn", "flip", "bad_read", "no_space"))]
+    events = [Event("kill", 3.0, 0.5, [0, 1]), Event("kill", 6.0, 0.5, [2, 3])]
+    told = Timeline(bans=[Ban(2.0, 0), Ban(5.0, 1, 2)], events=events, machines=lies, length_s=9.0)
+    result = play(told, folder=tmp_path)
+    assert result["broken"] == []
+
+
+def test_a_node_without_its_fleet_stands_by_and_one_that_may_serves_on(tmp_path):
+    away = [Event("cut", 2.5, 5.5, [4])]
+    strict, lenient = (
+        play(Timeline(bans=[Ban(3.0, 0)], events=away, length_s=9.0, when_stale=mode), folder=tmp_path / mode)
+        for mode in ("stand_by", "serve")
+    )
+    assert strict["calls"][0]["text"] == "SUCCESS version 1 at 4 of 5, n4 shut out"
+    assert lenient["calls"][0]["text"] == "FAILURE version 1 kept, n4 may act on 0 until back in touch"
+    assert strict["counts"]["shed"] > lenient["counts"]["shed"] + 20
+    assert strict["broken"] == []
+
+
+def test_drawn_timelines(tmp_path):
+    for seed in (3, 7):
+        said = []
+        result = play(drawn(seed), said.append, tmp_path / str(seed))
+        assert result["broken"] == [], [seed, *said]
+
+
+# The checker: each check with what it has to catch.
+
+SUCCESS = "SUCCESS version 4 in force at 5 of 5"
+KEPT = "FAILURE version 4 kept, n2 may act on 3 for 1.0 s more"
+EARLIER = SUCCESS.replace("4", "3")
+
+
+def run(at, backend=0, name="n1-1", save=False):
+    return Run(at, backend, 1, name, save)
+
+
+@pytest.mark.parametrize(
+    "runs, calls, kind",
+    [
+        ([run(3.2)], [Said(2, 3, 0, True, 0, SUCCESS)], "after_success"),
+        ([run(3.05)], [Said(2, 3, 0, True, 0, SUCCESS)], ""),  # within the grace
+        ([run(3.2, 1)], [Said(2, 3, 0, True, 0, SUCCESS)], ""),
+        ([run(4.0)], [Said(2, 3, 0, True, 0, KEPT)], ""),  # within the bound
+        ([run(5.0)], [Said(2, 3, 0, True, 0, KEPT)], "beyond_bound"),
+        ([run(5.0)], [Said(2, 3, 0, True, 0, KEPT), Said(4, 4.5, 0, False, 0, "no answer")], ""),
+        ([run(5.0)], [Said(2, 3, 0, True, 0, "FAILURE no author: 2 of 5 voters in reach")], ""),
+        ([run(1.0, save=True), run(1.1, 1, save=True)], [], "twice"),
+        ([run(1.0), run(1.1, 1)], [], ""),
+        ([], [Said(2, 3, 0, True, 0, SUCCESS), Said(4, 5, 1, True, 0, EARLIER)], "versions"),
+    ],
+)
+def test_the_checker_can_fail(runs, calls, kind):
+    found = judge(runs, calls, 1.5, 0.1)
+    assert [key for key in ("after_success", "beyond_bound", "twice", "versions") if getattr(found, key)] == (
+        [kind] if kind else []
+    )
+
+
+@pytest.mark.parametrize(
+    "text, key",
+    [
+        ('[[events]]\nkind = "cut"\nat_s = 1\nwho = [9]', "events[0].who"),
+        ('[[events]]\nkind = "burn"\nat_s = 1\nwho = [1]', "$.events[0].kind"),
+        ("[[machines]]\nnode = 1\nrate = 1.01", "machines[0].rate"),
+        ("[[bans]]\nat_s = 1\nbackend = 7", "bans[0]"),
+        ("voters = 7", "voters"),
+    ],
+)
+def test_a_wrong_timeline_names_file_and_key(text, key, tmp_path):
+    path = tmp_path / "wrong.toml"
+    path.write_text(text)
+    with pytest.raises(ScenarioError) as wrong:
+        read(path)
+    assert key in str(wrong.value) and str(path) in str(wrong.value)
+
+
+def test_what_is_drawn_is_the_same_each_time_and_can_be_written_down():
+    one = drawn(11)
+    assert msgspec.convert(msgspec.to_builtins(one), Timeline) == drawn(11) == one
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -127,7 +127,7 @@
         (reply(500), "200", "502"),
         (reply(503), "200", "502"),
         (reply(503, Not_Started="1"), "200", "200"),
-        (own_address(), "200", "200"),  # nobody listens
+        ("127.250.250.250:20000", "200", "200"),  # nobody listens
     ],
 )
 @pytest.mark.parametrize("route", ["read", "pay"])
--- /dev/null
+++ b/tests/test_replicas.py
@@ -0,0 +1,306 @@
+"""What docs/fleet.md promises, in simulated time, and deliberately broken builds that the judge catches."""
+
+import pytest
+
+from basalthoist.decisions.chance import Lcg
+from basalthoist.emulator.replicas import Broken, Replicas, Storm
+from basalthoist.fleet import lease, replica
+from basalthoist.fleet.bounds import Bounds
+from basalthoist.fleet.register import Fetch, Held, Verdict
+from basalthoist.fleet.replica import LONG_AGO, Replica
+from basalthoist.fleet.wire import Ask, Beat, Changes, Release, Vote
+
+SHORT = Bounds(lease=10_000, beat=1_500, fresh=5_000, stale=15_000, drift=0.1, answer=30_000)
+
+
+def storm(seed, bounds=SHORT, make=Replica, faults=40):
+    voters = (3, 5)[seed % 2]
+    fleet = Replicas(voters + seed % 3, voters, seed, bounds, make=make)
+    Storm(fleet, faults).blow()
+    return fleet
+
+
+@pytest.mark.parametrize("first", range(0, 40, 5))
+def test_storms(first):
+    for seed in range(first, first + 5):
+        storm(seed)
+
+
+class Recorder:
+    def __init__(self):
+        self.sent, self.acted = [], []
+
+    def __getattr__(self, name):
+        return lambda *what: None
+
+    def send(self, name, word):
+        self.sent.append((name, word))
+
+    def act(self, held):
+        self.acted.append(held.version)
+
+
+def follower(now=0):
+    """It follows n0 by ballot 3 and holds version 1; with the changes to versions 1 and 2, and both."""
+    host = Recorder()
+    made = Replica(host, "n1", ["n0", "n1", "n2"], ["n0", "n1", "n2"], SHORT, Lcg(1), now)
+    empty = Held(3, 0, {})
+    first, second = ([Verdict("ban", name)] for name in ("s1", "s2"))
+    one = empty.changed(3, first)
+    two = one.changed(3, second)
+    changes = [Changes(3, 1, one.digest, empty.digest, [first])]
+    changes.append(Changes(3, 2, two.digest, one.digest, [second]))
+    made.on_heard(now, "n0", Beat(3, 0, 0, empty.digest, 0, 0, False))
+    made.on_heard(now, "n0", changes[0])
+    return made, host, changes, (one, two)
+
+
+def test_a_version_long_under_way_does_not_replace_a_later_one():
+    made, _, changes, _ = follower()
+    made.on_heard(5, "n0", changes[1])
+    made.on_heard(6, "n0", changes[0])
+    assert made.held.version == 2
+
+
+def test_nothing_more_is_taken_from_an_author_after_a_vote_for_another():
+    made, host, changes, _ = follower()
+    late = SHORT.lease + 1
+    made.on_heard(late, "n2", Ask(5, 0))
+    assert isinstance(host.sent[-1][1], Vote) and host.sent[-1][1].version == 1
+    made.on_heard(late + 1, "n0", changes[1])
+    assert made.held.version == 1
+    made.on_heard(late + 2, "n2", Release(5))
+    made.on_heard(late + 3, "n0", changes[1])
+    assert made.held.version == 2
+
+
+def test_only_what_a_majority_holds_is_acted_on():
+    made, host, changes, (one, two) = follower()
+    made.on_heard(5, "n0", changes[1])
+    made.on_heard(6, "n0", Beat(3, 0, 2, two.digest, 1, 0, False))
+    assert host.acted == []  # version 1 is not held any more, 2 does not count yet
+    made.on_heard(7, "n0", Beat(3, 0, 2, two.digest, 2, 0, False))
+    assert host.acted == [2]
+
+
+def test_a_whole_set_counts_only_as_a_whole():
+    held = Held(3, 7, {("ban", f"s{i}"): Verdict("ban", f"s{i}", why="x" * 40) for i in range(4096)})
+    fetch = Fetch(7, held.digest, "n0")
+    assert held.pieces() > 200
+    order = [*range(held.pieces())]
+    for index in order[:-1]:
+        assert fetch.take(index, held.pieces(), held.piece(index), 3) is None
+    assert fetch.missing() == [order[-1]]
+    assert fetch.take(order[-1], held.pieces(), b"?" + held.piece(order[-1])[1:], 3) is None
+    assert fetch.missing() == order[:16]  # one is damaged, which one nobody knows
+    for index in reversed(order):
+        made = fetch.take(index, held.pieces(), held.piece(index), 3)
+    assert made.verdicts == held.verdicts and made.order() == (3, 7)
+
+
+# Broken builds: each a way in which such a thing is got wrong.
+
+
+class Loud(lease.Voter):
+    """It promises at once after a start, and counts as one that has forgotten nothing."""
+
+    def __init__(self, bounds, now):
+        super().__init__(bounds, now)
+        self.silent_until, self.sound = now, True
+
+
+class Forgetful(lease.Voter):
+    """It keeps silent, but then counts without having learnt anything."""
+
+    def awake(self, now):
+        self.sound = self.sound or super().awake(now)
+        return super().awake(now)
+
+
+class Generous(lease.Voter):
+    """A second candidate gets a promise while the first one's runs."""
+
+    def asked(self, now, ballot):
+        self.until = 0
+        return super().asked(now, ballot)
+
+
+class FromReceipt(Replica):
+    """Promises count from when the answer came."""
+
+    def on_vote(self, now, name, word):
+        word.sent = now
+        super().on_vote(now, name, word)
+
+    def on_touch(self, now, name, touch):
+        touch.beat_sent = now
+        super().on_touch(now, name, touch)
+
+
+class Hasty(Replica):
+    """It counts a version as kept as soon as it holds it itself."""
+
+    def commit(self, now):
+        self.promises.needed, needed = 1, self.promises.needed
+        try:
+            super().commit(now)
+        finally:
+            self.promises.needed = needed
+
+
+class OverGaps(Replica):
+    """Changes are laid over whatever it holds."""
+
+    def on_changes(self, now, word):
+        made = self.held
+        for changes in word.steps:
+            made = made.changed(word.ballot, changes)
+        made.version, made.digest = word.version, word.digest
+        if word.ballot == self.ballot and self.role == "follows" and self.held.digest != word.digest:
+            self.fetched(now, made)
+
+
+class Impatient(Replica):
+    """A new author does not wait out what the one before may have confirmed."""
+
+    def may_act_on_older(self, now, version):
+        self.began_at, began_at = LONG_AGO, self.began_at
+        try:
+            return super().may_act_on_older(now, version)
+        finally:
+            self.began_at = began_at
+
+
+class FromArrival(Replica):
+    """A view counts from when the confirmation came."""
+
+    def on_beat(self, now, name, beat):
+        if beat.confirmed:
+            beat.echo = now
+        super().on_beat(now, name, beat)
+
+
+class Unbounded(Replica):
+    """It never asks for how long it has been out of touch."""
+
+    def may_send(self, now):
+        return self.view_at != LONG_AGO
+
+
+class Undated(Bounds):
+    """Drift left out."""
+
+    def own_lease(self):
+        return self.lease
+
+    def longest_view(self):
+        return self.stale
+
+
+def isolated(seed, bounds, make):
+    """The author and some of the others are cut off; the rest elects another one, which bans something."""
+    fleet = Replicas(9, 5, seed, bounds, make=make)
+    fleet.run(4 * bounds.lease)
+    fleet.call("n7", 1, [Verdict("ban", "s1")])
+    fleet.run(fleet.at + bounds.lease)
+    away = {fleet.author(), "n5", "n6"}
+    fleet.split(sorted(away), [n for n in fleet.names if n not in away])
+    for number in range(2, 30):
+        fleet.run(fleet.at + 2 * bounds.beat)
+        fleet.call("n7" if "n7" not in away else "n8", number, [Verdict("ban", "s2")])
+    assert any("shut out" in text for text in fleet.answers.values())
+    fleet.heal()
+    fleet.run(fleet.at + 3 * bounds.lease)
+    assert not [f for f in fleet.fellows.values() if f.replica.acting.version != 2]
+
+
+def lossy(seed, bounds, make):
+    """Calls all the time on links that lose, double and delay, and now and then an author that ends."""
+    fleet = Replicas(5, 3, seed, bounds, 0.2, 0.2, (2, bounds.lease // 6), make=make)
+    fleet.run(4 * bounds.lease)
+    for number in range(60):
+        fleet.run(fleet.at + bounds.beat)
+        fleet.call(f"n{number % 5}", number, [Verdict("ban", f"s{number % 7}", number % 3 > 0)])
+        if number % 20 == 19:
+            author = fleet.author() or "n0"
+            fleet.kill(author)
+            fleet.run(fleet.at + 3 * bounds.lease)
+            fleet.restart(author)
+
+
+def alone(seed, bounds, make):
+    """On slow links one node is cut off just before a call."""
+    fleet = Replicas(7, 5, seed, bounds, delay=(2, bounds.lease // 4), make=make)
+    fleet.run(6 * bounds.lease)
+    for number in range(6):
+        author = fleet.author() or "n0"
+        name = next(n for n in fleet.names[number % 7 :] + fleet.names if n != author)
+        fleet.split([name], [n for n in fleet.names if n != name])
+        fleet.call(author, number, [Verdict("ban", f"s{number}")])
+        fleet.run(fleet.at + 4 * bounds.lease)
+        fleet.heal()
+        fleet.run(fleet.at + 6 * bounds.lease)
+
+
+def frozen(seed, bounds, make):
+    """The author stands still again and again, each time until somebody else is author, and wakes."""
+    fleet = Replicas(5, 5, seed, bounds, delay=(2, bounds.lease // 6), make=make)
+    for number in range(6):
+        fleet.run(fleet.at + 6 * bounds.lease)
+        author = fleet.author() or "n0"
+        fleet.freeze(author)
+        fleet.call(next(n for n in fleet.names if n != author), number, [Verdict("ban", f"s{number}")])
+        fleet.run(fleet.at + 4 * bounds.lease)
+        fleet.wake(author)
+    assert fleet.sure >= 3
+
+
+def storms(seed, bounds, make):
+    storm(seed, bounds, make)
+
+
+def amnesia(seed, bounds, make):
+    """One voter is behind, one has forgotten all, the author is away: there can be no other."""
+    fleet = Replicas(3, 3, seed, bounds, make=make)
+    fleet.run(6 * bounds.lease)
+    author = fleet.author()
+    behind, loses = (name for name in fleet.names if name != author)
+    fleet.split([behind], [author, loses])
+    fleet.call(author, 1, [Verdict("ban", "s1")])
+    fleet.run(fleet.at + bounds.lease // 2)
+    fleet.kill(author)
+    fleet.restart(loses, keeps=False)
+    fleet.heal()
+    fleet.run(fleet.at + 10 * bounds.lease)
+    assert not fleet.author()
+    fleet.restart(author)
+    fleet.run(fleet.at + 10 * bounds.lease)
+    assert fleet.fellows[behind].replica.acting.version == 1
+
+
+BUILDS = [(Loud, amnesia, 20), (Forgetful, amnesia, 20), (Generous, storms, 40), (FromReceipt, frozen, 20),
+          (Hasty, lossy, 20), (OverGaps, lossy, 20), (Impatient, isolated, 20), (FromArrival, alone, 20),
+          (Unbounded, isolated, 20), (Undated, isolated, 60)]  # fmt: skip
+
+
+@pytest.mark.parametrize("play", [isolated, lossy, alone, frozen, amnesia], ids=lambda one: one.__name__)
+def test_plays(play):
+    for seed in range(6):
+        play(seed, SHORT, Replica)
+
+
+@pytest.mark.parametrize("broken, play, seeds", BUILDS, ids=lambda one: getattr(one, "__name__", str(one)))
+def test_broken_builds_are_caught(broken, play, seeds, monkeypatch):
+    bounds, make = SHORT, Replica
+    if issubclass(broken, lease.Voter):
+        monkeypatch.setattr(replica, "Voter", broken)
+    elif issubclass(broken, Bounds):
+        bounds = broken(*SHORT)
+    else:
+        make = broken
+    for seed in range(seeds):
+        try:
+            play(seed, bounds, make)
+        except Broken:
+            return
+    pytest.fail("not caught")
