Membership by indirect probes, suspicion and refutation; python -m basalthoist fleet

Cause of most: whoever had not heard of a refutation was not told again, since the suspect had told it as often as news is told (heard, own_told); the rest by repeating a direct probe within its period. The command brings up five nodes on loopback, bans, cuts and freezes, prints who acts on which version, and exits with 0 only if the ledgers find nothing: 20 s.

--- a/basalthoist/commands/line.py
+++ b/basalthoist/commands/line.py
@@ -276,3 +276,75 @@
             fail(f"pair {result['pair']}: void: {result['void']}", FAILED)
         if result["ran_twice"]:
             fail(f"pair {result['pair']}: {result['ran_twice']} exchanges ran twice", FAILED)
+
+
+def say_result(result: dict) -> None:
+    counts, broken = result["counts"], result["broken"]
+    click.echo(f"{counts['offered']} requests: {counts['in_time']} in time, {counts['shed']} shed, "
+               f"{counts['failed']} without an answer; {result['runs']} tries at backends")  # fmt: skip
+    waits = " ".join(f"{wait:.2f}" for wait in result["waits_s"])
+    bound = f"bound on a stale view {result['bound_s']:.2f} s"
+    click.echo(f"calls came into force everywhere after {waits} s; {bound}")
+    click.echo(f"longest after a ban was kept that a node still sent there: {result['worst_s']:.2f} s")
+    for line in broken:
+        click.echo(f"broken: {line}")
+    if not broken:
+        click.echo("held: no send to a banned backend after SUCCESS or beyond the bound, one version after")
+
+
+@main.command()
+@click.argument("timeline", type=click.Path(path_type=Path), required=False)
+@click.option("--search", "seconds", type=click.FloatRange(min=1), help="Draw timelines for so many seconds.")
+@click.option("--seed", type=int, default=1, show_default=True, help="The first of those drawn.")
+@click.option("--processes", type=click.IntRange(min=1), default=4, show_default=True)
+@click.option("--into", type=click.Path(path_type=Path), default=Path("found"), show_default=True)
+def fleet(timeline: Path | None, seconds: float | None, seed: int, processes: int, into: Path) -> None:
+    """Bring up a fleet on loopback, ban a backend, cut and freeze nodes; or play a TIMELINE of faults.
+
+    Prints what happens and which node acts on which version. Exit code 0 only if all bounds held."""
+    from basalthoist.experiments.cluster import show
+    from basalthoist.experiments.cluster import timeline as timelines
+
+    if seconds is not None:
+        return search_timelines(seconds, seed, processes, into)
+    try:
+        told = timelines.read(timeline) if timeline is not None else show.TOLD
+    except ScenarioError as wrong:
+        fail(wrong)
+    count = f"{told.nodes} nodes, {told.voters} voters, {told.backends} backends"
+    click.echo(f"{told.name}, seed {told.seed}: {count}")
+    for event in sorted(told.events, key=lambda event: event.at_s):
+        who = " ".join(map(str, event.who))
+        click.echo(f"  at {event.at_s:.2f} {event.kind} {who} for {event.for_s:g} s")
+    try:
+        result = show.show(told, click.echo)
+    except (OSError, RuntimeError) as wrong:
+        fail(wrong, FAILED)
+    say_result(result)
+    sys.exit(FAILED if result["broken"] else 0)
+
+
+def search_timelines(seconds: float, seed: int, processes: int, into: Path) -> None:
+    from basalthoist.experiments.cluster import searching
+    from basalthoist.experiments.cluster.timeline import Timeline
+
+    from .toml import as_toml
+
+    played, worst, found = 0, 0.0, 0
+    for result in searching.search(seed, 1_000_000, seconds, processes):
+        played, worst = played + 1, max(worst, result.get("worst_s", 0.0))
+        if not result["broken"]:
+            continue
+        found += 1
+        told = msgspec.convert(result["timeline"], Timeline)
+        click.echo(f"seed {told.seed} breaks: {result['broken'][0]}")
+        told = searching.least(told, searching.broken_by, click.echo)
+        path = into / f"timeline-{told.seed}.toml"
+        try:
+            into.mkdir(parents=True, exist_ok=True)
+            path.write_text(as_toml(msgspec.to_builtins(told)))
+        except OSError as wrong:
+            fail(f"{path}: {wrong.strerror}", FAILED)
+        click.echo(f"{path}: {len(told.events)} events left")
+    click.echo(f"{played} timelines, {found} broken; longest after a ban was kept {worst:.2f} s")
+    sys.exit(FAILED if found else 0)
--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -246,6 +246,7 @@
     when_stale: Literal["stand_by", "serve"] = "stand_by"
     drift: Annotated[float, msgspec.Meta(ge=0, le=0.1)] = 0.001  # how far a clock's rate may be off
     answer_s: Seconds = 6.0  # how long an operator's call is tried
+    probe_s: Seconds = 1.0  # between two probes of other members, to know who is there
     most_verdicts: Annotated[int, msgspec.Meta(gt=0, le=4096)] = 4096
 
     def bounds(self):
--- a/basalthoist/experiments/cluster/rig.py
+++ b/basalthoist/experiments/cluster/rig.py
@@ -111,7 +111,7 @@
         self.told, self.folder, self.say, self.chance = told, folder, say, Random(told.seed)
         self.runs: list[checker.Run] = []
         self.calls: list[checker.Said] = []
-        self.began = time.monotonic()
+        self.began, self.nodes = time.monotonic(), []
         usual = {"service_ms": 4.0, "objective_ms": 300.0, "timeout_ms": 900.0}
         save = Route(name="save", semantics="non-retriable", share=0.5, **usual)
         routes = Route(name="read", **usual), save
@@ -129,7 +129,7 @@
         members = await members_of(scripts)
         agent = await open_discovery(members)
         machines = {machine.node: machine for machine in told.machines}
-        self.nodes = [Node(self, n, machines.get(n, Machine(n))) for n in range(told.nodes)]
+        self.nodes += [Node(self, n, machines.get(n, Machine(n))) for n in range(told.nodes)]
         self.mesh = Mesh([address_of(own_address()) for _ in self.nodes], self.chance)
         await self.mesh.open()
         self.doors = [await self.mesh.door(address_of(agent)) for _ in self.nodes]
--- /dev/null
+++ b/basalthoist/experiments/cluster/show.py
@@ -0,0 +1,55 @@
+"""What `python -m basalthoist fleet` plays: a fleet on loopback, bans, a cut and a freeze."""
+
+import asyncio
+import re
+import tempfile
+from pathlib import Path
+
+from .rig import Rig
+from .timeline import Ban, Event, Timeline
+
+ACTS = re.compile(r"(n\d+): fleet: acts on version (\d+)")
+MODE = re.compile(r"(n\d+): (view (?:stale|confirmed), version \d+.*|author .*)")
+
+TOLD = Timeline(
+    name="shown", length_s=17.0,
+    bans=[Ban(1.5, 0), Ban(4.5, 1, 2), Ban(10.5, 2, 1), Ban(14.0, 0, 3, False)],
+    events=[Event("cut", 3.5, 4.0, [4]), Event("freeze", 9.5, 3.0, ["author"])],
+)  # fmt: skip
+
+
+class Watcher:
+    """Reads the nodes' logs as they grow: for the reader only, the judge goes by the ledgers."""
+
+    def __init__(self, rig: Rig, say) -> None:
+        self.rig, self.say, self.read = rig, say, {}
+
+    async def watch(self) -> None:
+        while True:
+            await asyncio.sleep(0.05)
+            for node in self.rig.nodes:
+                if node.lives:
+                    self.look(node)
+
+    def look(self, node) -> None:
+        key, data = (node.number, node.lives), node.log.read_text(errors="replace")
+        for line in data[self.read.get(key, 0) :].splitlines():
+            if found := ACTS.match(line):
+                self.say(f"{self.rig.at():6.2f}   {found[1]} acts on version {found[2]}")
+            elif found := MODE.match(line):
+                self.say(f"{self.rig.at():6.2f}   {found[1]}: {found[2]}")
+        self.read[key] = len(data)
+
+
+async def shown(told: Timeline, folder: Path, say) -> dict:
+    rig = Rig(told, folder, say)
+    watching = asyncio.create_task(Watcher(rig, say).watch())
+    try:
+        return await rig.play()
+    finally:
+        watching.cancel()
+
+
+def show(told: Timeline, say) -> dict:
+    with tempfile.TemporaryDirectory(prefix="rig-") as folder:
+        return asyncio.run(shown(told, Path(folder), say))
--- a/basalthoist/net/fleet.py
+++ b/basalthoist/net/fleet.py
@@ -16,9 +16,10 @@
 
 from basalthoist.configuration import Configuration, FleetDocument, address_of
 from basalthoist.decisions.chance import Lcg
+from basalthoist.fleet.members import Members
 from basalthoist.fleet.register import Held, Verdict, whole
 from basalthoist.fleet.replica import Replica
-from basalthoist.fleet.wire import Acquaintance, Letter, Word, decode, encode
+from basalthoist.fleet.wire import Ack, Acquaintance, Letter, Ping, Word, decode, encode
 
 from .bans import Bans
 from .log import Log
@@ -60,6 +61,8 @@
         voters = sorted(told.voters)
         hint = self.read()
         self.replica = Replica(self, self.me, sorted(told.nodes), voters, bounds, chance, at, hint)
+        period = int(told.probe_s * SECOND)
+        self.members = Members(self, self.me, life, sorted(told.nodes), period, chance, at)
         self.standing_by = not self.replica.may_send(at)
         stands_by(self.standing_by)
         timers.every(max(bounds.beat // 4, 50), self.tick)
@@ -89,14 +92,23 @@
         if self.acquaintance.lives.get(name) != knew:
             self.log(f"fleet: {name} has {'begun another life' if knew else 'been met'}")
             self.replica.on_life(name)
+            self.members.on_life(at, name, letter.life)
         if counts:
             # Guards against a word that breaks something here: it ends no more than itself.
             try:
-                self.replica.on_heard(at, name, letter.word)
+                self.heard(at, name, letter.word)
             except Exception as wrong:
                 self.odd(f"from {name}, {type(letter.word).__name__} failed: {wrong!r}")
             self.look(at)
 
+    def heard(self, at: int, name: str, word: Word) -> None:
+        if type(word) is Ping:
+            self.members.on_ping(at, name, word)
+        elif type(word) is Ack:
+            self.members.on_ack(at, name, word)
+        else:
+            self.replica.on_heard(at, name, word)
+
     def error_received(self, wrong: OSError) -> None:
         self.unsent += 1
 
@@ -130,6 +142,7 @@
     def tick(self) -> None:
         at = awake_or_not()
         self.replica.on_tick(at)
+        self.members.on_tick(at)
         self.look(at)
 
     def look(self, at: int) -> None:
@@ -166,6 +179,9 @@
         self.to_write = held
         self.write()
 
+    def member(self, name: str, state: int) -> None:
+        pass  # who is there is for operators; the author goes by touches
+
     def answered(self, ident: int, text: str) -> None:
         caller = self.callers.pop(ident, None)
         if caller is not None:
@@ -183,6 +199,9 @@
         else:
             answer(f"FAILURE {self.replica.status(at)}")
 
+    def who_is_there(self) -> str:
+        return f"SUCCESS {self.members.line(awake_or_not())}"
+
     def ask(self, changes: list[Verdict], answer: Callable[[str], None]) -> None:
         self.last_call += 1
         self.callers[self.last_call] = answer
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -99,6 +99,7 @@
         self.exchanges.may_send = self.door.may_send = self.fleet.may_send
         if self.admin is not None:
             self.admin.calls_fleet["fleet-status"] = self.fleet.status
+            self.admin.calls["fleet-members"] = self.fleet.who_is_there
             for call, kind, on in (("fleet-on", "ban", True), ("fleet-off", "ban", False),
                                    ("fleet-shut-customer", "customer", True),
                                    ("fleet-let-customer", "customer", False)):  # fmt: skip
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,91 @@
+"""Who is there, in simulated time: nobody is accused for nothing, and who is gone is found."""
+
+import pytest
+
+from basalthoist.decisions.chance import Lcg
+from basalthoist.emulator.crowd import Crowd
+from basalthoist.fleet.members import ALIVE, GONE, SUSPECT, Members
+from basalthoist.fleet.wire import Ack, Ping
+
+PERIOD = 10_000
+
+
+@pytest.mark.parametrize("count, loss, seconds", [(2, 0.0, 20), (5, 0.0, 20), (5, 0.3, 30), (50, 0.3, 30)])
+def test_nobody_is_accused_for_nothing_and_who_is_killed_is_found_by_all(count, loss, seconds):
+    crowd = Crowd(count, 3, loss=loss)
+    crowd.run(30)
+    assert crowd.false_ones() == 0
+    since, crowd.people["n1"].alive = crowd.at, False
+    crowd.run(seconds)
+    found = crowd.found_gone("n1", since)
+    assert len(found) == count - 1 and found[0] > 1.0
+    assert {about for _, _, about in crowd.gone} == {"n1"}
+
+
+def test_a_one_way_cut_between_two_is_not_flapping():
+    crowd = Crowd(6, 4)
+    crowd.cut = {("n0", "n1")}
+    crowd.run(120)
+    assert crowd.gone == []
+
+
+def test_one_that_stood_still_accuses_nobody():
+    crowd = Crowd(6, 5)
+    crowd.run(20)
+    crowd.people["n0"].frozen = True
+    crowd.run(30)
+    assert {about for _, _, about in crowd.gone} == {"n0"}
+    crowd.gone.clear()
+    crowd.people["n0"].frozen = False
+    crowd.run(30)
+    assert [name for _, _, name in crowd.gone] == []
+    assert all("n0" in p.members.there() for p in crowd.people.values() if p.name != "n0")
+
+
+def test_two_halves_find_each_other_again():
+    crowd = Crowd(8, 6)
+    one, other = crowd.names[:4], crowd.names[4:]
+    crowd.cut = {(a, b) for a in crowd.names for b in crowd.names if (a in one) != (b in one)}
+    crowd.run(60)
+    assert all(set(crowd.people[n].members.there()) == set(other) - {n} for n in other)
+    crowd.cut = set()
+    crowd.run(60)
+    assert all(len(p.members.there()) == 7 for p in crowd.people.values())
+
+
+class Host:
+    def __init__(self):
+        self.sent = []
+
+    def send(self, name, word):
+        self.sent.append((name, word))
+
+    def member(self, name, state):
+        pass
+
+    def log(self, line):
+        pass
+
+
+@pytest.mark.parametrize(
+    "life, incarnation, state, then",
+    [
+        (7, 0, SUSPECT, SUSPECT),
+        (6, 9, GONE, ALIVE),  # a word of another life counts for nothing
+        (7, 0, ALIVE, ALIVE),
+        (7, 0, GONE, GONE),
+    ],
+)
+def test_words_of_an_earlier_life_never_count(life, incarnation, state, then):
+    members = Members(Host(), "n0", 1, ["n0", "n1", "n2"], PERIOD, Lcg(1), 0)
+    members.on_life(0, "n1", 7)
+    members.on_ping(1, "n2", Ping(1, "n0", [("n1", life, incarnation, state)]))
+    assert members.members["n1"].state == then
+
+
+def test_a_suspect_refutes_again_whoever_has_not_heard_of_it():
+    host = Host()
+    members = Members(host, "n0", 1, ["n0", "n1", "n2"], PERIOD, Lcg(1), 0)
+    for _ in range(40):
+        members.on_ping(1, "n1", Ping(1, "n0", [("n0", 1, 0, SUSPECT)]))
+        assert isinstance(host.sent[-1][1], Ack) and ("n0", 1, 1, ALIVE) in host.sent[-1][1].news
