--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -1,8 +1,11 @@
 """What docs/fleet.md promises, in simulated time, and deliberately broken builds that the judge catches."""
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from basalthoist.decisions.chance import Lcg
+from basalthoist.emulator.explore import explore, led
 from basalthoist.emulator.replicas import Broken, Replicas, Storm
 from basalthoist.fleet import lease, replica
 from basalthoist.fleet.bounds import Bounds
@@ -26,6 +29,26 @@
         storm(seed)
 
 
+@settings(max_examples=25, deadline=None, derandomize=True, database=None)
+@given(st.integers(1000, 1 << 30), st.sampled_from([3, 5]), st.integers(0, 3), st.integers(5, 60))
+def test_storms_of_any_size(seed, voters, more, faults):
+    Storm(Replicas(voters + more, voters, seed, SHORT), faults).blow()
+
+
+def test_every_order_of_two_faults_and_four_rounds():
+    count, all_of_them = explore(led(3), 2, 4)
+    assert all_of_them and count > 3000
+
+
+@pytest.mark.parametrize("name, patched", [("Generous", "Voter"), ("Unbounded", "")])
+def test_broken_builds_are_caught_by_some_order(name, patched, monkeypatch):
+    broken = globals()[name]
+    if patched:
+        monkeypatch.setattr(replica, patched, broken)
+    with pytest.raises(Broken, match="steps: "):
+        explore(led(3, Replica if patched else broken), 2, 4)
+
+
 class Recorder:
     def __init__(self):
         self.sent, self.acted = [], []
