--- a/basalthoist/commands/reference.py
+++ b/basalthoist/commands/reference.py
@@ -26,6 +26,7 @@
     ("The gateway's file, named by `PROXY_GATEWAY`, TOML", configuration.GatewayDocument),
     ("`sites[]` in the gateway's file", configuration.Site),
     ("The file of the JSON-RPC front, named by `PROXY_JSONRPC`, TOML", configuration.JsonRpcDocument),
+    ("The fleet's file, named by `PROXY_FLEET`, TOML", configuration.FleetDocument),
 )  # fmt: skip
 
 
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -103,7 +103,14 @@
             for call, kind, on in (("fleet-on", "ban", True), ("fleet-off", "ban", False),
                                    ("fleet-shut-customer", "customer", True),
                                    ("fleet-let-customer", "customer", False)):  # fmt: skip
-                self.admin.calls_on[call] = partial(self.fleet.call, kind, on)
+                self.admin.calls_on[call] = partial(self.call_fleet, kind, on)
+
+    def call_fleet(self, kind: str, on: bool, subject: str, answer: Callable[[str], None]) -> None:
+        # Guards against a name mistyped, which would be a verdict on nobody.
+        known = self.maintenance.listed if kind == "ban" else self.configuration.customers
+        if on and subject not in known:
+            return answer(f"{subject} was never listed" if kind == "ban" else f"no customer {subject}")
+        self.fleet.call(kind, on, subject, answer)
 
     async def join_fleet(self) -> None:
         """It serves without its fleet where it cannot have the address: by what it knows, or standing by."""
