--- a/basalthoist/commands/line.py
+++ b/basalthoist/commands/line.py
@@ -298,7 +298,10 @@
 @click.option("--seed", type=int, default=1, show_default=True, help="The first of those drawn.")
 @click.option("--processes", type=click.IntRange(min=1), default=4, show_default=True)
 @click.option("--into", type=click.Path(path_type=Path), default=Path("found"), show_default=True)
-def fleet(timeline: Path | None, seconds: float | None, seed: int, processes: int, into: Path) -> None:
+@click.option("--account", type=click.Path(path_type=Path), help="Folder for raw results and tables of them.")
+def fleet(
+    timeline: Path | None, seconds: float | None, seed: int, processes: int, into: Path, account: Path | None
+) -> None:
     """Bring up a fleet on loopback, ban a backend, cut and freeze nodes; or play a TIMELINE of faults.
 
     Prints what happens and which node acts on which version. Exit code 0 only if all bounds held."""
@@ -306,7 +309,7 @@
     from basalthoist.experiments.cluster import timeline as timelines
 
     if seconds is not None:
-        return search_timelines(seconds, seed, processes, into)
+        return search_timelines(seconds, seed, processes, into, account)
     try:
         told = timelines.read(timeline) if timeline is not None else show.TOLD
     except ScenarioError as wrong:
@@ -324,8 +327,8 @@
     sys.exit(FAILED if result["broken"] else 0)
 
 
-def search_timelines(seconds: float, seed: int, processes: int, into: Path) -> None:
-    from basalthoist.experiments.cluster import searching
+def search_timelines(seconds: float, seed: int, processes: int, into: Path, folder: Path | None) -> None:
+    from basalthoist.experiments.cluster import account, searching
     from basalthoist.experiments.cluster.timeline import Timeline
 
     from .toml import as_toml
@@ -333,6 +336,8 @@
     played, worst, found = 0, 0.0, 0
     for result in searching.search(seed, 1_000_000, seconds, processes):
         played, worst = played + 1, max(worst, result.get("worst_s", 0.0))
+        if folder is not None and "calls" in result:
+            account.keep(folder, result)
         if not result["broken"]:
             continue
         found += 1
@@ -346,5 +351,7 @@
         except OSError as wrong:
             fail(f"{path}: {wrong.strerror}", FAILED)
         click.echo(f"{path}: {len(told.events)} events left")
+    if folder is not None:
+        account.write(folder)
     click.echo(f"{played} timelines, {found} broken; longest after a ban was kept {worst:.2f} s")
     sys.exit(FAILED if found else 0)
--- /dev/null
+++ b/basalthoist/experiments/cluster/account.py
@@ -0,0 +1,83 @@
+"""Tables and a chart of many timelines, from their raw results alone."""
+
+from collections import Counter
+from pathlib import Path
+
+import msgspec
+
+from basalthoist.experiments.running import RunError
+
+RAW = "raw.jsonl"
+
+
+def keep(folder: Path, result: dict) -> None:
+    """One line a timeline; the calls in full, so that every figure can be reckoned again."""
+    folder.mkdir(parents=True, exist_ok=True)
+    with (folder / RAW).open("ab") as file:
+        file.write(msgspec.json.encode(result) + b"\n")
+
+
+def results_in(folder: Path) -> list[dict]:
+    try:
+        return [msgspec.json.decode(line) for line in (folder / RAW).read_bytes().splitlines()]
+    except OSError as wrong:
+        raise RunError(f"{folder / RAW}: {wrong.strerror}") from None
+    except msgspec.DecodeError as wrong:
+        raise RunError(f"{folder / RAW}: {wrong}") from None
+
+
+def spread(figures: list[float]) -> str:
+    if not figures:
+        return "none"
+    ordered = sorted(figures)
+    parts = [ordered[min(int(len(ordered) * part), len(ordered) - 1)] for part in (0.5, 0.9, 0.99)]
+    return " | ".join(f"{figure:.2f}" for figure in (*parts, ordered[-1]))
+
+
+def kinds_of(result: dict) -> set[str]:
+    return {event["kind"] for event in result["timeline"].get("events", ())}
+
+
+def write(folder: Path) -> None:
+    found = results_in(folder)
+    if not found:
+        raise RunError(f"{folder / RAW}: no results")
+    waits = [wait for result in found for wait in result["waits_s"]]
+    sends = [send for result in found for send in result["last_sends_s"]]
+    answers = Counter(call["text"].split(" ")[0] + (" shut out" if "shut out" in call["text"] else "")
+                      for result in found for call in result["calls"])  # fmt: skip
+    broken = [result for result in found if result["broken"]]
+    lines = [
+        f"{len(found)} timelines, {sum(len(r['calls']) for r in found)} calls, "
+        f"{sum(r['runs'] for r in found)} exchanges at backends; {len(broken)} timelines with a finding.", "",
+        "| seconds | median | 90% | 99% | most |", "| --- | --- | --- | --- | --- |",
+        f"| from a call to `SUCCESS` | {spread(waits)} |",
+        f"| from a ban's call to the last send to that backend | {spread(sends)} |", "",
+        "| fault | timelines with it | findings |", "| --- | --- | --- |",
+    ]  # fmt: skip
+    for kind in sorted({kind for result in found for kind in kinds_of(result)}):
+        mine = [result for result in found if kind in kinds_of(result)]
+        lines.append(f"| {kind} | {len(mine)} | {sum(bool(r['broken']) for r in mine)} |")
+    lines += ["", "Answers: " + ", ".join(f"{count} {what}" for what, count in sorted(answers.items())) + "."]
+    (folder / "table.md").write_text("\n".join(lines) + "\n")
+    chart(folder, waits, sends, max(result["bound_s"] for result in found))
+
+
+def chart(folder: Path, waits: list[float], sends: list[float], bound: float) -> None:
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(8, 4.5))
+    for figures, label in ((waits, "call to SUCCESS"), (sends, "call to the last send to what is banned")):
+        ordered = sorted(figures)
+        axes.step(ordered, [(n + 1) / len(ordered) for n in range(len(ordered))], where="post", label=label)
+    axes.axvline(bound, color="black", linestyle="--", label="bound on a stale view")
+    axes.set_xlabel("seconds")
+    axes.set_ylabel("part of the calls")
+    axes.grid(alpha=0.3)
+    axes.legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(folder / "chart.svg", metadata={"Date": None})
+    pyplot.close(figure)
