--- a/basalthoist/commands/line.py
+++ b/basalthoist/commands/line.py
@@ -298,10 +298,12 @@
 @click.option("--seed", type=int, default=1, show_default=True, help="The first of those drawn.")
 @click.option("--processes", type=click.IntRange(min=1), default=4, show_default=True)
 @click.option("--into", type=click.Path(path_type=Path), default=Path("found"), show_default=True)
+@click.option("--cost", type=click.IntRange(min=2), help="So many pairs of a load with a fleet and without.")
 @click.option("--account", type=click.Path(path_type=Path), help="Folder for raw results and tables of them.")
 def fleet(
-    timeline: Path | None, seconds: float | None, seed: int, processes: int, into: Path, account: Path | None
-) -> None:
+    timeline: Path | None, seconds: float | None, seed: int, processes: int, into: Path, cost: int | None,
+    account: Path | None,
+) -> None:  # fmt: skip
     """Bring up a fleet on loopback, ban a backend, cut and freeze nodes; or play a TIMELINE of faults.
 
     Prints what happens and which node acts on which version. Exit code 0 only if all bounds held."""
@@ -310,6 +312,12 @@
 
     if seconds is not None:
         return search_timelines(seconds, seed, processes, into, account)
+    if cost is not None:
+        from basalthoist.experiments.cluster.cost import compare as pay
+
+        for figure, (mean, without) in pay(cost, click.echo).items():
+            click.echo(f"{figure}: {mean.text(3)} on {without:.3f}, over {mean.samples} pairs")
+        return
     try:
         told = timelines.read(timeline) if timeline is not None else show.TOLD
     except ScenarioError as wrong:
--- a/basalthoist/experiments/cluster/rig.py
+++ b/basalthoist/experiments/cluster/rig.py
@@ -68,10 +68,17 @@
             "PROXY_CONFIG": str(self.folder / "config.json"), "PROXY_FLEET": str(self.folder / "fleet.toml"),
             "TMPDIR": str(self.scratch), "RIG_LIES": json.dumps(lies),
         }  # fmt: skip
+        if self.rig.off:
+            del environment["PROXY_FLEET"]
         command = [sys.executable, "-m", "basalthoist.experiments.cluster.launcher"]
         with self.log.open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(*command, stderr=log, env=environment)
 
+    def cpu_s(self) -> float:
+        """Of its present life."""
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def signal(self, number: int) -> None:
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
@@ -105,10 +112,10 @@
 
 
 class Rig:
-    """`say` gets a line for each thing that happens; `keep`: the folder stays, for a look at the logs."""
+    """`say` gets a line for each thing that happens; `off`: the nodes are told of no fleet, to compare."""
 
-    def __init__(self, told: Timeline, folder: Path, say=lambda line: None) -> None:
-        self.told, self.folder, self.say, self.chance = told, folder, say, Random(told.seed)
+    def __init__(self, told: Timeline, folder: Path, say=lambda line: None, off: bool = False) -> None:
+        self.told, self.folder, self.say, self.chance, self.off = told, folder, say, Random(told.seed), off
         self.runs: list[checker.Run] = []
         self.calls: list[checker.Said] = []
         self.began, self.nodes = time.monotonic(), []
@@ -235,6 +242,7 @@
             await asyncio.gather(*(node.start() for node in self.nodes))
             for node in self.nodes:
                 await ready(address_of(node.listen), node.process, node.log)
+            cpu_s = sum(node.cpu_s() for node in self.nodes)
             self.began = time.monotonic()
             self.runs.clear()
             clients = [Clients(self.scenario, [address_of(n.listen)], self.told.length_s, f"n{n.number}-")
@@ -243,7 +251,8 @@
                 *(c.run() for c in clients), *(self.meet(e) for e in self.told.events),
                 *(self.ban(b) for b in self.told.bans))]  # fmt: skip
             await asyncio.gather(*tasks)
-            peace = await self.peace()
+            self.cpu_s = sum(node.cpu_s() for node in self.nodes if node.process.returncode is None) - cpu_s
+            peace = [] if self.off else await self.peace()
         finally:
             for task in tasks:
                 task.cancel()
@@ -278,7 +287,8 @@
         counts = {key: sum(c.counts[key] for c in clients) for key in clients[0].counts}
         return {"timeline": msgspec.to_builtins(told), "broken": found.broken() + peace + crashed,
                 "worst_s": found.worst_s, "bound_s": bound, "waits_s": found.waits_s,
-                "last_sends_s": found.last_sends_s, "runs": len(self.runs),
+                "last_sends_s": found.last_sends_s, "runs": len(self.runs), "cpu_s": self.cpu_s,
+                "p99_ms": max(c.times.get_value_at_percentile(99) for c in clients) / 1000,
                 "counts": counts, "lateness_p99_ms": max(c.late_ms() for c in clients),
                 "calls": [call._asdict() for call in self.calls]}  # fmt: skip
 
