--- a/basalthoist/experiments/cluster/rig.py
+++ b/basalthoist/experiments/cluster/rig.py
@@ -261,8 +261,10 @@
             started = [node.process for node in self.nodes if node.process is not None]
             with contextlib.suppress(asyncio.CancelledError, TimeoutError):
                 await asyncio.wait_for(end_nodes(*started), 5)
-            for node in self.nodes:
-                node.signal(signal.SIGKILL)
+            for process in started:  # those that a slow disk holds up
+                if process.returncode is None:
+                    process.kill()
+                    await process.wait()
             self.mesh.close()
         return self.result(clients, peace)
 
