--- a/basalthoist/commands/line.py
+++ b/basalthoist/commands/line.py
@@ -299,7 +299,7 @@
 @click.option("--processes", type=click.IntRange(min=1), default=4, show_default=True)
 @click.option("--into", type=click.Path(path_type=Path), default=Path("found"), show_default=True)
 @click.option("--cost", type=click.IntRange(min=2), help="So many pairs of a load with a fleet and without.")
-@click.option("--account", type=click.Path(path_type=Path), help="Folder for raw results and tables of them.")
+@click.option("--account", type=click.Path(path_type=Path), help="Folder of raw results; alone: tables anew.")
 def fleet(
     timeline: Path | None, seconds: float | None, seed: int, processes: int, into: Path, cost: int | None,
     account: Path | None,
@@ -318,6 +318,15 @@
         for figure, (mean, without) in pay(cost, click.echo).items():
             click.echo(f"{figure}: {mean.text(3)} on {without:.3f}, over {mean.samples} pairs")
         return
+    if account is not None:
+        from basalthoist.experiments.cluster.account import write
+        from basalthoist.experiments.running import RunError
+
+        try:
+            write(account)
+        except RunError as wrong:
+            fail(wrong)
+        return click.echo((account / "table.md").read_text(), nl=False)
     try:
         told = timelines.read(timeline) if timeline is not None else show.TOLD
     except ScenarioError as wrong:
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -4,9 +4,12 @@
 import pytest
 
 from basalthoist.emulator.scenario import ScenarioError
+from basalthoist.experiments.cluster import account
 from basalthoist.experiments.cluster.checker import Run, Said, judge
 from basalthoist.experiments.cluster.rig import play
+from basalthoist.experiments.cluster.searching import least
 from basalthoist.experiments.cluster.timeline import Ban, Event, Machine, Timeline, drawn, read
+from basalthoist.experiments.running import RunError
 
 ON, BACK = Ban(2.0, 0), Ban(7.0, 0, 1, False)
 
@@ -67,6 +70,38 @@
         assert result["broken"] == [], [seed, *said]
 
 
+def test_a_timeline_is_shrunk_to_what_it_breaks_by():
+    """By a judge of ours: it breaks where node 2 is frozen for long and its disk lies."""
+    told = drawn(5)
+    told.events.insert(1, Event("freeze", 4.0, 4.0, [2]))
+    told.machines[2] = Machine(2, "torn")
+
+    def breaks(tried):
+        freezes = [e for e in tried.events if e.kind == "freeze" and e.who == [2] and e.for_s >= 2]
+        return ["broken"] if freezes and any(m.disk == "torn" for m in tried.machines) else []
+
+    found = least(told, breaks)
+    assert [(e.kind, e.who, e.for_s) for e in found.events] == [("freeze", [2], 2.0)]
+    assert (len(found.machines), found.bans) == (1, [])
+
+
+def test_table_and_chart_are_made_from_raw_results_alone(tmp_path):
+    called = {"text": "SUCCESS version 1 at 4 of 5, n4 shut out"}
+    result = {"timeline": {"events": [{"kind": "cut"}, {"kind": "cut"}]}, "broken": [], "waits_s": [0.5, 1.5],
+              "last_sends_s": [0.25], "runs": 70, "calls": [called], "bound_s": 1.5}  # fmt: skip
+    account.keep(tmp_path, result)
+    account.keep(tmp_path, result | {"broken": ["n1 ran it twice"], "timeline": {}})
+    account.write(tmp_path)
+    table = (tmp_path / "table.md").read_text()
+    assert "2 timelines, 2 calls, 140 exchanges at backends; 1 timelines with a finding." in table
+    assert "| from a call to `SUCCESS` | 1.50 | 1.50 | 1.50 | 1.50 |" in table
+    assert "| cut | 1 | 0 |" in table and "2 SUCCESS shut out" in table
+    assert (tmp_path / "chart.svg").stat().st_size > 1000
+    (tmp_path / "raw.jsonl").write_text("{")
+    with pytest.raises(RunError, match="raw.jsonl"):
+        account.write(tmp_path)
+
+
 # The checker: each check with what it has to catch.
 
 SUCCESS = "SUCCESS version 4 in force at 5 of 5"
