--- a/basalthoist/fleet/replica.py
+++ b/basalthoist/fleet/replica.py
@@ -303,10 +303,10 @@
             return
         if self.leads(now):
             self.calls[ident] = changes, until, now, True
-            self.take_call(now, self.me, Call(ident, changes))
+            self.take_call(now, self.me, Call(ident, changes, max(until - now, 0)))
         elif self.author and self.author != self.me:
             self.calls[ident] = changes, until, now, True
-            self.host.send(self.author, Call(ident, changes))
+            self.host.send(self.author, Call(ident, changes, max(until - now, 0)))
 
     def no_author(self, now: int, handed_on: bool) -> str:
         near = len(self.promises.running(now))
@@ -339,7 +339,7 @@
             self.done[key] = version
             while len(self.done) > 4 * MOST_CALLS:
                 del self.done[next(iter(self.done))]
-        self.waiting.append(Waiting(name, call.ident, version, now + self.bounds.answer))
+        self.waiting.append(Waiting(name, call.ident, version, now + call.more))
         if not busy:
             self.commit(now)
         self.tell(now)
--- a/basalthoist/fleet/wire.py
+++ b/basalthoist/fleet/wire.py
@@ -104,6 +104,7 @@
 
     ident: int
     changes: list[Verdict]
+    more: int  # for so long yet it is waited for
 
 
 class Answer(msgspec.Struct, array_like=True, tag=12):
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -267,6 +267,7 @@
 
 def frozen(seed, bounds, make):
     """The author stands still again and again, each time until somebody else is author, and wakes."""
+    bounds = bounds._replace(answer=2 * bounds.answer)
     fleet = Replicas(5, 5, seed, bounds, delay=(2, bounds.lease // 6), make=make)
     for number in range(6):
         fleet.run(fleet.at + 6 * bounds.lease)
