--- a/basalthoist/emulator/replicas.py
+++ b/basalthoist/emulator/replicas.py
@@ -11,7 +11,7 @@
 from basalthoist.fleet.bounds import Bounds
 from basalthoist.fleet.register import Held, Verdict
 from basalthoist.fleet.replica import Replica
-from basalthoist.fleet.wire import ENCODE, Word
+from basalthoist.fleet.wire import Word
 
 TICK = 200
 
@@ -74,8 +74,8 @@
         self.seq, self.cut, self.lines, self.answers = 0, set(), [], {}
         self.contents: dict[int, bytes] = {}  # of each version that anybody acted on
         self.first_acted: dict[int, int] = {}  # when
-        self.sure, self.sent_words, self.sent_bytes, self.count_bytes = 0, 0, 0, False
-        self.worst_age, self.leaderless = 0, 0
+        self.sure, self.sent_words = 0, 0
+        self.worst_age = 0
         ends = 1 - bounds.drift, 1.0, 1 + bounds.drift
         self.fellows = {n: Fellow(self, n, self.chance.choice(ends)) for n in self.names}
         for fellow in self.fellows.values():
@@ -89,8 +89,6 @@
 
     def sent(self, source: Fellow, name: str, word: Word) -> None:
         self.sent_words += 1
-        if self.count_bytes:
-            self.sent_bytes += len(ENCODE(word)) + 60
         lives = source.life, source.lives.get(name, 1)
         if (source.name, name) in self.cut or self.chance.random() < self.loss:
             return
--- a/basalthoist/fleet/members.py
+++ b/basalthoist/fleet/members.py
@@ -44,7 +44,7 @@
         self.number, self.asked, self.asked_at, self.step = 0, "", now, 1
         self.asked_for: dict[int, tuple[str, int, int]] = {}  # for whom, its number, when
         self.next_at = now + int(period * chance.uniform())
-        self.looked_at, self.accusations = now, 0
+        self.looked_at = now
 
     def there(self) -> list[str]:
         return [member.name for member in self.members.values() if member.state != GONE]
@@ -92,7 +92,6 @@
         for member in self.members.values():
             if member.state == SUSPECT and now - member.since > self.patience() * (1 + self.doubt):
                 self.change(now, member, GONE)
-                self.accusations += 1
 
     def ask(self, now: int) -> None:
         while self.round and self.members[self.round[-1]].state == GONE and self.chance.uniform() < 0.8:
--- a/basalthoist/fleet/replica.py
+++ b/basalthoist/fleet/replica.py
@@ -8,7 +8,7 @@
 
 from .bounds import Bounds
 from .lease import Promises, Voter, next_ballot
-from .register import ENCODE, Fetch, Held, Trail, Verdict, whole
+from .register import ENCODE, Fetch, Held, Trail, Verdict
 from .wire import Answer, Ask, Beat, Call, Changes, No, Piece, Release, Touch, Vote, Want, Word
 
 LONG_AGO = -(1 << 60)
@@ -546,7 +546,3 @@
         if held.version > self.acting.version or self.by_hint:
             self.acting, self.by_hint = held, False
             self.host.act(held)
-
-
-def hint_from(data: bytes, ballot: int, version: int, digest: bytes) -> Held | None:
-    return whole(ballot, version, digest, data)
--- a/basalthoist/fleet/wire.py
+++ b/basalthoist/fleet/wire.py
@@ -12,7 +12,6 @@
 
 MOST_BYTES = 1400  # of a datagram
 CHECK = 8
-Lives = tuple[int, int]
 
 
 class Hello(msgspec.Struct, array_like=True, tag=0):
--- a/basalthoist/net/succession.py
+++ b/basalthoist/net/succession.py
@@ -153,7 +153,6 @@
     def heard_from_predecessor(self, link: Link, said: Said) -> None:
         if said.kept is not None:
             self.maintenance.take_all(said.kept)
-        if said.kept is not None:
             given = self.given(link)
             if not self.answer.done():
                 self.answer.set_result(given)
