--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -112,22 +112,22 @@
             return answer(f"{subject} was never listed" if kind == "ban" else f"no customer {subject}")
         self.fleet.call(kind, on, subject, answer)
 
+    async def datagrams(self, protocol: asyncio.DatagramProtocol, own: tuple[str, int]) -> None:
+        # Not by `local_addr`: the loop's own word for an address in use does not say that it is that.
+        sock = socket.socket(family_of(own), socket.SOCK_DGRAM)
+        try:
+            sock.setblocking(False)
+            sock.bind(own)
+            await self.loop.create_datagram_endpoint(lambda: protocol, sock=sock)
+        except OSError:
+            sock.close()
+            raise
+
     async def join_fleet(self) -> None:
         """It serves without its fleet where it cannot have the address: by what it knows, or standing by."""
-
-        async def opens() -> None:
-            sock = socket.socket(family_of(own), socket.SOCK_DGRAM)
-            try:
-                sock.setblocking(False)
-                sock.bind(own)
-                await self.loop.create_datagram_endpoint(lambda: self.fleet, sock=sock)
-            except OSError:
-                sock.close()
-                raise
-
         own = self.fleet.addresses[self.configuration.name]
         try:
-            await self.patient(opens)
+            await self.patient(lambda: self.datagrams(self.fleet, own))
         except OSError as wrong:
             self.log(f"fleet: no talk with it: {wrong}")
 
@@ -203,16 +203,8 @@
         own = told.peer_listen
         peers = Peers(told.peers, own, self.exchanges.on_told, self.timers, self.log)
 
-        async def opens() -> None:
-            # Not by `local_addr`: the loop's own word for an address in use does not say that it is that.
-            sock = socket.socket(family_of(own), socket.SOCK_DGRAM)
-            try:
-                sock.setblocking(False)
-                sock.bind(own)
-                await self.loop.create_datagram_endpoint(lambda: peers, sock=sock)
-            except OSError:
-                sock.close()
-                raise
+        def opens() -> Awaitable:
+            return self.datagrams(peers, own)
 
         try:
             await (self.patient(opens) if patiently else opens())
