--- a/basalthoist/net/fleet.py
+++ b/basalthoist/net/fleet.py
@@ -7,7 +7,6 @@
 import os
 from collections import Counter
 from collections.abc import Callable
-from contextlib import suppress
 from functools import partial
 from hashlib import blake2b
 from pathlib import Path
@@ -24,6 +23,7 @@
 from .bans import Bans
 from .log import Log
 from .timers import SECOND, Timers, awake_or_not
+from .whole import put_whole
 
 MOST_NAMED = 8  # odd datagrams that are logged one by one in a period
 
@@ -223,22 +223,8 @@
                 self.log(f"fleet: hint not kept: {wrong}")
             self.write()
 
-        self.aside(partial(self.put, blake2b(data, digest_size=16).digest() + data), done)
-
-    def put(self, data: bytes) -> str:
-        """Whole or not at all: another file takes the old one's place."""
-        beside = self.path.with_suffix(f".{os.getpid()}")
-        try:
-            with open(beside, "wb") as file:
-                file.write(data)
-                file.flush()
-                os.fsync(file.fileno())
-            os.replace(beside, self.path)
-            return ""
-        except OSError as wrong:
-            with suppress(OSError):
-                beside.unlink()
-            return str(wrong)
+        data = blake2b(data, digest_size=16).digest() + data
+        self.aside(partial(put_whole, self.path, data, synced=True), done)
 
     def read(self) -> Held | None:
         if self.path is None:
--- a/basalthoist/net/maintenance.py
+++ b/basalthoist/net/maintenance.py
@@ -1,14 +1,13 @@
 """Which backends operators have taken out: the door's word, kept over an upgrade in a file of `$TMPDIR`."""
 
-import os
 from collections.abc import Callable, Iterable
-from contextlib import suppress
 from functools import partial
 from pathlib import Path
 
 import msgspec
 
 from .log import Log
+from .whole import put_whole
 
 MOST_NAMES = 4096  # ids that are remembered as listed once, the latest of them
 
@@ -112,7 +111,7 @@
             self.keep()
 
         # Guards against a node that stands still for as long as the disk takes.
-        self.aside(partial(self.write, msgspec.json.encode(kept)), done)
+        self.aside(partial(put_whole, self.path, msgspec.json.encode(kept)), done)
 
     def undo(self, wrong: str) -> None:
         """Guards against a ban that an upgrade would forget: what can't be kept is not in force either."""
@@ -121,18 +120,6 @@
         for name in self.go_by_file():
             self.spread(name, name in self.on_file)
 
-    def write(self, data: bytes) -> str:
-        """Whole or not at all: another file takes the old one's place."""
-        beside = self.path.with_suffix(f".{os.getpid()}")
-        try:
-            beside.write_bytes(data)
-            os.replace(beside, self.path)
-            return ""
-        except OSError as wrong:
-            with suppress(OSError):
-                beside.unlink()
-            return str(wrong)
-
     def read(self) -> None:
         if self.path is None:
             return
