The fleet changes quotas in service, and finds sick what several nodes do

Need: the register had the kinds `quota` and `sick`, but nobody proposed them and quotas did not reach the decisions (docs/fleet.md, Open).

- `Node.on_quota`, two lines: a customer's quota is data, the node's part of all quotas stays its own guess.
- fleet/evidence.py: a touch carries what a node has found sick by its own tries; the author proposes a verdict with an end where `sick_from` nodes in touch, all on the version that counts, agree.
Hearsay is left out: the decisions put a backend out on two peers' words too, so three claims could have been one node's finding.
- fleet-set-quota, fleet-drop-quota; fleet-off takes back both kinds.
- Rig: a backend that fails for chosen nodes, five to nine nodes, time without an author by itself.

--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -248,13 +248,16 @@
     answer_s: Seconds = 6.0  # how long an operator's call is tried
     probe_s: Seconds = 1.0  # between two probes of other members, to know who is there
     most_verdicts: Annotated[int, msgspec.Meta(gt=0, le=4096)] = 4096
+    sick_from: Annotated[int, msgspec.Meta(ge=0)] = 0  # nodes whose own evidence finds a backend sick; 0: off
+    sick_s: Seconds = 20.0  # how long the fleet leaves such a one out
 
     def bounds(self):
         from .fleet.bounds import Bounds
 
         tenths = [int(s * 10_000) for s in (self.lease_s, self.beat_s, self.fresh_s, self.stale_s)]
         strict = self.when_stale == "stand_by"
-        return Bounds(*tenths, self.drift, int(self.answer_s * 10_000), strict, self.most_verdicts)
+        sick = self.sick_from, self.sick_s
+        return Bounds(*tenths, self.drift, int(self.answer_s * 10_000), strict, self.most_verdicts, *sick)
 
     def key(self) -> bytes:
         """What all nodes of the fleet must have alike; their addresses may differ from place to place."""
@@ -290,6 +293,9 @@
         refuse("beat_s", f"at most a quarter of lease_s, {told.lease_s / 4:g}", told.beat_s)
     if told.fresh_s < 2 * told.beat_s:
         refuse("fresh_s", f"at least two beats, {2 * told.beat_s:g}", told.fresh_s)
+    # Guards against one node's evidence, which may be its own link's, and a number that never comes together.
+    if told.sick_from and not 2 <= told.sick_from <= len(told.nodes):
+        refuse("sick_from", f"0, or 2 to the nodes, {len(told.nodes)}", told.sick_from)
     if told.stale_s < told.fresh_s:
         refuse("stale_s", f"at least fresh_s, {told.fresh_s:g}", told.stale_s)
     return told
--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -101,13 +101,12 @@
 
 
 class Customer:  # its share at this node, as a bucket that fills at the share's rate
-    def __init__(self, quota: float, rate: float) -> None:
-        self.quota, self.rate, self.usual, self.came = quota, rate, rate, 0
-        self.tokens, self.at = 0.0, -WINDOW_MOST
+    def __init__(self, quota: float, part: float) -> None:
+        self.quota, self.usual, self.came, self.tokens, self.at = quota, quota * part, 0, 0.0, -WINDOW_MOST
 
-    def within(self, now: int, again: bool) -> bool:
-        self.tokens += (now - self.at) * self.rate / SECOND  # 6 fit, or chance passes for surplus
-        self.tokens, self.at = min(self.tokens, max(3.0 * self.rate, 6.0)), now
+    def within(self, now: int, again: bool, part: float) -> bool:
+        filled = self.tokens + (now - self.at) * self.quota * part / SECOND
+        self.tokens, self.at = min(filled, max(3.0 * self.quota * part, 6.0)), now  # 6: chance is no surplus
         fits, self.came = self.tokens >= 1.0, self.came + (not again)
         self.tokens -= fits and not again  # or surplus shed comes back as a retry and passes for in share
         return fits
@@ -134,7 +133,8 @@
         self.others_from = len(get("locations")) if isinstance(get("locations"), list) else inf  # other sites
         self.routes = [Route(settings, i) for i in range(get("routes.count", 1))]
         quotas = [get(f"customers.{i}.quota_per_s", 0.0) for i in range(get("customers.count", 0))]
-        self.customers = [Customer(quota, quota / self.nodes) for quota in quotas]
+        self.part = 1 / self.nodes  # of every quota, this node's
+        self.customers = [Customer(quota, self.part) for quota in quotas]
         self.banned, self.top_value = set(), max(r.value for r in self.routes)
         self.objective, self.crossing = min(r.objective for r in self.routes), get("prices.cross_zone", 0.0)
         self.me, self.equal_time = get("me", 0) % self.nodes, float(self.objective)
@@ -152,9 +152,8 @@
         self.backends, self.exchanges, self.usable, self.held, self.due = {}, {}, [], [], []
         self.groups, self.fleet, self.users, self.total = [], 0, 1.0, 1.0  # groups: usable ones by location
         self.failing, self.lossy, self.cancels = 0.0, 0.0, get("policy_limits.cancel")  # see `overtake`
-        self.mean_time, self.slot = self.objective / 3.0, self.objective / 4.0
-        self.demand, self.arrivals, self.welcome = 0.0, 0, 1.0  # welcome: the part of the surplus let in
-        self.usual, self.sends = 0.0, 0  # usual: sends a second to a warm backend
+        self.mean_time, self.slot, self.welcome = self.objective / 3.0, self.objective / 4.0, 1.0  # surplus
+        self.demand, self.arrivals, self.usual, self.sends = 0.0, 0, 0.0, 0  # usual: sends to a warm backend
         self.sheds, self.all_sheds, self.shedding, self.list_failures, self.ask_again = 0, 0, False, 0, 0
         if get("discovery", "pushed") == "on_request":
             host.subscribe()
@@ -221,7 +220,7 @@
         route.usual_grace = max(route.usual_grace, 0 if again else min(grace, route.timeout))
         if again and grace < route.usual_grace:
             aim_at -= route.timeout - grace  # the client's earlier tries have used up part of its objective
-        surplus = customer_no < len(self.customers) and not self.customers[customer_no].within(now, again)
+        surplus = not all(c.within(now, again, self.part) for c in self.customers[customer_no:][:1])
         xchg = self.exchanges[ident] = Exchange(ident, route, now, now + grace, aim_at, surplus, spilled)
         if now >= aim_at and not route.late_value or surplus and self.chance.uniform() > self.welcome:
             return self.give_up(now, xchg)  # or clients' later tries make work that can only end late
@@ -366,6 +365,9 @@
             fresh.place, fresh.called_back, fresh.started = backend.place, now, now
         self.on_list(now, [backend.listed] if backend is not None else [], False)
 
+    def on_quota(self, now: int, customer_no: int, quota: float) -> None:  # a second, of the whole fleet
+        self.customers[customer_no].quota = quota
+
     def on_wake(self, now: int, tag: str) -> None:
         if tag == "tick":
             return self.tick(now)
@@ -401,8 +403,7 @@
         for customer in self.customers:
             customer.usual, customer.came = customer.usual + (customer.came - customer.usual) * 0.05, 0
         parts, self.arrivals, self.sends = sorted(c.usual / max(c.quota, 1e-6) for c in self.customers), 0, 0
-        for customer in self.customers:
-            customer.rate = customer.quota * max(1 / self.nodes, parts[len(parts) // 4])
+        self.part = max([1 / self.nodes, *parts[len(parts) // 4 :][:1]])
         # Guards against hundreds of nodes that each forget a slow backend in seconds and try it in turn.
         fade = min(0.97 ** (self.demand / max(len(self.usable), 1)), 0.85 if self.hears else 0.95)
         for backend in self.usable:
--- a/basalthoist/emulator/replicas.py
+++ b/basalthoist/emulator/replicas.py
@@ -57,6 +57,12 @@
         if text.startswith("SUCCESS version"):
             self.fleet.promised(int(text.split()[2]))
 
+    def sick(self) -> list[str]:
+        return sorted(self.fleet.sick.get(self.name, ()))
+
+    def listed(self) -> int:
+        return 12
+
     def log(self, line: str) -> None:
         self.fleet.lines.append(f"{self.fleet.at / 10_000:.2f} {self.name} {line}")
 
@@ -72,6 +78,7 @@
         self.voters = self.names[:voters]
         self.events: list[tuple[int, int, tuple]] = []
         self.seq, self.cut, self.lines, self.answers = 0, set(), [], {}
+        self.sick: dict[str, set[str]] = {}  # what each node finds
         self.contents: dict[int, bytes] = {}  # of each version that anybody acted on
         self.first_acted: dict[int, int] = {}  # when
         self.sure, self.sent_words = 0, 0
--- a/basalthoist/experiments/cluster/account.py
+++ b/basalthoist/experiments/cluster/account.py
@@ -44,6 +44,7 @@
         raise RunError(f"{folder / RAW}: no results")
     waits = [wait for result in found for wait in result["waits_s"]]
     sends = [send for result in found for send in result["last_sends_s"]]
+    without = [wait for result in found for wait in result.get("without_author_s", ())]
     answers = Counter(call["text"].split(" ")[0] + (" shut out" if "shut out" in call["text"] else "")
                       for result in found for call in result["calls"])  # fmt: skip
     broken = [result for result in found if result["broken"]]
@@ -52,7 +53,15 @@
         f"{sum(r['runs'] for r in found)} exchanges at backends; {len(broken)} timelines with a finding.", "",
         "| seconds | median | 90% | 99% | most |", "| --- | --- | --- | --- | --- |",
         f"| from a call to `SUCCESS` | {spread(waits)} |",
-        f"| from a ban's call to the last send to that backend | {spread(sends)} |", "",
+        f"| from a ban's call to the last send to that backend | {spread(sends)} |",
+        f"| without an author, once that was killed, frozen or cut off | {spread(without)} |",
+        "", "| nodes | timelines | findings |", "| --- | --- | --- |",
+    ]  # fmt: skip
+    for count in sorted({result["timeline"].get("nodes", 5) for result in found}):
+        mine = [result for result in found if result["timeline"].get("nodes", 5) == count]
+        lines.append(f"| {count} | {len(mine)} | {sum(bool(r['broken']) for r in mine)} |")
+    lines += [
+        "",
         "| fault | timelines with it | findings |", "| --- | --- | --- |",
     ]  # fmt: skip
     for kind in sorted({kind for result in found for kind in kinds_of(result)}):
--- a/basalthoist/fleet/bounds.py
+++ b/basalthoist/fleet/bounds.py
@@ -14,6 +14,8 @@
     answer: int  # how long an operator's call is tried
     strict: bool = True  # a node whose view is stale stands by
     most: int = 4096  # verdicts
+    sick_from: int = 0  # nodes that must find a backend sick before the fleet does; 0: it never does
+    sick_s: float = 20.0  # how long such a verdict stands
 
     def own_lease(self) -> int:
         """How long a candidate may count on a promise, from its own send: shorter than it lasts there."""
--- a/basalthoist/fleet/replica.py
+++ b/basalthoist/fleet/replica.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple, Protocol
 
 from .bounds import Bounds
+from .evidence import CLAIMS, found_sick
 from .lease import Promises, Voter, next_ballot
 from .register import ENCODE, Fetch, Held, Trail, Verdict
 from .wire import Answer, Ask, Beat, Call, Changes, No, Piece, Release, Touch, Vote, Want, Word
@@ -23,6 +24,8 @@
     def act(self, held: Held) -> None: ...  # go by these verdicts from now on
     def keep(self, held: Held) -> None: ...  # as a hint for a later life
     def answered(self, ident: int, text: str) -> None: ...  # to an operator here
+    def sick(self) -> list[str]: ...  # backends that this node has found sick by itself, see evidence.py
+    def listed(self) -> int: ...  # backends that it knows
     def log(self, line: str) -> None: ...
 
 
@@ -32,6 +35,7 @@
     def __init__(self) -> None:
         self.held, self.acting, self.sound = -1, -1, False
         self.token, self.confirmed, self.may_until, self.heard_at = 0, False, LONG_AGO, LONG_AGO
+        self.sick: list[str] = []
 
 
 class Waiting(NamedTuple):
@@ -187,6 +191,7 @@
         self.commit(now)
         if now - self.beat_at >= self.bounds.beat:
             self.beat(now)
+            self.find_sick(now)
         if self.committed >= 0:
             self.view_at = now
             self.take_back(now)
@@ -244,6 +249,20 @@
         if self.queue:
             self.commit(now)
 
+    def find_sick(self, now: int) -> None:
+        """What several nodes in touch have found, each by itself."""
+        if not self.bounds.sick_from or self.committed != self.held.version or self.queue:
+            return
+        claims = {name: known.sick for name, known in self.known.items()
+                  if known.acting == self.committed
+                  and now - known.heard_at <= self.bounds.fresh}  # fmt: skip
+        room = self.bounds.most - len(self.held.verdicts)
+        found = found_sick(claims | {self.me: self.host.sick()}, self.host.listed(), self.held, self.bounds)
+        for verdict in found[: max(room, 0)]:
+            self.host.log(f"fleet: {verdict.subject} sick, {verdict.why}: {verdict.who}")
+            self.queue.append(verdict)
+        self.commit(now)
+
     def may_act_on_older(self, now: int, version: int) -> dict[str, int]:
         """The nodes that may still act on an older one, with for how long; -1: until they are back."""
         found = {}
@@ -467,7 +486,8 @@
         held = self.held.version if self.held.ballot == self.ballot else -1
         voter, acting = self.voter, self.acting.version
         state = (voter.awake(now), voter.sound) if voter is not None else (False, False)
-        self.host.send(self.author, Touch(self.ballot, beat_sent, held, acting, now, *state))
+        sick = self.host.sick() if self.bounds.sick_from else []
+        self.host.send(self.author, Touch(self.ballot, beat_sent, held, acting, now, *state, sick))
 
     def on_touch(self, now: int, name: str, touch: Touch) -> None:
         if self.role != "leads" or touch.ballot != self.ballot or name not in self.known:
@@ -479,7 +499,7 @@
             self.promises.given(name, touch.beat_sent)
         known.held, known.acting, known.sound = touch.held, touch.acting, touch.sound
         known.token, known.confirmed = touch.sent, 0 <= self.committed == touch.acting
-        known.heard_at = now
+        known.heard_at, known.sick = now, touch.sick[:CLAIMS]
         if known.confirmed:
             known.may_until = now + self.bounds.longest_view()
         if self.promises.hold(now):
--- a/basalthoist/fleet/wire.py
+++ b/basalthoist/fleet/wire.py
@@ -73,6 +73,7 @@
     sent: int
     awake: bool
     sound: bool
+    sick: list[str] = []  # backends that this node has found sick by itself
 
 
 class Want(msgspec.Struct, array_like=True, tag=8):
--- a/basalthoist/net/admin.py
+++ b/basalthoist/net/admin.py
@@ -11,6 +11,7 @@
 
 Call = Callable[[], str]
 CallOn = Callable[[str, Callable[[str], None]], None]
+CallWith = Callable[[str, str, Callable[[str], None]], None]
 
 
 class Caller(asyncio.Protocol):
@@ -60,13 +61,14 @@
 class Admin:
     """`calls` take nothing and return why not, or nothing where it is done.
 
-    `calls_on` take an id, and whom to tell the same once they know.
+    `calls_on` take an id, `calls_with` an id and a figure, and whom to tell the same once they know.
     """
 
     def __init__(self, calls: dict[str, Call], calls_on: dict[str, CallOn], timers: Timers, log: Log,
                  line_s: float) -> None:  # fmt: skip
         self.calls, self.calls_on, self.timers, self.log = calls, calls_on, timers, log
         self.calls_fleet: dict[str, Callable[[Callable[[str], None]], None]] = {}  # what the fleet answers
+        self.calls_with: dict[str, CallWith] = {}
         self.patience = int(line_s * SECOND)
         self.callers: dict[Caller, None] = {}  # in the order in which they came
         self.server: asyncio.Server | None = None
@@ -111,8 +113,11 @@
                 self.calls_fleet[call](tell)
             elif call in self.calls_on and len(named) == 1:
                 self.calls_on[call](named[0], tell)
+            elif call in self.calls_with and len(named) == 2:
+                self.calls_with[call](*named, tell)
             else:
                 known = [*self.calls, *self.calls_fleet, *(f"{name} ID" for name in self.calls_on)]
+                known += [f"{name} ID FIGURE" for name in self.calls_with]
                 answer(f"FAILURE expected one of: {', '.join(known)}")
         except Exception as wrong:
             # Guards against a call that breaks something here and takes the node along.
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -257,6 +257,10 @@
         self.report(self.node.on_maintenance, name, banned)
         self.upstream.rest_connections(name)
 
+    def on_quota(self, customer: int, quota: float) -> None:
+        """Exchanges a second over the fleet."""
+        self.report(self.node.on_quota, customer, quota)
+
     # What peers say.
 
     def on_told(self, peer: int, words: Words) -> None:
--- a/basalthoist/net/fleet.py
+++ b/basalthoist/net/fleet.py
@@ -15,6 +15,7 @@
 
 from basalthoist.configuration import Configuration, FleetDocument, address_of
 from basalthoist.decisions.chance import Lcg
+from basalthoist.fleet.evidence import claimed
 from basalthoist.fleet.members import Members
 from basalthoist.fleet.register import Held, Verdict, whole
 from basalthoist.fleet.replica import Replica
@@ -22,7 +23,7 @@
 
 from .bans import Bans
 from .log import Log
-from .timers import SECOND, Timers, awake_or_not
+from .timers import SECOND, Timers, awake_or_not, now
 from .whole import put_whole
 
 MOST_NAMED = 8  # odd datagrams that are logged one by one in a period
@@ -42,10 +43,13 @@
     """The host of the replica. `stands_by` is told whether this node's view has become stale."""
 
     def __init__(self, told: FleetDocument, configuration: Configuration, timers: Timers, log: Log,
-                 bans: Bans, shut: Callable[[set[str]], None], stands_by: Callable[[bool], None],
+                 bans: Bans, shut: Callable[[set[str]], None], exchanges, stands_by: Callable[[bool], None],
                  aside) -> None:  # fmt: skip
         self.told, self.me, self.timers, self.log, self.bans = told, configuration.name, timers, log, bans
-        self.shut, self.stands_by, self.aside = shut, stands_by, aside
+        self.shut, self.exchanges, self.stands_by, self.aside = shut, exchanges, stands_by, aside
+        self.customers, self.set_here = configuration.customers, {}  # quotas: as configured, unless set
+        self.quotas = [configuration.settings.get(f"customers.{i}.quota_per_s", 0.0)
+                       for i in range(len(self.customers))]  # fmt: skip
         self.key, bounds = told.key(), told.bounds()
         self.addresses = {name: address_of(text) for name, text in told.nodes.items()}
         self.names = {at: name for name, at in self.addresses.items() if name != self.me}
@@ -173,8 +177,22 @@
         verdicts = held.verdicts.values()
         self.bans.fleet(v.subject for v in verdicts if v.kind in ("ban", "sick"))
         self.shut({v.subject for v in verdicts if v.kind == "customer"})
+        self.set_quotas({v.subject: v.figure for v in verdicts if v.kind == "quota"})
         self.log(f"fleet: acts on version {held.version}, {len(held.verdicts)} verdicts")
 
+    def set_quotas(self, changed: dict[str, float]) -> None:
+        """What the fleet sets, and what was configured where it sets nothing any more."""
+        for number, name in enumerate(self.customers):
+            if changed.get(name) != self.set_here.get(name):
+                self.exchanges.on_quota(number, changed.get(name, self.quotas[number]))
+        self.set_here = changed
+
+    def sick(self) -> list[str]:
+        return claimed(self.exchanges.node.backends.values(), now())
+
+    def listed(self) -> int:
+        return len(self.exchanges.node.backends)
+
     def keep(self, held: Held) -> None:
         self.to_write = held
         self.write()
@@ -189,8 +207,9 @@
 
     # Operators.
 
-    def call(self, kind: str, on: bool, subject: str, answer: Callable[[str], None]) -> None:
-        self.ask([Verdict(kind, subject, on, who=self.me, why="operator")], answer)
+    def call(self, kinds: tuple[str, ...], on: bool, subject: str, answer: Callable[[str], None],
+             figure: float = 0.0) -> None:  # fmt: skip
+        self.ask([Verdict(kind, subject, on, figure, self.me, "operator") for kind in kinds], answer)
 
     def status(self, answer: Callable[[str], None]) -> None:
         at = awake_or_not()
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -95,22 +95,35 @@
             (self.door.stand_by if stale else self.door.be_active)("fleet")
 
         self.fleet = Fleet(told, self.configuration, self.timers, self.log, self.bans, self.door.shut_out,
-                           stands_by, self.aside)  # fmt: skip
+                           self.exchanges, stands_by, self.aside)  # fmt: skip
         self.exchanges.may_send = self.door.may_send = self.fleet.may_send
         if self.admin is not None:
             self.admin.calls_fleet["fleet-status"] = self.fleet.status
             self.admin.calls["fleet-members"] = self.fleet.who_is_there
-            for call, kind, on in (("fleet-on", "ban", True), ("fleet-off", "ban", False),
-                                   ("fleet-shut-customer", "customer", True),
-                                   ("fleet-let-customer", "customer", False)):  # fmt: skip
-                self.admin.calls_on[call] = partial(self.call_fleet, kind, on)
-
-    def call_fleet(self, kind: str, on: bool, subject: str, answer: Callable[[str], None]) -> None:
+            for call, kinds, on in (("fleet-on", ("ban",), True), ("fleet-off", ("ban", "sick"), False),
+                                    ("fleet-shut-customer", ("customer",), True),
+                                    ("fleet-let-customer", ("customer",), False),
+                                    ("fleet-drop-quota", ("quota",), False)):  # fmt: skip
+                self.admin.calls_on[call] = partial(self.call_fleet, kinds, on)
+            self.admin.calls_with["fleet-set-quota"] = self.set_quota
+
+    def call_fleet(self, kinds: tuple[str, ...], on: bool, subject: str, answer: Callable[[str], None],
+                   figure: float = 0.0) -> None:  # fmt: skip
         # Guards against a name mistyped, which would be a verdict on nobody.
-        known = self.maintenance.listed if kind == "ban" else self.configuration.customers
-        if on and subject not in known:
-            return answer(f"{subject} was never listed" if kind == "ban" else f"no customer {subject}")
-        self.fleet.call(kind, on, subject, answer)
+        ban = kinds[0] == "ban"
+        if on and subject not in (self.maintenance.listed if ban else self.configuration.customers):
+            return answer(f"{subject} was never listed" if ban else f"no customer {subject}")
+        self.fleet.call(kinds, on, subject, answer, figure)
+
+    def set_quota(self, customer: str, text: str, answer: Callable[[str], None]) -> None:
+        try:
+            quota = float(text)
+        except ValueError:
+            quota = -1.0
+        # Guards against a slip of the hand, and figures that no sum holds.
+        if not 0.0 <= quota <= 1e9:
+            return answer(f"expected requests a second, 0 to 1e9, got {text}")
+        self.call_fleet(("quota",), True, customer, answer, quota)
 
     async def datagrams(self, protocol: asyncio.DatagramProtocol, own: tuple[str, int]) -> None:
         # Not by `local_addr`: the loop's own word for an address in use does not say that it is that.
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -51,6 +51,8 @@
         ({"fresh_s": 0.3}, "fresh_s: expected at least two beats"),
         ({"stale_s": 0.5}, "stale_s: expected at least fresh_s"),
         ({"drift": 0.5}, "$.drift"),
+        ({"sick_from": 1}, "sick_from: expected 0, or 2 to the nodes, 1, got 1"),
+        ({"sick_from": -1}, "$.sick_from"),
         ({"when_stale": "panic"}, "$.when_stale"),
         ({"quorum": 1}, "quorum"),
     ],
@@ -78,6 +80,16 @@
     assert program.ask(request(ident="let")).status == "200"
     assert door("fleet-off s-0") == "SUCCESS version 4 in force at 1 of 1"
     assert door("fleet-shut-customer ").startswith("FAILURE expected")
+    assert door("fleet-set-quota acme 12.5") == "SUCCESS version 5 in force at 1 of 1"
+    assert door("fleet-set-quota acme 12.50") == "SUCCESS version 5 in force at 1 of 1"  # no change
+    assert door("fleet-set-quota acme 0") == "SUCCESS version 6 in force at 1 of 1"
+    assert door("fleet-drop-quota acme") == "SUCCESS version 7 in force at 1 of 1"
+    assert door("fleet-set-quota nobody 5") == "FAILURE no customer nobody"
+    assert door("fleet-set-quota acme").startswith("FAILURE expected one of")
+    for odd in ("-1", "nan", "inf", "1e10", "many"):
+        answer = door(f"fleet-set-quota acme {odd}")
+        assert answer == f"FAILURE expected requests a second, 0 to 1e9, got {odd}"
+    assert program.ask(request(ident="still")).status == "200"
 
 
 @pytest.fixture
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -9,9 +9,10 @@
 from basalthoist.emulator.replicas import Broken, Replicas, Storm
 from basalthoist.fleet import lease, replica
 from basalthoist.fleet.bounds import Bounds
+from basalthoist.fleet.evidence import claimed
 from basalthoist.fleet.register import Fetch, Held, Verdict
 from basalthoist.fleet.replica import LONG_AGO, Replica
-from basalthoist.fleet.wire import Ask, Beat, Changes, Release, Vote
+from basalthoist.fleet.wire import Ask, Beat, Changes, Letter, Release, Touch, Vote, encode
 
 SHORT = Bounds(lease=10_000, beat=1_500, fresh=5_000, stale=15_000, drift=0.1, answer=30_000)
 
@@ -328,3 +329,90 @@
         except Broken:
             return
     pytest.fail("not caught")
+
+
+# Backends that several nodes find sick.
+
+FINDS = SHORT._replace(sick_from=2, sick_s=3.0)
+
+
+def verdicts_of(fleet):
+    return {key for f in fleet.fellows.values() for key in f.replica.acting.verdicts}
+
+
+@pytest.mark.parametrize(
+    "sick, found",
+    [
+        ({"n1": {"a"}, "n3": {"a", "b"}, "n4": {"c"}}, {"a"}),  # one node's evidence is none
+        ({"n1": {"a"}, "n2": {"b"}, "n3": {"c"}}, set()),
+        ({f"n{i}": {"a", "b", "c", "d", "e", "f"} for i in range(5)}, {"a", "b", "c", "d"}),  # 4 of 12
+        ({}, set()),
+    ],
+)
+def test_a_backend_is_sick_by_the_evidence_of_several(sick, found):
+    fleet = Replicas(5, 3, 4, FINDS)
+    fleet.run(4 * FINDS.lease)
+    fleet.sick = sick
+    fleet.run(fleet.at + FINDS.lease)
+    assert verdicts_of(fleet) == {("sick", name) for name in found}
+    fleet.sick = {}
+    fleet.run(fleet.at + int(FINDS.sick_s * 12_000) + 2 * FINDS.lease)
+    assert verdicts_of(fleet) == set(), "no verdict outlives its time"
+
+
+def test_claims_of_nodes_out_of_touch_or_behind_do_not_count():
+    fleet = Replicas(5, 3, 4, FINDS)
+    fleet.run(4 * FINDS.lease)
+    author = fleet.author()
+    away = [name for name in fleet.names if name != author][-1:]
+    fleet.sick = {away[0]: {"a"}, author: {"b"}}
+    fleet.run(fleet.at + FINDS.lease)
+    fleet.split(away, [name for name in fleet.names if name not in away])
+    fleet.run(fleet.at + 2 * FINDS.fresh)
+    fleet.sick[author] = {"a"}
+    fleet.run(fleet.at + 2 * FINDS.lease)
+    assert verdicts_of(fleet) == set()
+    fleet.heal()
+    fleet.run(fleet.at + 2 * FINDS.lease)
+    assert verdicts_of(fleet) == {("sick", "a")}
+
+
+def test_operators_take_back_what_the_fleet_found_and_ban_what_is_found():
+    fleet = Replicas(3, 3, 4, FINDS._replace(sick_s=1000.0))
+    fleet.run(4 * FINDS.lease)
+    fleet.sick = {name: {"a", "b"} for name in fleet.names}
+    fleet.call("n0", 1, [Verdict("ban", "b")])
+    fleet.run(fleet.at + FINDS.lease)
+    assert verdicts_of(fleet) == {("sick", "a"), ("ban", "b")}
+    fleet.sick = {}
+    fleet.call("n1", 2, [Verdict("ban", "a", False), Verdict("sick", "a", False)])
+    fleet.run(fleet.at + FINDS.lease)
+    assert verdicts_of(fleet) == {("ban", "b")}
+
+
+class Seen:
+    def __init__(self, name, fails, out_until, usable=True):
+        self.name, self.fails, self.out_until, self.usable = name, fails, out_until, usable
+
+
+@pytest.mark.parametrize(
+    "seen, counts",
+    [
+        (Seen("a", 0.6, 110_000), True),
+        (Seen("a", 0.6, 60_000), True),  # its pause is over, and it has not been trusted since
+        (Seen("a", 0.6, 10_000), False),  # too long ago
+        (Seen("a", 0.6, 0), False),  # never put out
+        (Seen("a", 0.1, 110_000), False),  # by hearsay alone
+        (Seen("a", 0.6, 110_000, usable=False), False),  # left out already
+        (Seen("a" * 41, 0.6, 110_000), False),
+    ],
+)
+def test_a_node_claims_what_it_has_met_itself(seen, counts):
+    assert claimed([seen], 100_000) == (["a"] if counts else [])
+
+
+def test_no_more_is_claimed_than_one_datagram_holds():
+    many = [Seen(f"s-{i:037d}", 0.4 + i / 1000, 110_000) for i in range(100)]
+    assert len(claimed(many, 100_000)) == 16
+    touch = Touch(1 << 60, 1 << 60, 1 << 60, 1 << 60, 1 << 60, True, True, claimed(many, 100_000))
+    encode(b"k" * 16, Letter("n" * 60, 1 << 62, "m" * 60, 1 << 62, touch))
