--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -477,7 +477,7 @@
     def give_up(self, now: int, xchg: Exchange) -> None:
         if xchg.over or xchg.streaming:
             return
-        self.welcome *= 1.0 if xchg.surplus else 0.95  # surplus goes before what is in share
+        self.welcome *= 1.0 if xchg.surplus else 0.8  # surplus goes before what is in share
         if xchg.route.harmless or all(t.outcome in NEVER_RAN for t in xchg.tries):
             self.sheds, self.all_sheds = self.sheds + 1, self.all_sheds + (not xchg.surplus)
             self.host.shed(xchg.id, self.advice)
@@ -608,6 +608,7 @@
         backend = upstream.backend
         if outcome == Outcome.COMPLETED:
             backend.last_answer, backend.refusals = now, 0
+            self.welcome *= 1.0 if upstream.xchg.surplus or now <= upstream.xchg.aim_at else 0.8
             backend.slot_time = backend.slot_time * 0.9 + elapsed
             backend.slots = backend.slots * 0.9 + upstream.ahead + 1.0
             self.verdict(now, upstream, False, elapsed)
