Surplus is let in until more than 15% of what is in share misses its objective

Change: integral control. A miss in share takes 0.1, an arrival adds 0.015: all is let in under 15% of misses, nothing for long above; from shut to open in seven seconds at ten requests a second.

--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -16,7 +16,7 @@
 FLOOR_SHARE, LEAST = 0.2, 6  # of an even share; warm backends' worth that a node uses at the least
 PRIOR = 3.0  # samples' worth of the wider mean (kind's, fleet's) that every measured mean is blended with
 EJECT, TRIAL = 6.0, 3.0  # sums of the sequential test: over the first out, over the second one try at a time
-AWAY, AWAY_MOST = 2 * SECOND, 8 * SECOND
+AWAY, AWAY_MOST, PRESS, ROOM = 2 * SECOND, 8 * SECOND, 0.1, 0.015  # over ROOM / PRESS miss: no surplus
 WEAR, LISTENING = 3, 0.7  # service times to an end not told; part of the words whose senders are told
 STRAIN, LOSSY = 2.5, 0.8  # idle times at which who reports a whole rate is passed over; see `overtake`
 
@@ -213,7 +213,7 @@
         self.solve(now)
 
     def on_exchange(self, now: int, ident: int, route_no, customer_no, grace, again: bool, spilled=False):
-        route, self.welcome = self.routes[route_no], min(self.welcome + 0.002, 1.0)
+        route, self.welcome = self.routes[route_no], min(max(self.welcome, 0.0) + ROOM, 1.0)
         aim_at, self.arrivals = now + route.objective, self.arrivals + (not again)
         if not self.demand and len(self.usable) < self.fleet:  # or it crowds a quiet node's few
             self.choose(now)
@@ -477,7 +477,7 @@
     def give_up(self, now: int, xchg: Exchange) -> None:
         if xchg.over or xchg.streaming:
             return
-        self.welcome *= 1.0 if xchg.surplus else 0.8  # surplus goes before what is in share
+        self.welcome -= PRESS * (not xchg.surplus)  # surplus goes before what is in share
         if xchg.route.harmless or all(t.outcome in NEVER_RAN for t in xchg.tries):
             self.sheds, self.all_sheds = self.sheds + 1, self.all_sheds + (not xchg.surplus)
             self.host.shed(xchg.id, self.advice)
@@ -608,7 +608,7 @@
         backend = upstream.backend
         if outcome == Outcome.COMPLETED:
             backend.last_answer, backend.refusals = now, 0
-            self.welcome *= 1.0 if upstream.xchg.surplus or now <= upstream.xchg.aim_at else 0.8
+            self.welcome -= PRESS * (not upstream.xchg.surplus and now > upstream.xchg.aim_at)
             backend.slot_time = backend.slot_time * 0.9 + elapsed
             backend.slots = backend.slots * 0.9 + upstream.ahead + 1.0
             self.verdict(now, upstream, False, elapsed)
