--- a/basalthoist/experiments/cluster/account.py
+++ b/basalthoist/experiments/cluster/account.py
@@ -7,6 +7,8 @@
 
 from basalthoist.experiments.running import RunError
 
+from .checker import WINDOWS
+
 RAW = "raw.jsonl"
 
 
@@ -48,6 +50,7 @@
     answers = Counter(call["text"].split(" ")[0] + (" shut out" if "shut out" in call["text"] else "")
                       for result in found for call in result["calls"])  # fmt: skip
     broken = [result for result in found if result["broken"]]
+    limited = [result["limit_parts"] for result in found if result.get("limit_parts")]
     lines = [
         f"{len(found)} timelines, {sum(len(r['calls']) for r in found)} calls, "
         f"{sum(r['runs'] for r in found)} exchanges at backends; {len(broken)} timelines with a finding.", "",
@@ -67,9 +70,42 @@
     for kind in sorted({kind for result in found for kind in kinds_of(result)}):
         mine = [result for result in found if kind in kinds_of(result)]
         lines.append(f"| {kind} | {len(mine)} | {sum(bool(r['broken']) for r in mine)} |")
+    if limited:
+        lines += ["", "| window | timelines with a limit | most let in, as a part of the bound |"]
+        lines.append("| --- | --- | --- |")
+        for number, window in enumerate(WINDOWS):
+            lines.append(f"| {window:g} s | {len(limited)} | {max(parts[number] for parts in limited):.2f} |")
     lines += ["", "Answers: " + ", ".join(f"{count} {what}" for what, count in sorted(answers.items())) + "."]
     (folder / "table.md").write_text("\n".join(lines) + "\n")
     chart(folder, waits, sends, max(result["bound_s"] for result in found))
+    if limited:
+        chart_of_limits(folder, [result for result in found if result.get("limit_parts")])
+
+
+def chart_of_limits(folder: Path, found: list[dict]) -> None:
+    """What ran in each second of each timeline, as a part of its limit, and the bound for one second."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(8, 4.5))
+    bounds = []
+    for result in found:
+        told = result["timeline"]
+        nodes, limit, burst = told["nodes"], told["limit"], told["burst"]
+        axes.plot([count / limit for count in result["ran_s"]], color="tab:blue", alpha=0.2, linewidth=0.8)
+        bounds.append((limit * (1 + told.get("drift", 0.001)) + max(burst, nodes) + nodes) / limit)
+    axes.axhline(1.0, color="black", label="limit")
+    axes.axhline(min(bounds), color="black", linestyle="--", label="bound for one second, burst included")
+    axes.set_xlabel("seconds")
+    axes.set_ylabel("let in a second, as a part of the limit")
+    axes.set_ylim(bottom=0)
+    axes.grid(alpha=0.3)
+    axes.legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(folder / "limits.svg", metadata={"Date": None})
+    pyplot.close(figure)
 
 
 def chart(folder: Path, waits: list[float], sends: list[float], bound: float) -> None:
--- a/basalthoist/experiments/cluster/timeline.py
+++ b/basalthoist/experiments/cluster/timeline.py
@@ -112,7 +112,7 @@
     nodes = nodes or chance.choice((5, 5, 6, 7, 9))
     events, bans = [], []
     for _ in range(chance.randint(2, 5)):
-        kind = chance.choice((*LINK, *PROCESS, *PROCESS, "cut", "discovery", "fails"))
+        kind = chance.choice((*LINK, *PROCESS, *PROCESS, "cut", "discovery", "fails", "hot"))
         who = ["author"] if chance.random() < 0.4 else [chance.randrange(nodes)]
         if kind in ("cut", "delay", "lose", "fails") and chance.random() < 0.5:
             who = sorted(chance.sample(range(nodes), chance.randint(1, nodes // 2)))
@@ -131,7 +131,8 @@
     machines = [Machine(n, chance.choice(lies), *clock) for n, clock in enumerate(clocks)]
     voters = nodes if nodes % 2 else nodes - 1
     return Timeline("drawn", seed, nodes, voters, length_s=length_s, bans=bans, events=events,
-                    machines=machines, sick_from=chance.choice((0, 2)), sick_s=2.0)  # fmt: skip
+                    machines=machines, sick_from=chance.choice((0, 2)), sick_s=2.0,
+                    limit=chance.choice((0.0, 60.0)), burst=14.0)  # fmt: skip
 
 
 __all__ = ["Ban", "Event", "Machine", "ScenarioError", "Timeline", "drawn", "read"]
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -124,13 +124,16 @@
     result = {"timeline": {"events": [{"kind": "cut"}, {"kind": "cut"}]}, "broken": [], "waits_s": [0.5, 1.5],
               "last_sends_s": [0.25], "runs": 70, "calls": [called], "bound_s": 1.5}  # fmt: skip
     account.keep(tmp_path, result)
-    account.keep(tmp_path, result | {"broken": ["n1 ran it twice"], "timeline": {}})
+    limited = {"nodes": 5, "limit": 50.0, "burst": 10.0}
+    more = {"timeline": limited, "limit_parts": [0.5, 0.25, 0.75], "ran_s": [40, 60, 50]}
+    account.keep(tmp_path, result | {"broken": ["n1 ran it twice"]} | more)
     account.write(tmp_path)
     table = (tmp_path / "table.md").read_text()
     assert "2 timelines, 2 calls, 140 exchanges at backends; 1 timelines with a finding." in table
     assert "| from a call to `SUCCESS` | 1.50 | 1.50 | 1.50 | 1.50 |" in table
     assert "| cut | 1 | 0 |" in table and "2 SUCCESS shut out" in table
-    assert (tmp_path / "chart.svg").stat().st_size > 1000
+    assert "| 3 s | 1 | 0.75 |" in table and "| 5 | 2 | 1 |" in table
+    assert all((tmp_path / name).stat().st_size > 1000 for name in ("chart.svg", "limits.svg"))
     (tmp_path / "raw.jsonl").write_text("{")
     with pytest.raises(RunError, match="raw.jsonl"):
         account.write(tmp_path)
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -138,11 +138,12 @@
     hot_ones_cut_off(made)
 
 
-BUILDS = [(Regrants, stormy), (Hurried, authors_killed), (FromReceipt, late_words), (NoDrift, hot_ones_cut_off),
-          (Reopened, given_back)]  # fmt: skip
+PLAYS = [given_back, authors_killed, hot_ones_cut_off, late_words]
+BUILDS = [(Regrants, stormy), (Hurried, authors_killed), (FromReceipt, late_words),
+          (NoDrift, hot_ones_cut_off), (Reopened, given_back)]  # fmt: skip
 
 
-@pytest.mark.parametrize("play", [given_back, authors_killed, hot_ones_cut_off, late_words], ids=lambda one: one.__name__)
+@pytest.mark.parametrize("play", PLAYS, ids=lambda one: one.__name__)
 def test_plays(play):
     for seed in range(4):
         play(fleet(seed, bounds=(SHORT, LONG)[seed % 2]))
