A node to which nobody comes lends its sure part too

It gave back what it was granted and kept the sure part that it does not use: with six of nine resting, a third of the limit lay idle. The test fails without it.

--- a/basalthoist/fleet/shares.py
+++ b/basalthoist/fleet/shares.py
@@ -92,10 +92,9 @@
 
     def touches(self, now: int) -> tuple[list[tuple[int, float]], bool, bool]:
         """For a touch sent now: what is wanted, whether grants are given back and the sure part is lent."""
-        lends = self.offered and not self.closed
-        if lends:
+        if self.offered:  # also while nobody comes: what it does not use others can
             self.lend(now)
-        return self.wants(now), self.closed, lends
+        return self.wants(now), self.closed, self.offered
 
     def wants(self, now: int) -> list[tuple[int, float]]:
         wanted = [(number, bucket.wanted(now)) for number, bucket in enumerate(self.buckets)]
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -194,6 +194,17 @@
     assert near + sure >= 0.95 * LIMIT.rate
 
 
+def test_what_resting_nodes_do_not_use_others_can():
+    made = fleet(4, limit=LIMIT._replace(burst=90.0), bounds=SHORT._replace(drift=0.01))
+    made.loads = {"n1": 400.0}
+    for name in made.names[3:]:
+        made.fellows[name].holder.close(made.fellows[name].now())
+    made.run(made.at + 20_000)
+    since = made.at
+    made.run(made.at + 50_000)
+    assert made.used(since, made.at) >= 0.95 * LIMIT.rate
+
+
 def test_all_nodes_get_as_much_where_all_want_more():
     made = fleet(2)
     made.loads = dict.fromkeys(made.names, 100.0)
