--- a/basalthoist/emulator/limited.py
+++ b/basalthoist/emulator/limited.py
@@ -92,8 +92,8 @@
     return sum(parts) ** 2 / (len(parts) * squares) if squares else 1.0
 
 
-class Counted(Limited):
-    """Too large to judge at every word: the sum is looked at ten times a second."""
+class Weighed(Replicas):
+    """Counts what each node sends, in bytes with headers."""
 
     def __init__(self, *what, **more) -> None:
         self.bytes = Counter()
@@ -103,6 +103,10 @@
         self.bytes[source.name] += len(ENCODE(Letter(source.name, 1 << 55, name, 1 << 55, word))) + OVERHEAD
         super().sent(source, name, word)
 
+
+class Large(Limited, Weighed):
+    """Too large to judge at every word: the sum is looked at ten times a second."""
+
     def judge(self) -> None:
         if self.at % 1000 < TICK and self.at != self.judged_at:
             self.judged_at = self.at
@@ -117,7 +121,7 @@
     Seconds until 95% of the limit is used again and for a second; parts while all want as much; bytes."""
     bounds = Bounds(20_000, 2_000, 10_000, 40_000, 0.001, 60_000, grant=10_000)
     limit = Limit("any", per_node * count / 2, 4.0 * count)
-    fleet = Counted(count, 5, seed, bounds, limit)
+    fleet = Large(count, 5, seed, bounds, limit)
     fleet.loads = dict.fromkeys(fleet.names, per_node)
     fleet.run(8 * bounds.lease)
     before = dict(fleet.passed_at)
--- a/basalthoist/experiments/cluster/cost.py
+++ b/basalthoist/experiments/cluster/cost.py
@@ -3,18 +3,15 @@
 import asyncio
 import tempfile
 import time
-from collections import Counter
 from pathlib import Path
 
 import msgspec
 
 from basalthoist.decisions.chance import Lcg
-from basalthoist.emulator.crowd import OVERHEAD
-from basalthoist.emulator.replicas import Replicas
+from basalthoist.emulator.limited import Weighed
 from basalthoist.fleet.bounds import Bounds
 from basalthoist.fleet.register import Held, Verdict
 from basalthoist.fleet.replica import Replica
-from basalthoist.fleet.wire import ENCODE, Letter
 from basalthoist.net.timers import awake_or_not
 
 from ..statistics import Mean, paired
@@ -62,19 +59,9 @@
 USUAL = Bounds(20_000, 2_000, 10_000, 40_000, 0.001, 60_000)
 
 
-class Counted(Replicas):
-    """In simulated time: what each node sends, in bytes with headers."""
-
-    def sent(self, source, name, word) -> None:
-        letter = Letter(source.name, 1 << 55, name, 1 << 55, word)
-        self.bytes = getattr(self, "bytes", Counter())
-        self.bytes[source.name] += len(ENCODE(letter)) + OVERHEAD
-        super().sent(source, name, word)
-
-
 def words(nodes: int, seconds: int = 20) -> tuple[float, float]:
     """Bytes a second of the author, and of each other node on the mean, without changes or faults."""
-    fleet = Counted(nodes, 5, 1, USUAL)
+    fleet = Weighed(nodes, 5, 1, USUAL)
     fleet.run(5 * USUAL.lease)
     fleet.bytes.clear()
     fleet.run(fleet.at + seconds * 10_000)
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from basalthoist.emulator.limited import Limited, fairness
+from basalthoist.emulator.limited import Limited, fairness, measured
 from basalthoist.emulator.replicas import Broken, Storm
 from basalthoist.fleet import replica, shares
 from basalthoist.fleet.bounds import Bounds
@@ -194,6 +194,12 @@
     assert near + sure >= 0.95 * LIMIT.rate
 
 
+def test_what_is_measured_of_larger_fleets():
+    found = measured(9)
+    assert found["worst"] <= 1.0 + 1e-6 and found["shift_s"] <= 2.0
+    assert found["jain"] > 0.98 and found["other_bytes_s"] < found["author_bytes_s"] < 20_000
+
+
 def test_what_resting_nodes_do_not_use_others_can():
     made = fleet(4, limit=LIMIT._replace(burst=90.0), bounds=SHORT._replace(drift=0.01))
     made.loads = {"n1": 400.0}
