What this change wrote twice stands once, and an exchange copies no list of customers

Found by reading the change again; behaviour as before.

- policy.py, `on_exchange`: `self.customers[customer_no:][:1]` copied all customers after the one asked for, twice for each exchange.
Now one slice of one.
The line it needs comes from the shortened aim, same arithmetic.
First runs of exchanges: `first_runs`.
- Charts: experiments/charts.py, for reporting.py and both of account.py.
The file a search keeps: `kept` in line.py.
- Rig: three branches that begin, wait and end are one, `around`.
`Limited` had a copy of `Replicas.holder`.
- net/fleet.py reads configured quotas from the decisions, not from the settings again.
- Dead: MOST_LIMITS, `Limited.offered`; three copies of the usual bounds.

--- a/basalthoist/commands/line.py
+++ b/basalthoist/commands/line.py
@@ -16,6 +16,19 @@
     sys.exit(code)
 
 
+def kept(into: Path, name: str, found) -> Path:
+    """What a search has found, as the file that plays it again."""
+    from .toml import as_toml
+
+    path = into / f"{name}-{found.seed}.toml"
+    try:
+        into.mkdir(parents=True, exist_ok=True)
+        path.write_text(as_toml(msgspec.to_builtins(found)))
+    except OSError as wrong:
+        fail(f"{path}: {wrong.strerror}", FAILED)
+    return path
+
+
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 def main() -> None:
     """A reverse proxy that spreads exchanges by measured latency profiles. Without a command it serves as the
@@ -126,8 +139,6 @@
     from basalthoist.emulator.scenario import read
     from basalthoist.emulator.search import search as look
 
-    from .toml import as_toml
-
     make_policy = policy_named(policy)
     try:
         found = read(scenario)
@@ -136,12 +147,7 @@
     count = 0
     for day, rules in look(found, make_policy, days, seed, click.echo):
         count += 1
-        path = into / f"{day.name}-{day.seed}.toml"
-        try:
-            into.mkdir(parents=True, exist_ok=True)
-            path.write_text(as_toml(msgspec.to_builtins(day)))
-        except OSError as wrong:
-            fail(f"{path}: {wrong.strerror}", FAILED)
+        path = kept(into, day.name, day)
         click.echo(f"{path}: breaks {', '.join(sorted(rules))} with {len(day.faults)} faults")
     sys.exit(FAILED if count else 0)
 
@@ -354,8 +360,6 @@
     from basalthoist.experiments.cluster import account, searching
     from basalthoist.experiments.cluster.timeline import Timeline
 
-    from .toml import as_toml
-
     played, worst, found = 0, 0.0, 0
     for result in searching.search(seed, 1_000_000, seconds, processes):
         played, worst = played + 1, max(worst, result.get("worst_s", 0.0))
@@ -367,12 +371,7 @@
         told = msgspec.convert(result["timeline"], Timeline)
         click.echo(f"seed {told.seed} breaks: {result['broken'][0]}")
         told = searching.least(told, searching.broken_by, click.echo)
-        path = into / f"timeline-{told.seed}.toml"
-        try:
-            into.mkdir(parents=True, exist_ok=True)
-            path.write_text(as_toml(msgspec.to_builtins(told)))
-        except OSError as wrong:
-            fail(f"{path}: {wrong.strerror}", FAILED)
+        path = kept(into, "timeline", told)
         click.echo(f"{path}: {len(told.events)} events left")
     if folder is not None:
         account.write(folder)
--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -258,7 +258,7 @@
     most_verdicts: Annotated[int, msgspec.Meta(gt=0, le=4096)] = 4096
     sick_from: Annotated[int, msgspec.Meta(ge=0)] = 0  # nodes whose own evidence finds a backend sick; 0: off
     sick_s: Seconds = 20.0  # how long the fleet leaves such a one out
-    limits: Annotated[list[LimitDocument], msgspec.Meta(max_length=32)] = []
+    limits: Annotated[list[LimitDocument], msgspec.Meta(max_length=32)] = []  # all go in one datagram
     grant_s: Seconds = 1.0  # how long a part of a limit is granted for
     sure_part: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.5  # of a limit, for nodes out of touch, evenly
 
--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -218,11 +218,11 @@
         if not self.demand and len(self.usable) < self.fleet:  # or it crowds a quiet node's few
             self.choose(now)
         route.usual_grace = max(route.usual_grace, 0 if again else min(grace, route.timeout))
-        if again and grace < route.usual_grace:
-            aim_at -= route.timeout - grace  # the client's earlier tries have used up part of its objective
-        surplus = not all(c.within(now, again, self.part) for c in self.customers[customer_no:][:1])
+        aim_at -= (route.timeout - grace) * (again and grace < route.usual_grace)  # spent by earlier tries
+        mine = self.customers[customer_no : customer_no + 1]
+        surplus = not all(c.within(now, again, self.part) for c in mine)
         late = now >= aim_at and not route.late_value or surplus and self.chance.uniform() > self.welcome
-        over = not late and any(c.limit and not c.limit.take(now) for c in self.customers[customer_no:][:1])
+        over = not late and any(c.limit and not c.limit.take(now) for c in mine)
         xchg = Exchange(ident, route, now, now + grace, aim_at, surplus or over, spilled)
         self.exchanges[ident] = xchg
         if late or over:
--- a/basalthoist/emulator/limited.py
+++ b/basalthoist/emulator/limited.py
@@ -7,33 +7,38 @@
 import time
 from bisect import bisect_right
 from collections import Counter
-from collections.abc import Iterable
 
 from basalthoist.fleet.bounds import Bounds
-from basalthoist.fleet.shares import Granter, Holder, Limit
+from basalthoist.fleet.shares import Granter, Limit
 from basalthoist.fleet.wire import ENCODE, Letter
 
 from .crowd import OVERHEAD
 from .replicas import TICK, Broken, Fellow, Replicas
 
 SLACK = 0.01  # requests a second: what rounding may leave
+USUAL = Bounds(20_000, 2_000, 10_000, 40_000, 0.001, 60_000)
+
+
+def allowed(rate: float, burst: float, nodes: int, drift: float, seconds: float) -> float:
+    """The bound of docs/fleet.md on what a fleet lets in within any so many seconds."""
+    return rate * seconds * (1 + drift) + max(burst, nodes) + nodes
+
+
+def most_within(times: list, window) -> int:
+    """The most of the times, which are in order, that lie in any one window."""
+    return max((bisect_right(times, at + window) - number for number, at in enumerate(times)), default=0)
 
 
 class Limited(Replicas):
     """One limit. `loads`: requests a second that come to each node; those of one that is down are lost."""
 
-    make_holder: type = Holder
-
     def __init__(self, count: int, voters: int, seed: int, bounds: Bounds, limit: Limit, **more) -> None:
         self.loads, self.due = {}, {}
         self.passed: list[int] = []  # when each was let in, in true time
-        self.offered, self.passed_at, self.worst = [], {}, 0.0
+        self.passed_at, self.worst = {}, 0.0
         super().__init__(count, voters, seed, bounds, limits=[limit], **more)
         self.limit = limit
 
-    def holder(self, fellow: Fellow) -> Holder:
-        return self.make_holder(self.limits, len(self.names), self.bounds, fellow.now())
-
     def happen(self, what: tuple) -> None:
         super().happen(what)
         if what[0] == "tick":
@@ -55,7 +60,6 @@
         bucket, now, count = fellow.holder.buckets[0], fellow.now(), int(self.due.get(fellow.name, 0.0))
         self.due[fellow.name] = self.due.get(fellow.name, 0.0) - count
         for number in range(count):  # spread over the time since it was last looked at
-            self.offered.append(self.at)
             if bucket.take(max(bucket.at, now - TICK + (number + 1) * TICK // count)):
                 self.passed.append(self.at)
                 self.passed_at[fellow.name] = self.passed_at.get(fellow.name, 0) + 1
@@ -71,15 +75,11 @@
         if total > self.limit.rate + SLACK:
             raise Broken(f"nodes may use {total:.2f}/s of {self.limit.rate:.2f}/s together")
 
-    def over(self, windows: Iterable[float] = (0.1, 0.5, 1.0, 2.0, 5.0)) -> list[tuple[float, int, float]]:
+    def over(self, windows: tuple[float, ...] = (0.1, 0.5, 1.0, 2.0, 5.0)) -> list[tuple[float, int, float]]:
         """For each window in seconds the most that was let in within one, and what docs/fleet.md allows."""
-        found, burst = [], len(self.names) * max(self.limit.burst / len(self.names), 1.0)
-        for window in windows:
-            most = max((bisect_right(self.passed, at + int(window * 10_000)) - number
-                        for number, at in enumerate(self.passed)), default=0)  # fmt: skip
-            allowed = self.limit.rate * window * (1 + self.bounds.drift) + burst + len(self.names)
-            found.append((window, most, allowed))
-        return found
+        told = self.limit.rate, self.limit.burst, len(self.names), self.bounds.drift
+        most = [most_within(self.passed, int(window * 10_000)) for window in windows]
+        return [(w, many, allowed(*told, w)) for w, many in zip(windows, most, strict=True)]
 
     def used(self, since: int, until: int) -> float:
         """Let in a second."""
@@ -119,11 +119,10 @@
     """A fleet whose limit is half of what comes; then all of it comes to one node in nine.
 
     Seconds until 95% of the limit is used again and for a second; parts while all want as much; bytes."""
-    bounds = Bounds(20_000, 2_000, 10_000, 40_000, 0.001, 60_000, grant=10_000)
     limit = Limit("any", per_node * count / 2, 4.0 * count)
-    fleet = Large(count, 5, seed, bounds, limit)
+    fleet = Large(count, 5, seed, USUAL, limit)
     fleet.loads = dict.fromkeys(fleet.names, per_node)
-    fleet.run(8 * bounds.lease)
+    fleet.run(8 * USUAL.lease)
     before = dict(fleet.passed_at)
     fleet.bytes.clear()
     began = time.process_time()
@@ -144,12 +143,11 @@
 
 def author_ms(count: int, limits: int = 1, times: int = 20) -> float:
     """Processor time of the author's books for one round of beats, in ms."""
-    bounds = Bounds(20_000, 2_000, 10_000, 40_000, 0.001, 60_000)
     many = [Limit(f"c{i}", 1000.0, 10.0) for i in range(limits)]
-    granter, names = Granter(many, count, bounds, 0), [f"n{i}" for i in range(count)]
+    granter, names = Granter(many, count, USUAL, 0), [f"n{i}" for i in range(count)]
     began = time.process_time()
     for number in range(times):
-        now = granter.silent_until + number * bounds.beat
+        now = granter.silent_until + number * USUAL.beat
         for place, name in enumerate(names):
             granter.wanted(now, name, [(i, 5.0 + place % 7) for i in range(limits)], False, True, now - 500)
         granter.plan(now, [limit.rate for limit in many])
--- a/basalthoist/emulator/replicas.py
+++ b/basalthoist/emulator/replicas.py
@@ -40,7 +40,8 @@
         chance = Lcg(fleet.chance.getrandbits(60))
         self.lives, self.high = {}, -1  # others' lives, as far as it has noticed
         told = self.name, fleet.names, fleet.voters, fleet.bounds
-        self.holder = fleet.holder(self) if fleet.limits else None
+        told_limits = fleet.limits, len(fleet.names), fleet.bounds, self.now()
+        self.holder = fleet.make_holder(*told_limits) if fleet.limits else None
         self.replica = fleet.make(self, *told, chance, self.now(), hint, self.holder)
 
     # The host's side.
@@ -72,6 +73,8 @@
 class Replicas:
     """A fleet of `count` nodes, the first `voters` of which vote. `make`: another class of replica."""
 
+    make_holder: type = Holder
+
     def __init__(self, count: int, voters: int, seed: int, bounds: Bounds, loss: float = 0.0,
                  double: float = 0.0, delay=(2, 30), make: type = Replica, limits=()) -> None:  # fmt: skip
         self.limits: list[Limit] = list(limits)
@@ -93,9 +96,6 @@
             fellow.begin()
             self.later(self.chance.randrange(TICK), ("tick", fellow.name))
 
-    def holder(self, fellow: Fellow) -> Holder:
-        return Holder(self.limits, len(self.names), self.bounds, fellow.now())
-
     def later(self, after: int, what: tuple) -> None:
         self.seq += 1
         heappush(self.events, (self.at + after, self.seq, what))
--- a/basalthoist/experiments/cluster/account.py
+++ b/basalthoist/experiments/cluster/account.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from basalthoist.emulator.limited import allowed
+from basalthoist.experiments.charts import chart
 from basalthoist.experiments.running import RunError
 
 from .checker import WINDOWS
@@ -77,52 +79,36 @@
             lines.append(f"| {window:g} s | {len(limited)} | {max(parts[number] for parts in limited):.2f} |")
     lines += ["", "Answers: " + ", ".join(f"{count} {what}" for what, count in sorted(answers.items())) + "."]
     (folder / "table.md").write_text("\n".join(lines) + "\n")
-    chart(folder, waits, sends, max(result["bound_s"] for result in found))
+    chart_of_calls(folder, waits, sends, max(result["bound_s"] for result in found))
     if limited:
         chart_of_limits(folder, [result for result in found if result.get("limit_parts")])
 
 
 def chart_of_limits(folder: Path, found: list[dict]) -> None:
     """What ran in each second of each timeline, as a part of its limit, and the bound for one second."""
-    import matplotlib
-
-    matplotlib.use("Agg")
-    from matplotlib import pyplot
-
-    figure, axes = pyplot.subplots(figsize=(8, 4.5))
     bounds = []
-    for result in found:
-        told = result["timeline"]
-        nodes, limit, burst = told["nodes"], told["limit"], told["burst"]
-        axes.plot([count / limit for count in result["ran_s"]], color="tab:blue", alpha=0.2, linewidth=0.8)
-        bounds.append((limit * (1 + told.get("drift", 0.001)) + max(burst, nodes) + nodes) / limit)
-    axes.axhline(1.0, color="black", label="limit")
-    axes.axhline(min(bounds), color="black", linestyle="--", label="bound for one second, burst included")
-    axes.set_xlabel("seconds")
-    axes.set_ylabel("let in a second, as a part of the limit")
-    axes.set_ylim(bottom=0)
-    axes.grid(alpha=0.3)
-    axes.legend(fontsize=8)
-    figure.tight_layout()
-    figure.savefig(folder / "limits.svg", metadata={"Date": None})
-    pyplot.close(figure)
-
-
-def chart(folder: Path, waits: list[float], sends: list[float], bound: float) -> None:
-    import matplotlib
-
-    matplotlib.use("Agg")
-    from matplotlib import pyplot
-
-    figure, axes = pyplot.subplots(figsize=(8, 4.5))
-    for figures, label in ((waits, "call to SUCCESS"), (sends, "call to the last send to what is banned")):
-        ordered = sorted(figures)
-        axes.step(ordered, [(n + 1) / len(ordered) for n in range(len(ordered))], where="post", label=label)
-    axes.axvline(bound, color="black", linestyle="--", label="bound on a stale view")
-    axes.set_xlabel("seconds")
-    axes.set_ylabel("part of the calls")
-    axes.grid(alpha=0.3)
-    axes.legend(fontsize=8)
-    figure.tight_layout()
-    figure.savefig(folder / "chart.svg", metadata={"Date": None})
-    pyplot.close(figure)
+    with chart(folder, "limits") as axes:
+        for result in found:
+            told = result["timeline"]
+            limit, drift = told["limit"], told.get("drift", 0.001)
+            parts = [count / limit for count in result["ran_s"]]
+            axes.plot(parts, color="tab:blue", alpha=0.2, linewidth=0.8)
+            bounds.append(allowed(limit, told["burst"], told["nodes"], drift, 1.0) / limit)
+        axes.axhline(1.0, color="black", label="limit")
+        label = "bound for one second, burst included"
+        axes.axhline(min(bounds), color="black", linestyle="--", label=label)
+        axes.set_xlabel("seconds")
+        axes.set_ylabel("let in a second, as a part of the limit")
+        axes.set_ylim(bottom=0)
+
+
+def chart_of_calls(folder: Path, waits: list[float], sends: list[float], bound: float) -> None:
+    lines = (waits, "call to SUCCESS"), (sends, "call to the last send to what is banned")
+    with chart(folder, "chart") as axes:
+        for figures, label in lines:
+            ordered = sorted(figures)
+            parts = [(n + 1) / len(ordered) for n in range(len(ordered))]
+            axes.step(ordered, parts, where="post", label=label)
+        axes.axvline(bound, color="black", linestyle="--", label="bound on a stale view")
+        axes.set_xlabel("seconds")
+        axes.set_ylabel("part of the calls")
--- a/basalthoist/experiments/cluster/checker.py
+++ b/basalthoist/experiments/cluster/checker.py
@@ -1,10 +1,11 @@
 """Judges a run by its ledgers alone: what ran where, by whom, and what operators were told. In seconds."""
 
 import re
-from bisect import bisect_right
 from collections import Counter
 from typing import NamedTuple
 
+from basalthoist.emulator.limited import allowed, most_within
+
 KEPT = re.compile(r"^(?:SUCCESS|FAILURE) version (\d+) ")
 SUCCESS = re.compile(r"^SUCCESS version (\d+) (?:in force )?at (\d+) of (\d+)")
 
@@ -47,12 +48,17 @@
 ON_THE_WAY = 0.35  # seconds at most from where an exchange is let in to where it first runs, in a rig's load
 
 
-def by_second(runs: list[Run]) -> list[int]:
-    """Exchanges by the second in which they first ran."""
+def first_runs(runs: list[Run]) -> list[float]:
+    """When each exchange first ran, in order."""
     first: dict[str, float] = {}
     for run in runs:
         first.setdefault(run.name, run.at)
-    counts = Counter(int(at) for at in first.values())
+    return sorted(first.values())
+
+
+def by_second(runs: list[Run]) -> list[int]:
+    """Exchanges by the second in which they first ran."""
+    counts = Counter(int(at) for at in first_runs(runs))
     return [counts[second] for second in range(max(counts, default=-1) + 1)]
 
 
@@ -61,16 +67,12 @@
 
     An exchange counts by its first run. Two that were let in apart may run together, so a window is taken as
     longer by what may lie between."""
-    first: dict[str, float] = {}
-    for run in runs:
-        first.setdefault(run.name, run.at)
-    times, found = sorted(first.values()), []
+    times, found = first_runs(runs), []
     for window in WINDOWS:
-        most = max((bisect_right(times, at + window) - number for number, at in enumerate(times)), default=0)
-        burst = told.nodes * max(told.burst / told.nodes, 1.0) + told.nodes
-        allowed = told.limit * (window + ON_THE_WAY) * (1 + told.drift) + burst
-        line = f"{most} let in within {window:g} s, {allowed:.1f} allowed" if most > allowed else ""
-        found.append((line, most / allowed))
+        most = most_within(times, window)
+        bound = allowed(told.limit, told.burst, told.nodes, told.drift, window + ON_THE_WAY)
+        line = f"{most} let in within {window:g} s, {bound:.1f} allowed" if most > bound else ""
+        found.append((line, most / bound))
     return found
 
 
--- a/basalthoist/experiments/cluster/cost.py
+++ b/basalthoist/experiments/cluster/cost.py
@@ -8,8 +8,7 @@
 import msgspec
 
 from basalthoist.decisions.chance import Lcg
-from basalthoist.emulator.limited import Weighed
-from basalthoist.fleet.bounds import Bounds
+from basalthoist.emulator.limited import USUAL, Weighed
 from basalthoist.fleet.register import Held, Verdict
 from basalthoist.fleet.replica import Replica
 from basalthoist.net.timers import awake_or_not
@@ -56,9 +55,6 @@
     return found
 
 
-USUAL = Bounds(20_000, 2_000, 10_000, 40_000, 0.001, 60_000)
-
-
 def words(nodes: int, seconds: int = 20) -> tuple[float, float]:
     """Bytes a second of the author, and of each other node on the mean, without changes or faults."""
     fleet = Weighed(nodes, 5, 1, USUAL)
@@ -88,8 +84,7 @@
 
 def on_the_path(times: int = 200_000) -> float:
     """Microseconds that an exchange spends on asking whether its node's view still counts."""
-    bounds = USUAL
-    replica = Replica(Nobody(), "n0", ["n0", "n1", "n2"], ["n0", "n1", "n2"], bounds, Lcg(1), awake_or_not())
+    replica = Replica(Nobody(), "n0", ["n0", "n1", "n2"], ["n0", "n1", "n2"], USUAL, Lcg(1), awake_or_not())
     began = time.process_time()
     for _ in range(times):
         replica.may_send(awake_or_not())
--- a/basalthoist/experiments/cluster/rig.py
+++ b/basalthoist/experiments/cluster/rig.py
@@ -30,7 +30,7 @@
 )
 from . import checker
 from .relay import Mesh
-from .timeline import LINK, Event, Machine, Timeline
+from .timeline import LINK, PROCESS, Event, Machine, Timeline
 
 UNSEATS = ("kill", "freeze", "cut")
 
@@ -201,31 +201,26 @@
             self.timing.append(asyncio.create_task(self.await_author(who[0])))
         if event.kind in LINK:
             await self.on_links(event, who)
-        elif event.kind == "hot":
-            for number in who:
-                self.clients[number].jump(event.times)
-            await asyncio.sleep(event.for_s)
-            for number in who:
-                self.clients[number].jump(1.0)
-        elif event.kind == "fails":
-            for number in who:
-                self.failing[event.backend, number] += 1
-            await asyncio.sleep(event.for_s)
-            for number in who:
-                self.failing[event.backend, number] -= 1
-        elif event.kind == "discovery":
-            self.doors_cut(who, 1)
-            await asyncio.sleep(event.for_s)
-            self.doors_cut(who, -1)
-        else:
+        elif event.kind in PROCESS:
             await asyncio.gather(*(self.on_process(event, self.nodes[n]) for n in who))
+        else:
+            self.around(event, who, True)
+            await asyncio.sleep(event.for_s)
+            self.around(event, who, False)
         self.say(f"{self.at():6.2f} over: {what}")
 
-    def doors_cut(self, who: list[int], more: int) -> None:
+    def around(self, event: Event, who: list[int], begins: bool) -> None:
+        """What lies around the nodes: clients, backends, discovery."""
+        more = 1 if begins else -1
         for number in who:
-            self.doors[number].set_cut(more)
-            if more > 0 and self.chance.random() < 0.5:
-                self.doors[number].reset()
+            if event.kind == "hot":
+                self.clients[number].jump(event.times if begins else 1.0)
+            elif event.kind == "fails":
+                self.failing[event.backend, number] += more
+            else:
+                self.doors[number].set_cut(more)
+                if begins and self.chance.random() < 0.5:
+                    self.doors[number].reset()
 
     async def on_links(self, event: Event, who: list[int]) -> None:
         rest = event.others or [n for n in range(self.told.nodes) if n not in who]
--- a/basalthoist/experiments/reporting.py
+++ b/basalthoist/experiments/reporting.py
@@ -3,6 +3,7 @@
 import csv
 from pathlib import Path
 
+from .charts import chart
 from .running import RunError, results_of
 from .statistics import Mean, mean_of, paired
 
@@ -68,42 +69,30 @@
 
 
 def write_charts(about: dict, made: list[dict], found: list[dict], folder: Path) -> None:
-    import matplotlib
-
-    matplotlib.use("Agg")
-    from matplotlib import pyplot
-
     plan = about["plan"]
-    figure, axes = pyplot.subplots(figsize=(8, 4.5))
-    if plan["sweep"]:
-        for policy in plan["policies"]:
-            mine = [row for row in made if row["policy"] == policy]
-            means = [row[plan["figure"]] for row in mine]
-            axes.errorbar([row["value"] for row in mine], [m.mean for m in means], [m.half for m in means],
-                          marker="o", markersize=3, capsize=2, label=policy)  # fmt: skip
-        axes.set_xlabel(plan["sweep"]["key"])
-    else:
-        for policy in plan["policies"]:
-            seconds = [r["seconds"] for r in found if r["policy"] == policy]
-            parts = []
-            for at in range(len(seconds[0])):
-                offered = sum(run[at]["offered"] for run in seconds)
-                parts.append(
-                    sum(run[at]["in_time"] for run in seconds) / offered if offered else float("nan")
-                )
-            axes.plot(range(len(parts)), parts, label=policy)
-        axes.set_xlabel("second")
-    axes.set_ylabel(plan["figure"] if plan["sweep"] else "in time")
-    axes.set_ylim(bottom=0)
-    axes.grid(alpha=0.3)
-    axes.legend(fontsize=8)
-    axes.set_title(plan["name"])
-    figure.tight_layout()
-    for ending in ("png", "svg"):
-        figure.savefig(
-            folder / f"chart.{ending}", dpi=110, metadata={"Date": None} if ending == "svg" else None
-        )
-    pyplot.close(figure)
+    with chart(folder, "chart", ("png", "svg")) as axes:
+        if plan["sweep"]:
+            for policy in plan["policies"]:
+                mine = [row for row in made if row["policy"] == policy]
+                means = [row[plan["figure"]] for row in mine]
+                values, halves = [row["value"] for row in mine], [m.half for m in means]
+                axes.errorbar(values, [m.mean for m in means], halves,
+                              marker="o", markersize=3, capsize=2, label=policy)  # fmt: skip
+            axes.set_xlabel(plan["sweep"]["key"])
+        else:
+            for policy in plan["policies"]:
+                seconds = [r["seconds"] for r in found if r["policy"] == policy]
+                parts = []
+                for at in range(len(seconds[0])):
+                    offered = sum(run[at]["offered"] for run in seconds)
+                    parts.append(
+                        sum(run[at]["in_time"] for run in seconds) / offered if offered else float("nan")
+                    )
+                axes.plot(range(len(parts)), parts, label=policy)
+            axes.set_xlabel("second")
+        axes.set_ylabel(plan["figure"] if plan["sweep"] else "in time")
+        axes.set_ylim(bottom=0)
+        axes.set_title(plan["name"])
 
 
 def write_report(folder: Path) -> None:
--- a/basalthoist/fleet/shares.py
+++ b/basalthoist/fleet/shares.py
@@ -15,7 +15,6 @@
 SECOND = 10_000
 STEADY = 3_000  # over which what is asked for is averaged
 AHEAD = 1.25  # wanted beyond what is asked for, or a grant would always be a step behind
-MOST_LIMITS = 32  # of a fleet: what is wanted and granted goes in one datagram
 
 
 class Limit(NamedTuple):
--- a/basalthoist/net/fleet.py
+++ b/basalthoist/net/fleet.py
@@ -60,9 +60,8 @@
         self.told, self.me, self.timers, self.log, self.bans = told, configuration.name, timers, log, bans
         self.shut, self.exchanges, self.stands_by, self.aside = shut, exchanges, stands_by, aside
         self.rests = rests
-        self.customers, self.set_here = configuration.customers, {}  # quotas: as configured, unless set
-        self.quotas = [configuration.settings.get(f"customers.{i}.quota_per_s", 0.0)
-                       for i in range(len(self.customers))]  # fmt: skip
+        self.customers, self.set_here = configuration.customers, {}
+        self.quotas = [customer.quota for customer in exchanges.node.customers]  # as configured
         self.key, bounds = told.key(), told.bounds()
         self.addresses = {name: address_of(text) for name, text in told.nodes.items()}
         self.names = {at: name for name, at in self.addresses.items() if name != self.me}
