What has waited is not sent for a client that has left, nor to a backend that drains meanwhile

Ruled out by tests that pass on the old program as well: held by the decisions, in the backlog, behind another request on its connection; they stay.

Change: `Exchanges.close` withdraws what is unwritten, whether or not work may be called off; so does a list that says drained, gone, moved or started anew, and a ban. Before a try for an exchange that has waited for over 1 ms, and before a call that waited is written, the client's socket is asked for its end (POLLRDHUP), once. `Node.give_up` asks its host to take back what is unwritten, which makes it a refusal that is harmless. Towards another site a try is cut with its exchange: that site sees its client leave and sends nothing on. Also: an answer that was begun and falls silent ends after `stream_silent_s` though its backend was unlisted since.

--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -247,7 +247,8 @@
         if load is not None and load.rate:
             backend.reported += (load.rate - backend.reported) * (0.5 if backend.reported else 1.0)
             backend.rates, backend.reports = backend.rates + load.rate, backend.reports + 1
-        if upstream.overtaken > 1 and (outcome != Outcome.CANCELLED or now >= xchg.aim_at):
+        called_off = outcome in (Outcome.CANCELLED, Outcome.NOT_SENT) and now < xchg.aim_at
+        if upstream.overtaken > 1 and not called_off:
             lost, self.lossy = self.lossy > LOSSY, 0.9 * self.lossy + 0.1 * (outcome != Outcome.COMPLETED)
             if lost != (self.lossy > LOSSY):
                 self.host.log(f"overtaken tries: {self.lossy:.0%} unanswered, taken for lost: {not lost}")
@@ -481,11 +482,10 @@
         if xchg.over or xchg.streaming:
             return
         self.welcome -= PRESS * (not xchg.surplus)  # surplus goes before what is in share
-        if xchg.route.harmless or all(t.outcome in NEVER_RAN for t in xchg.tries):
-            self.sheds, self.all_sheds = self.sheds + 1, self.all_sheds + (not xchg.surplus)
-            self.host.shed(xchg.id, self.advice)
-        else:
-            self.host.fail(xchg.id)
+        never = (t.outcome in NEVER_RAN or self.host.withdraw(xchg.id, i) for i, t in enumerate(xchg.tries))
+        safe = xchg.route.harmless or all(never)
+        self.sheds, self.all_sheds = self.sheds + safe, self.all_sheds + (safe and not xchg.surplus)
+        self.host.shed(xchg.id, self.advice) if safe else self.host.fail(xchg.id)
         self.finish(xchg)
 
     def finish(self, xchg: Exchange) -> None:
--- a/basalthoist/emulator/nodes.py
+++ b/basalthoist/emulator/nodes.py
@@ -209,6 +209,9 @@
         if xchg is not None and try_no < len(xchg.tries) and not xchg.tries[try_no].over:
             self.events.after(0, self.in_this_life(self.try_ended, xchg, try_no, Outcome.CANCELLED, None))
 
+    def withdraw(self, ident: int, try_no: int) -> bool:
+        return False  # what is sent is written at once here
+
     def probe(self, backend: str) -> None:
         self.counts["probes"] += 1
         server, began_at = self.fleet.servers[backend], self.events.now
--- a/basalthoist/jsonrpc/front.py
+++ b/basalthoist/jsonrpc/front.py
@@ -3,6 +3,7 @@
 import asyncio
 from functools import partial
 
+from basalthoist.net.descriptors import polled
 from basalthoist.net.exchanges import Exchanges
 from basalthoist.net.log import Log
 from basalthoist.net.timers import SECOND, Timers, now
@@ -32,6 +33,12 @@
     def __init__(self, conversation: "Conversation", ident: bytes, batch: "Batch | None") -> None:
         self.conversation, self.ident, self.batch, self.exchange = conversation, ident, batch, None
 
+    def left(self) -> bool:
+        return self.conversation.left()
+
+    def leave(self) -> None:
+        self.conversation.transport.abort()
+
     def answer(self, status: int, headers=(), body=b"") -> None:
         self.exchange = None
         if status == 200:
@@ -98,9 +105,18 @@
         self.hold_back()
         self.go_on()
 
+    def left(self) -> bool:
+        """Whether its connection is broken. One that only ends may still read what it has asked for."""
+        if self.transport.is_closing():
+            return True
+        return polled(self.transport.get_extra_info("socket").fileno(), 0)
+
     # Lines and calls.
 
     def go_on(self) -> None:
+        if self.paused and self.left():
+            # Guards against calls that are begun for a client whose end was not read meanwhile.
+            return self.transport.abort()
         while not self.full and not self.front.leaving and len(self.callers) < self.front.most_open:
             end = self.pending.find(b"\n")
             if (end if end >= 0 else len(self.pending)) > self.front.limits.body_bytes:
@@ -182,7 +198,9 @@
 
     def check_time(self, at: int) -> None:
         limits = self.front.limits
-        if self.full and at - self.since > limits.client_read_s * SECOND:
+        if self.paused and self.left():
+            self.transport.abort()
+        elif self.full and at - self.since > limits.client_read_s * SECOND:
             self.transport.abort()  # answers that are not read
         elif not self.callers and self.pending and at - self.since > limits.client_read_s * SECOND:
             self.transport.abort()  # a line that does not end
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -44,9 +44,29 @@
         self.born = self.since = now()  # since: when it last fell idle, or began to read or to be written to
         self.errors, self.dropped = 0, 0  # requests in error; bytes read after the last answer
         self.keep, self.writing, self.held_back, self.ended = True, False, False, False
+        self.deaf = False  # nothing is read from it for now
         self.asked = False  # whether it has brought a request yet
         self.version, self.chunked, self.framed = "1.1", False, True
 
+    # Called by its exchange, and while nothing is read from it.
+
+    def left(self) -> bool:
+        """Whether its end has come here, though it may not have been read yet."""
+        if self.transport.is_closing():
+            return True
+        return polled(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+
+    def leave(self) -> None:
+        """As when its end is read."""
+        self.connection_ended()
+        self.transport.abort()
+
+    def connection_ended(self) -> None:
+        self.ended = True
+        if self.exchange is not None:
+            xchg, self.exchange = self.exchange, None
+            self.door.exchanges.gone(xchg)
+
     # Called by the event loop.
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -55,13 +75,10 @@
         self.door.clients[self] = None
 
     def connection_lost(self, wrong: Exception | None) -> None:
-        self.ended = True
         self.door.clients.pop(self, None)
         self.door.kept.pop(self, None)
         self.door.descriptors.give_back()
-        if self.exchange is not None:
-            xchg, self.exchange = self.exchange, None
-            self.door.exchanges.gone(xchg)
+        self.connection_ended()
         self.door.check_drained()
 
     def data_received(self, data: bytes) -> None:
@@ -82,17 +99,26 @@
         except Exception as wrong:
             return self.not_read(wrong)
         if self.exchange is not None or self.writing:
-            # Guards against a client that sends on without end while its answer is awaited.
-            if len(self.reader.pending) > self.reader.head_bytes + self.reader.body_bytes:
-                self.held_back = True
-                self.transport.pause_reading()
-            return
+            return self.hold_back_behind()
         self.advance()
         if not self.ended and self.unfinished():
             self.door.room.used += len(data)
             if self.door.room.used > self.door.room.most:
                 self.door.keep_to_room()
 
+    def hold_back_behind(self) -> None:
+        """What lies behind an exchange is read as long as there is room for it, its client's end among it."""
+        # Guards against a client that sends on without end while its answer is awaited.
+        self.held_back = len(self.reader.pending) > self.reader.head_bytes + self.reader.body_bytes
+        self.hear()
+
+    def hear(self) -> None:
+        """Reads from it, or does not, as its body and what comes behind its exchange want it."""
+        deaf = self.held_back or self.upload is not None and self.body_held
+        if deaf != self.deaf and not self.ended:
+            self.deaf = deaf
+            (self.transport.pause_reading if deaf else self.transport.resume_reading)()
+
     def touch(self) -> None:
         """`clients` is in the order of `since`: whose has been idle for longest comes first."""
         self.since = now()
@@ -127,9 +153,9 @@
 
     def hold_body(self, held: bool) -> None:
         """Whoever gets the body's parts can take no more for now, or can again."""
-        if self.upload is not None and not self.ended and held != self.body_held:
+        if self.upload is not None:
             self.body_held = held
-            (self.transport.pause_reading if held else self.transport.resume_reading)()
+            self.hear()
 
     # Stages of what it reads.
 
@@ -153,14 +179,12 @@
             return  # it has been answered before its body was whole
         if message is not None and self.upload is not None:
             return self.end_body()
+        self.hold_back_behind()
         if message is not None:
             return self.take(message)
         if self.reader.wants_continue:
             self.reader.wants_continue = False
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if self.held_back:
-            self.held_back = False
-            self.transport.resume_reading()
 
     def take(self, message: Message) -> None:
         self.keep, self.asked = message.keep_alive and self.welcome, True
@@ -334,6 +358,9 @@
         limits, waited = self.door.limits, at - self.since
         if self.transport.is_closing():
             return
+        # Guards against work that goes on for a client whose end nobody reads.
+        if self.exchange is not None and self.deaf and self.left():
+            return self.leave()
         unread = self.transport.get_write_buffer_size()
         if unread != self.unread or not unread:
             self.unread, self.read_at = unread, at
--- a/basalthoist/net/discovery.py
+++ b/basalthoist/net/discovery.py
@@ -239,7 +239,7 @@
                     self.log(f"{member.id} left out: {wrong}")
                     continue
                 present.add(member.id)
-                self.upstream.learn(member.id, address, listed.started)
+                self.upstream.learn(member.id, address, listed.started, listed.state == "healthy")
             entries.append(listed)
         if said.complete:
             links = self.exchanges.links
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -17,13 +17,14 @@
 OWN_HEADERS = frozenset((b"request-timeout-ms", b"host", b"site-hops", b"site-from"))  # written anew
 KEPT_BACK = frozenset((b"server-load", b"not-started"))  # for the node, not for its clients
 OVERDUE = 20  # tenths after its deadline at which an exchange is answered whatever has become of it
+MOMENT = 10  # tenths after which an exchange has waited: its client is looked for before a try is made
 
 
 class Exchange:
     """An exchange that a client waits for: who asked, what is sent on, and its tries so far."""
 
     __slots__ = "id name client head body deadline calls out open timer streams stream spilled".split()
-    __slots__ += ["ran", "upload"]
+    __slots__ += ["ran", "upload", "came_at"]
 
     def __init__(self, ident: int, name: bytes, client, head: bytes, body, deadline: int) -> None:
         self.name = name  # its Request-Id
@@ -33,6 +34,7 @@
         self.streams = False  # its route's answers are passed on as they come
         self.stream: Call | None = None  # the try whose answer is on its way to the client
         self.spilled, self.ran = False, False  # from another site; a try of it may have run
+        self.came_at = now()
         self.upload: Upload | None = None  # its body, where that is too long to be kept
 
     def parts(self, timeout: int, marks: bytes = b"") -> list:
@@ -118,7 +120,7 @@
             headers.append((b"Content-Length", b"%d" % len(message.body)))
         head = head_of(b"%b %b HTTP/1.1" % (message.method, message.target), headers)
         xchg = Exchange(self.new_id(), name, client, head, message.body, deadline)
-        xchg.streams, xchg.spilled = self.streamed[route], spilled
+        xchg.streams, xchg.spilled, xchg.came_at = self.streamed[route], spilled, message.came_at
         if upload is not None:
             self.follow(xchg, upload, timeout_ms)
         if spilled:
@@ -166,6 +168,15 @@
         if not self.report(happened, xchg.id, route, customer, grace, again, xchg.spilled):
             self.end_failed(xchg)
 
+    def wanted(self, xchg: Exchange) -> bool:
+        """Whether its client is still there, as far as this machine knows."""
+        # Guards against sending on for a client that left while the exchange waited: its end may lie unread,
+        # as after the node stood still, or while nothing is read from that client.
+        if xchg.open and xchg.client.left():
+            self.loop.call_soon(xchg.client.leave)
+            return False
+        return xchg.open
+
     def gone(self, xchg: Exchange) -> None:
         """Its client has gone away."""
         self.close(xchg)
@@ -198,9 +209,18 @@
         """It is answered, or its client is gone; it stays known until its last try has ended."""
         xchg.open = False
         xchg.timer.stop()
-        if not xchg.out:
+        if xchg.out:
+            self.withdraw_all(xchg)
+        else:
             self.forget(xchg)
 
+    def withdraw_all(self, xchg: Exchange) -> None:
+        """Nobody waits any more: what is unwritten stays so, whether or not backends may be called off."""
+        for call in xchg.calls:
+            # Nor is it sent on from another site, which sees its client, this node, leave.
+            if call is not None and not call.withdraw() and call.pool.name.startswith("site:"):
+                call.give_up(Outcome.CANCELLED)
+
     def forget(self, xchg: Exchange) -> None:
         if self.under_way.pop(xchg.id, None) is not None:
             del self.named[xchg.name]
@@ -285,10 +305,12 @@
             told = min(told, xchg.upload.grace)  # which counts from its last byte there too
         call = None
         gone = xchg.upload is not None and xchg.upload.spent  # its body, and cannot be sent again
+        waited = number > 0 or began_at - xchg.came_at > MOMENT
         # Guards against a process that stood still and sends by what it knew before.
-        if not gone and self.may_send():
+        if not gone and self.may_send() and not (waited and not self.wanted(xchg)):
             call = self.upstream.call(backend, xchg.parts(told, marks), timeout, ended, starts,
-                                      streams=xchg.streams, upload=xchg.upload)  # fmt: skip
+                                      streams=xchg.streams, upload=xchg.upload,
+                                      wanted=partial(self.wanted, xchg))  # fmt: skip
         if call is None:
             self.loop.call_soon(ended, Outcome.NOT_SENT, None)
         xchg.calls.append(call)
@@ -312,6 +334,11 @@
         if xchg is not None and try_no < len(xchg.calls) and xchg.calls[try_no] is not None:
             xchg.calls[try_no].give_up(Outcome.CANCELLED)
 
+    def withdraw(self, ident: int, try_no: int) -> bool:
+        xchg = self.under_way.get(ident)
+        call = xchg.calls[try_no] if xchg is not None and try_no < len(xchg.calls) else None
+        return call is not None and call.withdraw()
+
     def open_one(self, ident: int) -> Exchange | None:
         xchg = self.under_way.get(ident)
         return xchg if xchg is not None and xchg.open else None
--- a/basalthoist/net/upstream.py
+++ b/basalthoist/net/upstream.py
@@ -56,11 +56,13 @@
 class Call:
     """One request on its way to a backend. `done` is told once how it ended, never from within `submit`."""
 
-    __slots__ = "pool parts done starts streams tells upload connection timer over began_at".split()
+    __slots__ = "pool parts done starts streams tells upload wanted connection timer over began_at".split()
 
     def __init__(self, pool: "Pool", parts: list[bytes], done: Done, starts: Starts | None = None,
-                 tells=False, streams=False, upload: Upload | None = None) -> None:  # fmt: skip
+                 tells=False, streams=False, upload: Upload | None = None,
+                 wanted: Callable[[], bool] = lambda: True) -> None:  # fmt: skip
         self.pool, self.parts, self.done = pool, parts, done
+        self.wanted = wanted  # asked where it has waited: whether anybody still waits for its answer
         self.tells = tells  # a probe: nobody is served with its answer, and it may be lost
         self.starts = starts  # for an answer that is passed on as it comes,
         self.streams = streams  # long or not
@@ -91,13 +93,24 @@
         """Ends its sending at once, so that no later try is a second copy of one still out."""
         if self.over:
             return
-        if self.connection is not None:
+        waits = self.connection is None
+        # Guards against a try told of as one that may have run though its last byte was never written.
+        if not self.tells and (waits or self.connection.unwritten()):
+            outcome = Outcome.CONNECT_FAILED if outcome == Outcome.TIMED_OUT else Outcome.NOT_SENT
+        if not waits:
             self.connection.cut()
             self.pool.suspect(self.began_at)
         elif self in self.pool.waiting:
             self.pool.waiting.remove(self)
         self.finish_soon(outcome)
 
+    def withdraw(self) -> bool:
+        """Takes it back where not a byte of it is written: then it never runs."""
+        waits = not self.over and self in self.pool.waiting
+        if waits:
+            self.give_up(Outcome.NOT_SENT)
+        return waits
+
 
 class Connection(asyncio.Protocol):
     def __init__(self, pool: "Pool", sock: socket.socket) -> None:
@@ -161,7 +174,7 @@
         if call is None or call.starts is None or answer.status != 200:
             return None
         call.timer.stop()  # a begun answer has no deadline
-        self.pool.streaming.add(self)
+        self.pool.upstream.streaming.add(self)
         return call.starts(answer, length)
 
     def eof_received(self) -> None:
@@ -242,7 +255,6 @@
     def __init__(self, upstream: "Upstream", name: str, address: tuple[str, int], started) -> None:
         self.upstream, self.name, self.address, self.started = upstream, name, address, started
         self.idle: list[Connection] = []  # in the order in which they fell idle
-        self.streaming: set[Connection] = set()
         self.waiting: deque[Call] = deque()
         self.opening: set[asyncio.Task] = set()
         self.closed, self.heard_at = False, now()
@@ -300,8 +312,8 @@
             connection = task.result()
             if not connection.transport.is_closing():  # else it was lost as it came up
                 self.heard_at = now()
-                if self.waiting:
-                    return connection.carry(self.waiting.popleft())
+                if (call := self.next_call()) is not None:
+                    return connection.carry(call)
                 return self.freed(connection)
         else:
             self.upstream.descriptors.give_back()
@@ -313,7 +325,7 @@
             self.waiting.popleft().finish(Outcome.NOT_SENT if scarce else Outcome.CONNECT_FAILED)
 
     def freed(self, connection: Connection) -> None:
-        self.streaming.discard(connection)
+        self.upstream.streaming.discard(connection)
         connection.idle_since = now()
         if self.closed and not self.waiting:
             return connection.cut()
@@ -324,10 +336,27 @@
         if self.waiting and self.idle:
             self.upstream.timers.after(self.upstream.rest, self.serve)
 
+    def next_call(self) -> Call | None:
+        """Who has waited longest, of those whose answer is still wanted."""
+        while self.waiting:
+            call = self.waiting.popleft()
+            if call.wanted():
+                return call
+            call.finish_soon(Outcome.NOT_SENT)
+        return None
+
+    def withdraw_all(self) -> None:
+        """Nothing more is to go there, or to the process that these were meant for."""
+        for call in list(self.waiting):
+            call.withdraw()
+
     def serve(self) -> None:
         """Who waits takes a connection that has rested by now; where it has gone, a new one is opened."""
         while self.waiting and (connection := self.sound(self.upstream.rest)) is not None:
-            connection.carry(self.waiting.popleft())
+            if (call := self.next_call()) is None:
+                self.freed(connection)
+                break
+            connection.carry(call)
         for _ in range(len(self.waiting) - len(self.opening) - len(self.idle)):
             self.open_one()
         self.serve_soon()
@@ -335,7 +364,7 @@
             self.drop_idle(now())
 
     def forget(self, connection: Connection) -> None:
-        self.streaming.discard(connection)
+        self.upstream.streaming.discard(connection)
         if connection in self.idle:
             self.idle.remove(connection)
 
@@ -365,15 +394,20 @@
         self.rest, self.hold = int(limits.upstream_rest_s * SECOND), int(limits.answer_hold_s * SECOND)
         self.connection = Connection  # what backends are spoken to by
         self.pools: dict[str, Pool] = {}
+        self.streaming: set[Connection] = set()  # with an answer on its way, also from who is not listed now
         descriptors.makers_of_room.append(self.close_idlest)
         timers.every(SECOND, self.sweep)
 
-    def learn(self, name: str, address: tuple[str, int], started: int | None) -> None:
+    def learn(self, name: str, address: tuple[str, int], started: int | None, wanted: bool = True) -> None:
+        """`wanted`: whether something new may go there; a send counts from its first byte."""
         pool = self.pools.get(name)
         if pool is not None and pool.address == address:
             if pool.started != started:
                 pool.started = started
                 pool.drop_idle(now())  # they led to the process before
+                pool.withdraw_all()  # meant for a warm one, or for one that is no more
+            elif not wanted:
+                pool.withdraw_all()
             return
         if pool is not None:
             self.close(pool)
@@ -383,6 +417,7 @@
         """It is about to be restarted, or has been: what is idle leads to the process before."""
         if (pool := self.pools.get(name)) is not None:
             pool.drop_idle(now())
+            pool.withdraw_all()
 
     def remove(self, name: str) -> None:
         if (pool := self.pools.pop(name, None)) is not None:
@@ -391,14 +426,15 @@
     def close(self, pool: Pool) -> None:
         pool.closed = True
         pool.drop_idle(now())
+        pool.withdraw_all()
 
     def call(self, name: str, parts: list[bytes], timeout: int, done: Done, starts=None,
-             tells=False, streams=False, upload=None) -> Call | None:  # fmt: skip
+             tells=False, streams=False, upload=None, wanted=lambda: True) -> Call | None:  # fmt: skip
         """Starts a call that ends within `timeout` tenths; None where the backend is not known."""
         pool = self.pools.get(name)
         if pool is None:
             return None
-        call = Call(pool, parts, done, starts, tells, streams, upload)
+        call = Call(pool, parts, done, starts, tells, streams, upload, wanted)
         call.timer = self.timers.after(timeout, lambda: call.give_up(Outcome.TIMED_OUT))
         pool.submit(call)
         return call
@@ -407,9 +443,10 @@
         silent = now() - int(self.limits.stream_silent_s * SECOND)
         for pool in self.pools.values():
             pool.drop_idle(now() - self.idle)
-            # Guards against an answer that was begun and then comes to nothing: no deadline ends it.
-            for connection in [c for c in pool.streaming if c.heard_at < silent and not c.held_back]:
-                connection.fail(Outcome.RESET)
+        # Guards against an answer that was begun and then comes to nothing: no deadline ends it, nor does its
+        # backend's leaving the list.
+        for connection in [c for c in self.streaming if c.heard_at < silent and not c.held_back]:
+            connection.fail(Outcome.RESET)
 
     def close_idlest(self) -> bool:
         idle = [pool.idle[0] for pool in self.pools.values() if pool.idle]
--- a/basalthoist/shadow.py
+++ b/basalthoist/shadow.py
@@ -30,6 +30,7 @@
     def shed(self, xchg, retry_after): self.note("shed", xchg)  # fmt: skip
     def fail(self, xchg): self.note("fail", xchg)  # fmt: skip
     def cancel(self, xchg, try_no): self.note("cancel", xchg, try_no)  # fmt: skip
+    def withdraw(self, xchg, try_no): return False  # fmt: skip
     def probe(self, backend): self.asides.append(("probe", backend))  # fmt: skip
     def tell(self, words, peers): self.asides.append(("tell", len(words)))  # fmt: skip
     def subscribe(self): pass  # fmt: skip
--- a/basalthoist/simulator/adapter.py
+++ b/basalthoist/simulator/adapter.py
@@ -41,6 +41,9 @@
     def cancel(self, xchg: int, try_no: int) -> None:
         self.out.append(f"ABANDON{self.prefix}\t{xchg}\t{try_no}\n")
 
+    def withdraw(self, xchg: int, try_no: int) -> bool:
+        return False  # the wire does not tell what is written
+
     def probe(self, backend: str) -> None:
         self.out.append(f"POLL{self.prefix}\t{backend}\n")
 
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,292 @@
+"""Instants at which something is still owed: the bad order is made to happen every time. docs/endings.md."""
+
+import contextlib
+import signal
+import socket
+import struct
+import threading
+import time
+
+import pytest
+from helpers import (
+    StandIn,
+    member,
+    once_open,
+    read_message,
+    reply,
+    request,
+    silent,
+    wait_for,
+)
+
+from basalthoist.net.members import address_of
+
+
+# A request whose client has left while it waited is not sent on.
+
+
+class Late(StandIn):
+    """A backend whose machine takes no connection before `come_up`; `came` holds what is read on each."""
+
+    def __init__(self):
+        self.came, self.open, self.peers = [], [], set()
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.fillers = [socket.socket() for _ in range(3)]
+        for sock in self.fillers:
+            sock.setblocking(False)
+            sock.connect_ex(self.listener.getsockname())
+
+    def come_up(self):
+        self.own = {sock.getsockname()[1] for sock in self.fillers}
+        for sock in self.fillers:
+            sock.close()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def serve(self, sock):
+        with contextlib.suppress(OSError):
+            self.peers.add(sock.getpeername()[1])
+            first = sock.recv(1 << 20)
+            if first:
+                self.came.append(first)
+                reply(200, b"late")(self, sock, None)
+
+    def connected(self):
+        """Whether the node's connection is up."""
+        return self.peers - self.own
+
+    def got(self):
+        """Of each request that has come here its id."""
+        return [first.lower().partition(b"request-id: ")[2].split()[0].decode() for first in self.came]
+
+
+def leave(sock, how="fin"):
+    if how == "rst":
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+def limits_of(**more):
+    base = {"connect_timeout": 3_000_000, "keepalive": 10_000_000, "max_upstream_tries": 3, "cancel": True}
+    return {"policy_limits": base | more}
+
+
+@contextlib.contextmanager
+def standing_still(program):
+    program.process.send_signal(signal.SIGSTOP)
+    wait_for(lambda: state_of(program) == "T")
+    yield
+    program.process.send_signal(signal.SIGCONT)
+
+
+def state_of(program):
+    with open(f"/proc/{program.process.pid}/stat") as stat:
+        return stat.read().rpartition(")")[2].split()[0]
+
+
+def seen_of(*backends):
+    return [call.headers.get("request-id") for backend in backends for call in backend.seen]
+
+
+PATIENT = {"overall_timeout": 9_000_000, "latency_objective": 8_000_000}
+
+
+def patient(cancel=True, **more):
+    """Settings by which an exchange is held for long."""
+    usual = {"group": "all", "value": 1.0} | PATIENT
+    kinds = ("read", "idempotent"), ("pay", "at_most_once")
+    routes = [usual | {"name": name, "semantics": semantics} for name, semantics in kinds]
+    return {"routes": routes} | limits_of(cancel=cancel) | more
+
+
+SYN_SENT, ESTABLISHED, CLOSE_WAIT = "02", "01", "08"
+
+
+def sockets_here(*states, port=None, peer=None):
+    """How many of this machine are in one of these states, by their own port and their peer's."""
+    with open("/proc/net/tcp") as table:
+        rows = [line.split()[1:4] for line in table.readlines()[1:]]
+    ports = [(int(own[-4:], 16), int(other[-4:], 16), state) for own, other, state in rows]
+    return sum(s in states and port in (None, a) and peer in (None, b) for a, b, s in ports)
+
+
+def connecting_to(backend):
+    return sockets_here(SYN_SENT, peer=address_of(backend.address)[1])
+
+
+def holds(program, port):
+    """Whether it has not yet let go of that client's connection."""
+    return sockets_here(ESTABLISHED, CLOSE_WAIT, port=program.address[1], peer=port)
+
+
+def asks(program, *data):
+    """A client that has asked, and its port."""
+    sock = program.connect()
+    for part in data:
+        sock.sendall(part)
+    return sock, sock.getsockname()[1]
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+@pytest.mark.parametrize("how", ["fin", "rst"])
+def test_behind_a_connection_that_comes_up_late(start, cancel, how):
+    late = Late()
+    program, _, _ = start(late, settings_more=patient(cancel))
+    sock, port = asks(program, request("pay", timeout=8000, ident="left"))
+    wait_for(lambda: connecting_to(late))
+    leave(sock, how)
+    wait_for(lambda: not holds(program, port))
+    late.come_up()
+    wait_for(late.connected)
+    assert program.ask(request(timeout=8000, ident="next")).body == b"late"
+    assert late.got() == ["next"]
+
+
+def test_behind_such_a_connection_while_the_node_stands_still(start):
+    late = Late()
+    program, _, _ = start(late, settings_more=patient())
+    sock, _ = asks(program, request("pay", timeout=8000, ident="left"))
+    wait_for(lambda: connecting_to(late))
+    with standing_still(program):
+        late.come_up()
+        wait_for(late.connected)
+        leave(sock)
+    assert program.ask(request(timeout=8000, ident="next")).body == b"late"
+    assert late.got() == ["next"]
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+@pytest.mark.parametrize(("route", "timeout"), [("read", 300), ("pay", 300)])
+def test_a_try_that_waits_for_a_connection_at_the_deadline_has_not_run(start, route, timeout, cancel):
+    """It is answered so that trying again is harmless, and is not sent later."""
+    late = Late()
+    program, _, _ = start(late, settings_more=patient(cancel))
+    assert program.ask(request(route, timeout=timeout, ident="late")).status == "503"
+    late.come_up()
+    wait_for(late.connected)
+    assert program.ask(request(timeout=8000, ident="next")).body == b"late"
+    assert late.got() == ["next"]
+
+
+@pytest.mark.parametrize("change", ["draining", "gone", "moved"])
+@pytest.mark.parametrize("route", ["read", "pay"])
+def test_a_try_that_waits_for_a_connection_to_who_drains_goes_elsewhere_at_once(start, change, route):
+    late, other = Late(), StandIn(reply(200, b"other"))
+    program, _, discovery = start(late, settings_more=patient(False))
+    wait_for(lambda: discovery.watches)
+    sock, _ = asks(program, request(route, timeout=8000))
+    wait_for(lambda: connecting_to(late))
+    if change == "moved":
+        discovery.tell(member("s-0", other))
+    else:
+        discovery.tell(member("s-0", late, change), member("s-1", other))
+    began = time.monotonic()
+    with sock, sock.makefile("rb") as source:
+        assert read_message(source).body == b"other"
+    assert time.monotonic() - began < 0.5
+    late.come_up()
+    other.close()
+    wait_for(late.connected)
+    assert program.ask(b"GET /ready HTTP/1.1\r\n\r\n").status == "200"  # it has seen that by now
+    time.sleep(0.1)
+    assert not late.came
+
+
+@pytest.mark.parametrize("kept", [False, True])
+def test_in_the_machines_buffer_while_the_node_stood_still(start, kept):
+    program, (backend,), _ = start(reply())
+    sock = program.connect() if kept else None
+    if kept:
+        wait_for(lambda: sockets_here(ESTABLISHED, port=program.address[1], peer=sock.getsockname()[1]))
+        assert program.ask(request(ident="first")).status == "200"  # it has been taken over by now
+    with standing_still(program):
+        sock = sock or program.connect()
+        sock.sendall(request("pay", ident="left"))
+        leave(sock)
+        time.sleep(0.3)  # which is what the page allows it to have lain there
+    assert program.ask(request(ident="next")).status == "200"
+    assert seen_of(backend) == ["first", "next"][not kept :]
+
+
+def test_held_by_the_decisions_while_the_node_stood_still(start):
+    """The list that it waits for comes before the client's end, and both are read after a while."""
+    backend = StandIn(reply())
+    program, _, discovery = start(known=[], listed=False, settings_more=patient())
+    wait_for(lambda: discovery.watches)
+    sock, _ = asks(program, request("pay", timeout=8000, ident="left"))
+    assert program.ask(b"GET /ready HTTP/1.1\r\n\r\n").status == "200"
+    with standing_still(program):
+        discovery.tell(member("s-0", backend))
+        time.sleep(0.05)
+        leave(sock)
+        time.sleep(0.3)
+    assert program.ask(request(timeout=8000, ident="next")).status == "200"
+    assert seen_of(backend) == ["next"]
+    backend.close()
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+def test_in_the_pause_before_a_retry_while_the_node_stood_still(start, cancel):
+    """The first try is cut off before the client's end comes, and both are read after a while."""
+    gate = []
+
+    def cut_at(stand_in, sock, asked):
+        if asked.headers["request-id"] == "left":
+            wait_for(lambda: gate)
+            raise EOFError
+        reply()(stand_in, sock, asked)
+
+    program, (one, two), _ = start(cut_at, cut_at, settings_more=patient(cancel))
+    sock, _ = asks(program, request(timeout=8000, ident="left"))
+    wait_for(lambda: seen_of(one, two))
+    with standing_still(program):
+        gate.append(True)
+        time.sleep(0.05)
+        leave(sock)
+        time.sleep(0.3)
+    assert program.ask(request(timeout=8000, ident="next")).status == "200"
+    assert sorted(seen_of(one, two)) == ["left", "next"]
+
+
+CROWD = b"".join(request(ident=f"c{n}") for n in range(1000))  # more than is read behind an exchange
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+def test_behind_another_request_while_reading_is_paused(start, cancel):
+    gate = []
+    program, (backend,), _ = start(once_open(gate), settings_more=patient(cancel))
+    sock, port = asks(program, request("pay", timeout=8000, ident="first"), CROWD)
+    wait_for(lambda: backend.seen)
+    leave(sock)
+    wait_for(lambda: not holds(program, port), 1)
+    gate.append(True)
+    assert program.ask(request(timeout=8000, ident="next")).status == "200"
+    assert seen_of(backend) == ["first", "next"]
+
+
+def test_while_reading_its_body_is_paused(start):
+    """Its body goes on as it comes, and nobody takes it yet."""
+    late = Late()
+    program, _, _ = start(late, settings_more=patient(False))
+    head = request("pay", timeout=8000, ident="left", extra="Content-Length: 1000000\r\n")
+    sock, port = asks(program, head, b"x" * 200_000)
+    wait_for(lambda: connecting_to(late))
+    leave(sock)
+    wait_for(lambda: not holds(program, port), 1)
+    late.come_up()
+    wait_for(late.connected)
+    assert program.ask(request(timeout=8000, ident="next")).body == b"late"
+    assert late.got() == ["next"]
+
+
+def test_what_comes_behind_is_read_again_as_soon_as_there_is_room(start):
+    """All of a crowd on one connection is answered, and its end is seen in the midst of the last."""
+    program, (backend,), _ = start(reply())
+    sock, port = asks(program, CROWD)
+    with sock.makefile("rb") as source:
+        assert {read_message(source).status for _ in range(1000)} <= {"200", "503"}
+        backend.behave = silent
+        sock.sendall(request("pay", timeout=800, ident="last"))
+        wait_for(lambda: "last" in seen_of(backend))
+    leave(sock)
+    wait_for(lambda: not holds(program, port), 0.5)
