Discovery is asked again in time after silence, and indented changes are learnt as they come

Traced with a line for each call and each read: n1's first watch was reset at 0.225 s, the second call refused (503) at 0.651, the third at 1.103 fell silent before its first byte; found at 5.693; asked again only at 7.403, told at 7.607. At fault: `Discovery.later`, whose wait doubled with the failures before the silence (0.4 s x 2^2, spread), added to `watch_silent_s` and a look every 0.5 s. Ruled out: the other nodes, whose watch had been heard since, asked again within 0.7 s; the answers took 0.2 s.

By the same sum a tier whose turns are long (`watch_line_s` x nodes x backends) waited up to one and a half turns after each failure, and a turn at its start, whatever drained meanwhile.

Change: silence is found within 4.2 s and a look every 0.25 s, counts as a wait between calls, and until what was missed counts as known (`watch_told_s`, 6 s) no wait takes more than half of what is left; no other wait more than 0.7 of it. An object over several lines, as an indented one is, is gathered by its braces and learnt whole; before, each such change broke the watch and cost a whole list. A drain counts though the entry's address makes no sense.

Thirteen new tests, all of which fail without this.

--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -51,7 +51,8 @@
     first_list_s: Positive = 0.3  # how long `/ready` waits for discovery before the saved list has to do
     answer_hold_s: Positive = 0.005  # from its first bytes, for one of unknown length; then it is passed on
     stream_silent_s: Positive = 15.0  # an answer that was begun and of which nothing more comes
-    watch_silent_s: Positive = 4.5
+    watch_silent_s: Positive = 4.2  # of two of its heartbeats none has come
+    watch_told_s: Positive = 6.0  # what a watch has missed for as long counts as known, however it was missed
     watch_retry_s: Positive = 0.4  # before discovery is tried again; it doubles, spread by half either way
     watch_retry_most_s: Positive = 2.0
     watch_line_s: Annotated[float, msgspec.Meta(ge=0)] = 0.008  # of discovery for a line, where calls weigh
--- a/basalthoist/net/discovery.py
+++ b/basalthoist/net/discovery.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import random
+import re
 from collections.abc import Callable
 
 import httptools
@@ -19,6 +20,13 @@
 from .upstream import Upstream
 
 LINE = msgspec.json.Decoder(MemberList)
+TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')  # within a line, as none goes over the end of one in JSON
+
+
+def depth_of(line: bytes) -> int:
+    """How many more braces and brackets a line opens than it closes."""
+    bare = TEXT.sub(b"", line)
+    return bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
 
 
 class Watch(asyncio.Protocol):
@@ -33,11 +41,11 @@
         self.transport: asyncio.Transport | None = None
         self.heard_at, self.watching, self.closed = now(), False, False
         self.begun = False  # an answer has begun; what is wrong with it is then more than that it was refused
-        self.text = b""
+        self.text, self.lines, self.depth = b"", [], 0  # lines: of an object that is not whole yet
         self.parser = httptools.HttpResponseParser(self)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        self.transport = transport
+        self.transport, self.heard_at = transport, now()
         if self.left():
             self.leave()
         elif self.discovery.listed:
@@ -59,7 +67,7 @@
         self.heard_at = now()
         try:
             self.parser.feed_data(data)
-            if len(self.text) > self.limit:
+            if len(self.text) + sum(map(len, self.lines)) > self.limit:
                 raise ValueError("a list too large")
         except (httptools.HttpParserError, ValueError) as wrong:
             cause = wrong.__context__ or wrong
@@ -100,9 +108,17 @@
             *lines, self.text = self.text.split(b"\n")
             for line in lines:
                 if line.strip():
-                    self.discovery.learn(LINE.decode(line))
+                    self.take(line)
                 self.discovery.heard()
 
+    def take(self, line: bytes) -> None:
+        """One object a line, or an object over several, as indented ones are: learnt whole or not at all."""
+        self.lines.append(line)
+        self.depth += depth_of(line)
+        if self.depth <= 0:
+            text, self.lines, self.depth = b"\n".join(self.lines), [], 0
+            self.discovery.learn(LINE.decode(text))
+
     def on_message_complete(self) -> None:
         if self.watching:
             raise ValueError("the watch was ended")
@@ -135,7 +151,10 @@
         self.turns_s = configuration.turns_s
         self.least_wait_s = max(limits.watch_retry_s, self.turns_s / 2)
         self.most_wait_s = max(limits.watch_retry_most_s, self.turns_s)
-        timers.every(SECOND // 2, self.check)
+        # Whatever the tier's size: what is missed counts as known after so long, and a call takes time too.
+        self.told = int(limits.watch_told_s * SECOND)
+        self.missing_from = now()
+        timers.every(SECOND // 4, self.check)
 
     def start(self, known: MemberList) -> None:
         known.complete = True
@@ -143,13 +162,14 @@
         self.listed = known.revision > 0  # then a watch from there brings all that a list would
         # Guards against nodes killed together that ask together: what they know serves meanwhile.
         if self.turns_s > self.limits.watch_retry_most_s and known.members:
-            self.wait(self.turns_s * self.chance.random())
+            self.wait(min(self.turns_s, self.longest_s()) * self.chance.random())
         else:
             self.connect()
 
     def move(self, address: tuple[str, int]) -> None:
         """Another agent, as planned: no failure. The whole list first, as its revisions may be others."""
         self.address, self.listed, self.revision, self.failures = address, False, 0, 0
+        self.missing_from = now()
         if self.opening is not None:
             self.opening.cancel()
             self.opening = None
@@ -190,6 +210,8 @@
     def check(self) -> None:
         # Guards against a watch that was cut off: nothing ends it, it only falls silent.
         if self.watch is not None and now() - self.watch.heard_at > self.silent:
+            # What it has not told since then is missing; and to wait for it was a wait between two calls.
+            self.missing_from, self.failures = self.watch.heard_at, 0
             self.watch.fail(f"silent for {self.limits.watch_silent_s:.1f} s")
 
     def failed(self, watch: Watch | None, why: str) -> None:
@@ -199,11 +221,19 @@
             self.exchanges.on_list_failed()
             self.later()
 
+    def longest_s(self) -> float:
+        """Between two calls at the most, so that the second is answered in time."""
+        return 0.7 * self.told / SECOND
+
     def later(self) -> None:
         if self.waiting is None:
             longer = min(self.least_wait_s * 2**self.failures, self.most_wait_s)
             self.failures = min(self.failures + 1, 20)
-            self.wait(longer * (0.5 + self.chance.random()))
+            # Guards against waits past the time at which what was missed counts as known: until then half of
+            # what is left of it at the most, so that there is time for a call more.
+            left = (self.missing_from + self.told - now()) / SECOND
+            most = max(left / 2, self.limits.watch_retry_s) if left > 0 else self.longest_s()
+            self.wait(min(longer * (0.5 + self.chance.random()), most * (0.5 + 0.5 * self.chance.random())))
 
     def wait(self, seconds: float) -> None:
         self.waiting = self.timers.after(int(seconds * SECOND), self.connect)
@@ -220,7 +250,7 @@
         self.heard()
 
     def heard(self) -> None:
-        self.failures = 0
+        self.failures, self.missing_from = 0, now()
         self.on_first()
 
     def learn(self, said: MemberList) -> None:
@@ -232,12 +262,16 @@
             if listed.state == "gone":
                 left.add(member.id)
             else:
+                pool = self.upstream.pools.get(member.id)
                 try:
                     address = address_of(member.host_port)
                 except ValueError as wrong:
-                    # Guards against one entry that makes no sense and costs the node all the others.
-                    self.log(f"{member.id} left out: {wrong}")
-                    continue
+                    # Guards against one entry that makes no sense and costs the node all the others. That a
+                    # backend drains makes sense wherever it is.
+                    if pool is None or listed.state == "healthy":
+                        self.log(f"{member.id} left out: {wrong}")
+                        continue
+                    address = pool.address
                 present.add(member.id)
                 self.upstream.learn(member.id, address, listed.started, listed.state == "healthy")
             entries.append(listed)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -1,6 +1,7 @@
 """Instants at which something is still owed: the bad order is made to happen every time. docs/endings.md."""
 
 import contextlib
+import json
 import signal
 import socket
 import struct
@@ -10,6 +11,7 @@
 import pytest
 from helpers import (
     StandIn,
+    chunk,
     member,
     once_open,
     read_message,
@@ -22,6 +24,147 @@
 from basalthoist.net.members import address_of
 
 
+def answers(program, count=6):
+    """Bodies of so many exchanges, one after the other."""
+    return {program.ask(request(ident=f"a{n}")).body for n in range(count)}
+
+
+# Discovery.
+
+
+class Agent(StandIn):
+    """Discovery in steps: each call takes the next, the last one stays."""
+
+    def __init__(self, *steps):
+        self.steps, self.asked_at = list(steps), []
+        super().__init__(type(self).answer)
+
+    def answer(self, sock, asked):
+        self.asked_at.append(time.monotonic())
+        step = self.steps.pop(0) if len(self.steps) > 1 else self.steps[0]
+        step(sock)
+
+    def calls(self, count):
+        wait_for(lambda: len(self.seen) >= count)
+        return [call.path.removeprefix("/v1/endpoints") for call in self.seen[:count]]
+
+
+def said(revision, *members, complete=False, indent=None):
+    said = {"revision": revision, "complete": complete, "members": members}
+    return json.dumps(said, indent=indent).encode()
+
+
+def list_of(*members, revision=1):
+    text = said(revision, *members, complete=True)
+    return lambda sock: sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text))
+
+
+WATCH = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def watch(*parts):
+    def begin(sock):
+        sock.sendall(WATCH)
+        for part in parts:
+            sock.sendall(chunk(part))
+
+    return begin
+
+
+def refuses(sock):
+    sock.sendall(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+
+
+def falls_silent(sock):
+    pass
+
+
+@pytest.mark.parametrize(
+    ("before", "index"),
+    [
+        ([falls_silent], ""),  # before the list
+        ([lambda sock: sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{")], ""),
+        (["list", falls_silent], "?stream=1&index=1"),  # before its first line
+        (["list", watch()], "?stream=1&index=1"),
+        (["list", watch(b'{"revision": 2, "memb')], "?stream=1&index=1"),  # in the midst of one
+        (["list", watch(b"\n", said(2) + b"\n")], "?stream=1&index=2"),
+    ],
+)
+def test_wherever_a_watch_falls_silent_what_it_missed_is_known_in_time(start, before, index):
+    one, other = StandIn(reply(200, b"one")), StandIn(reply(200, b"other"))
+    both = member("s-1", one), member("s-2", other)
+    steps = [list_of(*both) if step == "list" else step for step in before]
+    drained = member("s-1", one, "draining"), both[1]
+    comes_back = list_of(*drained, revision=9) if index == "" else watch(said(9, *drained) + b"\n")
+    agent = Agent(*steps, comes_back, watch())
+    limits = {"watch_silent_s": 0.6, "watch_told_s": 1.4}
+    program, _, _ = start(one, other, agent=agent, known=both, limits=limits)
+    assert agent.calls(len(before) + 1)[-1] == index
+    assert agent.asked_at[len(before)] - agent.asked_at[len(before) - 1] < 1.3
+    wait_for(lambda: answers(program) == {b"other"}, 1)
+
+
+@pytest.mark.parametrize(
+    ("settings_more", "limits"),
+    [
+        ({}, {"watch_retry_s": 0.2, "watch_retry_most_s": 20.0}),  # several refusals came before it
+        ({"discovery": "on_request", "siblings": 200}, {"watch_line_s": 1000.0}),  # a tier of long turns
+    ],
+)
+def test_the_wait_after_silence_ends_before_what_was_missed_counts_as_known(start, settings_more, limits):
+    """Seen on a day whose watches fell silent before their first line, after one reset and one refusal."""
+    agent = Agent(list_of(), refuses, refuses, refuses, falls_silent, watch())
+    limits |= {"watch_silent_s": 0.6, "watch_told_s": 1.4}
+    start(agent=agent, limits=limits, settings_more=settings_more, wait=False)
+    wait_for(lambda: len(agent.asked_at) == 6, 30)
+    gaps = [later - earlier for earlier, later in zip(agent.asked_at, agent.asked_at[1:], strict=False)]
+    assert 0.6 <= gaps[4] < 1.4
+    assert all(gap < 1.4 for gap in gaps)  # nor does any other wait go on for longer
+
+
+@pytest.mark.parametrize("pieces", [1, 7, 10_000])
+def test_an_indented_change_is_learnt_and_the_watch_goes_on(start, pieces):
+    one, other = StandIn(reply(200, b"one")), StandIn(reply(200, b"other"))
+    odd = 's-"{[\\'  # as names go, this one could be taken for the form
+    both = member(odd, one), member("s-2", other)
+    text = said(2, member(odd, one, "draining"), indent=2) + b"\n\n"
+    size = -(-len(text) // min(pieces, len(text)))
+    parts = [text[at : at + size] for at in range(0, len(text), size)]
+    agent = Agent(list_of(*both), watch(b"\n", *parts, said(3, indent=2) + b"\r\n"))
+    program, _, _ = start(one, other, agent=agent, known=[])
+    wait_for(lambda: answers(program) == {b"other"}, 5)
+    assert agent.calls(2) == ["", "?stream=1&index=1"]
+    assert len(agent.seen) == 2 and "not understood" not in program.log()
+
+
+def test_an_indented_change_that_breaks_off_leaves_nothing_half_learnt(start):
+    one, other = StandIn(reply(200, b"one")), StandIn(reply(200, b"other"))
+    both = member("s-1", one), member("s-2", other)
+    whole = said(2, member("s-1", one, "draining"), member("s-2", other, "gone"), indent=1) + b"\n"
+
+    def breaks_off(sock):
+        watch(whole[:-4])(sock)
+        raise EOFError
+
+    agent = Agent(list_of(*both), breaks_off, watch(whole))
+    limits = {"watch_retry_s": 0.8, "watch_told_s": 10.0}
+    program, _, _ = start(one, other, agent=agent, known=[], limits=limits)
+    wait_for(lambda: "discovery ended" in program.log())
+    assert answers(program, 12) == {b"one", b"other"}
+    assert agent.calls(3)[2] == "?stream=1&index=1"
+    wait_for(lambda: program.ask(request()).status == "503")  # one drains, the other has gone
+
+
+def test_that_a_backend_drains_counts_though_its_address_makes_no_sense(start):
+    program, (one, other), discovery = start(reply(200, b"one"), reply(200, b"other"))
+    wait_for(lambda: discovery.watches)
+    discovery.tell({"id": "s-0", "phase": "draining"})
+    wait_for(lambda: answers(program) == {b"other"}, 3)
+    discovery.tell({"id": "s-0", "phase": "ready"})  # where is not said: it is not taken up
+    wait_for(lambda: "s-0 left out" in program.log())
+    assert answers(program) == {b"other"}
+
+
 # A request whose client has left while it waited is not sent on.
 
 
