--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -195,8 +195,8 @@
         return b"inflight=%.2f" % (len(self.under_way) / max(self.links.usable(), 1))
 
     def overdue(self, xchg: Exchange) -> None:
-        # Guards against a wake of the decisions that is late, as it counts from when it was asked for: what they
-        # would have answered in the next moment goes before what is answered for them.
+        # Guards against a wake of the decisions that is late, as it counts from when it was asked for: what
+        # they would have answered in the next moment goes before what is answered for them.
         self.report(self.node.on_wake, "due")
         if xchg.open:
             self.log(f"exchange {xchg.id} was left unanswered")
