--- a/basalthoist/net/discovery.py
+++ b/basalthoist/net/discovery.py
@@ -232,7 +232,8 @@
             # Guards against waits past the time at which what was missed counts as known: until then half of
             # what is left of it at the most, so that there is time for a call more.
             left = (self.missing_from + self.told - now()) / SECOND
-            most = max(left / 2, self.limits.watch_retry_s) if left > 0 else self.longest_s()
+            least = min(self.limits.watch_retry_s, 0.1 * self.told / SECOND)
+            most = max(left / 2, least) if left > 0 else self.longest_s()
             self.wait(min(longer * (0.5 + self.chance.random()), most * (0.5 + 0.5 * self.chance.random())))
 
     def wait(self, seconds: float) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -271,6 +271,19 @@
     return f"{head}{length}{extra}\r\n".encode() + body
 
 
+def ended(sock):
+    try:
+        return sock.fileno() < 0 or sock.recv(1, socket.MSG_DONTWAIT | socket.MSG_PEEK) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def read_head(source):
+    return b"".join(iter(source.readline, b"\r\n"))
+
+
 def wait_for(true, seconds=10):
     end = time.monotonic() + seconds
     while not (found := true()):
--- a/tests/test_jsonrpc.py
+++ b/tests/test_jsonrpc.py
@@ -2,11 +2,13 @@
 
 import contextlib
 import json
+import socket
+import struct
 import threading
 import time
 
 import pytest
-from helpers import DiscoveryStandIn, Program, StandIn, document, member, own_address, wait_for
+from helpers import DiscoveryStandIn, Program, StandIn, document, ended, member, own_address, wait_for
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -252,6 +254,21 @@
     assert "failed" not in program.log()
 
 
+def test_what_waits_behind_open_calls_is_not_begun_for_a_client_that_has_gone(front):
+    """Nothing is read from it meanwhile, its reset among it."""
+    gate = threading.Event()
+    program, boxes = front(lambda box, call: gate.wait(5) and echo(box, call), more="most_open = 2\n")
+    talk = Talk(program).say(call("save", 1), call("save", 2), call("save", 3))
+    wait_for(lambda: len(boxes[0].runs) == 2)
+    talk.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    talk.source.close()
+    talk.sock.close()
+    wait_for(lambda: all(ended(sock) for sock in boxes[0].open))  # both calls are called off
+    gate.set()
+    assert "result" in Talk(program).say(call(ident=1)).hear()
+    assert [method for method, _ in boxes[0].runs] == ["save", "save", "load"]
+
+
 # The rules.
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,10 +14,12 @@
     StandIn,
     cut,
     document,
+    ended,
     member,
     once_open,
     own_address,
     raw,
+    read_head,
     read_message,
     reply,
     request,
@@ -164,10 +166,6 @@
     return behave
 
 
-def read_head(source):
-    return b"".join(iter(source.readline, b"\r\n"))
-
-
 @pytest.mark.parametrize("last", [b"0\r\n\r\n", b""])
 def test_a_streamed_answer_is_passed_on_as_it_comes_and_past_the_deadline(start, last):
     steps = []
@@ -271,15 +269,6 @@
     wait_for(lambda: all(ended(sock) for sock in backend.open))
 
 
-def ended(sock):
-    try:
-        return sock.fileno() < 0 or sock.recv(1, socket.MSG_DONTWAIT | socket.MSG_PEEK) == b""
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-
-
 def test_the_time_of_a_request_counts_from_when_it_came_not_from_when_it_was_read(start):
     program, _, _ = start(silent)
     program.process.send_signal(signal.SIGSTOP)
