The end does not wait longer for a connection that could not be taken over

Lines at fault: Listener.accept, whose done callback only forgot the task; nobody looked whether it was the last until end_all, the longest class's time later. Seen by reading, then by a test that fails without the change.

--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -640,9 +640,14 @@
             # A task for a connection, not for an exchange: the loop has no other form of this.
             task = self.loop.create_task(self.take_over(sock, welcome))
             self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            task.add_done_callback(self.taken)
         return False
 
+    def taken(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        # Guards against one that could not be taken over, as the last that the end waits for.
+        self.door.check_drained()
+
     async def take_over(self, sock: socket.socket, welcome: bool) -> None:
         try:
             await self.loop.connect_accepted_socket(lambda: Client(self.door, welcome), sock)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -357,3 +357,28 @@
             listener.close()
 
     uvloop.run(leave_and_connect())
+
+
+def test_the_end_does_not_wait_for_one_that_could_not_be_taken_over():
+    """Its connection breaks between the accept and the loop's taking over, as the last one that is there."""
+
+    async def leave():
+        loop = asyncio.get_running_loop()
+        told = decode(json.dumps(document("127.0.0.1:9")).encode(), {})
+        log = Log("n0", 20)
+        door = Door(told, loop, Timers(loop, log), None, Descriptors(100), log)
+        listener = Listener(door, told.listen)
+
+        async def breaks(sock, welcome):
+            door.descriptors.give_back()
+            sock.close()
+
+        listener.take_over = breaks
+        with socket.create_connection(told.listen):
+            door.stand_by()
+            door.linger_over()
+            assert not door.drained.done()
+            await asyncio.wait_for(door.drained, 0.4)  # not only once the longest time is over
+        return door.descriptors.used
+
+    assert uvloop.run(leave()) == 0
