--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -180,6 +180,20 @@
     assert answers(program) == {b"other"}
 
 
+def test_a_list_whose_revision_has_gone_back_is_gone_by(start):
+    """Discovery has lost what it knew and begins anew: the watch is refused, and its list counts."""
+    one, other = StandIn(reply(200, b"one")), StandIn(reply(200, b"other"))
+    both = member("s-1", one), member("s-2", other)
+
+    def gone(sock):
+        sock.sendall(b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n")
+
+    agent = Agent(list_of(*both, revision=50), gone, list_of(both[1], revision=3), watch())
+    program, _, _ = start(one, other, agent=agent, known=both, revision=0, limits={"watch_retry_s": 0.01})
+    assert agent.calls(4) == ["", "?stream=1&index=50", "", "?stream=1&index=3"]
+    wait_for(lambda: answers(program) == {b"other"}, 3)
+
+
 # A request whose client has left while it waited is not sent on.
 
 
@@ -490,6 +504,17 @@
     wait_for(lambda: not holds(program, port), 0.5)
 
 
+def test_a_bad_message_behind_a_good_one_costs_it_nothing(start):
+    gate = []
+    program, (backend,), _ = start(once_open(gate))
+    sock, _ = asks(program, request("pay", ident="good"), b"\x00nonsense\r\n\r\n" + b"x" * 300_000)
+    wait_for(lambda: backend.seen)
+    gate.append(True)
+    with sock, sock.makefile("rb") as source:
+        assert [read_message(source).status for _ in range(2)] == ["200", "400"]
+    assert seen_of(backend) == ["good"]
+
+
 # Start, signals and the end of the process.
 
 
