--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -11,6 +11,7 @@
 import threading
 import time
 import tomllib
+from contextlib import closing
 from pathlib import Path
 
 import pytest
@@ -470,25 +471,23 @@
             return reply(200, Server_Load="inflight=0")(stand_in, sock, asked)
         saved.append(sock)
 
-    a, other = Site(tmp_path, "a", [reply()]), StandIn(gateway)
-    other.name, other.listen = "b", other.address
-    a.start(other, settings=patient(False))
-    wait_for(lambda: a.discovery.watches and not a.says()["hot"])
-    a.lose()
-    spills(a)
+    with closing(StandIn(gateway)) as other, closing(Site(tmp_path, "a", [reply()])) as a:
+        other.name, other.listen = "b", other.address
+        a.start(other, settings=patient(False))
+        wait_for(lambda: a.discovery.watches and not a.says()["hot"])
+        a.lose()
+        spills(a)
 
-    def spilled(ident):
-        """Before there is a way to the other site it is refused."""
-        sock, _ = asks(a.program, request("pay", timeout=8000, ident=ident))
-        sock.settimeout(0.3)
-        with contextlib.suppress(TimeoutError):
-            sock.recv(1)
-        return sock if saved else sock.close()
+        def spilled(ident):
+            """Before there is a way to the other site it is refused."""
+            sock, _ = asks(a.program, request("pay", timeout=8000, ident=ident))
+            sock.settimeout(0.3)
+            with contextlib.suppress(TimeoutError):
+                sock.recv(1)
+            return sock if saved else sock.close()
 
-    leave(wait_for(lambda: spilled(f"left-{time.monotonic()}")))
-    wait_for(lambda: ended(saved[0]), 1)
-    for one in (a, other):
-        one.close()
+        leave(wait_for(lambda: spilled(f"left-{time.monotonic()}")))
+        wait_for(lambda: ended(saved[0]), 1)
 
 
 def test_what_comes_behind_is_read_again_as_soon_as_there_is_room(start):
@@ -520,20 +519,18 @@
 
 def test_a_sighup_while_the_file_is_read_is_not_missed(tmp_path):
     """The file is a pipe first, so that the process is held in the midst of reading it."""
-    before, after = DiscoveryStandIn([]), DiscoveryStandIn([])
-    made, path = document(before.address), tmp_path / "held.json"
-    os.mkfifo(path)
-    program = Program(tmp_path, made, PROXY_CONFIG=str(path))
-    with open(path, "wb") as pipe, standing_still(program):  # open once the program reads it
-        pipe.write(json.dumps(made).encode())
-        pipe.close()
-        (tmp_path / "new.json").write_text(json.dumps(made | {"discovery": after.address}))
-        os.replace(tmp_path / "new.json", path)
-        program.process.send_signal(signal.SIGHUP)
-    program.wait_ready()
-    wait_for(lambda: after.watches)
-    for one in (program, before, after):
-        one.close()
+    with closing(DiscoveryStandIn([])) as before, closing(DiscoveryStandIn([])) as after:
+        made, path = document(before.address), tmp_path / "held.json"
+        os.mkfifo(path)
+        with closing(Program(tmp_path, made, PROXY_CONFIG=str(path))) as program:
+            with open(path, "wb") as pipe, standing_still(program):  # open once the program reads it
+                pipe.write(json.dumps(made).encode())
+                pipe.close()
+                (tmp_path / "new.json").write_text(json.dumps(made | {"discovery": after.address}))
+                os.replace(tmp_path / "new.json", path)
+                program.process.send_signal(signal.SIGHUP)
+            program.wait_ready()
+            wait_for(lambda: after.watches)
 
 
 def test_no_sighup_ends_a_start(tmp_path):
@@ -550,15 +547,18 @@
     def there():  # no longer the shell
         return Path(f"/proc/{process.pid}/cmdline").read_text().split("\0")[-3:-1] == ["-m", "basalthoist"]
 
-    wait_for(there)
-    ends = time.monotonic() + 10
-    while not discovery.watches and time.monotonic() < ends and process.poll() is None:
-        process.send_signal(signal.SIGHUP)
-        time.sleep(0.01)
-    assert discovery.watches and process.poll() is None, log.read_text()
-    process.send_signal(signal.SIGTERM)
-    assert process.wait(5) == 0
-    discovery.close()
+    with closing(discovery):
+        try:
+            wait_for(there)
+            ends = time.monotonic() + 10
+            while not discovery.watches and time.monotonic() < ends and process.poll() is None:
+                process.send_signal(signal.SIGHUP)
+                time.sleep(0.01)
+            assert discovery.watches and process.poll() is None, log.read_text()
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(5) == 0
+        finally:
+            process.kill()
 
 
 @pytest.mark.parametrize("signals", [(signal.SIGTERM, signal.SIGHUP), (signal.SIGHUP, signal.SIGTERM) * 2])
