Whether a connection has ended unread is asked in one place, over HTTP and JSON-RPC

Read again: Client.left and Conversation.left were the same check but for the event; it stands in net/descriptors.py. A condition in Beside that said nothing went.

--- a/basalthoist/jsonrpc/front.py
+++ b/basalthoist/jsonrpc/front.py
@@ -3,7 +3,7 @@
 import asyncio
 from functools import partial
 
-from basalthoist.net.descriptors import polled
+from basalthoist.net.descriptors import ended
 from basalthoist.net.exchanges import Exchanges
 from basalthoist.net.log import Log
 from basalthoist.net.timers import SECOND, Timers, now
@@ -107,9 +107,7 @@
 
     def left(self) -> bool:
         """Whether its connection is broken. One that only ends may still read what it has asked for."""
-        if self.transport.is_closing():
-            return True
-        return polled(self.transport.get_extra_info("socket").fileno(), 0)
+        return ended(self.transport)
 
     # Lines and calls.
 
--- a/basalthoist/net/beside.py
+++ b/basalthoist/net/beside.py
@@ -17,7 +17,7 @@
 
     def __call__(self, work: Callable[[], str], done: Callable[[str], None]) -> None:
         """`done` gets what `work` returns, or how it failed."""
-        if not self.open and not self.thread.is_alive():
+        if not self.thread.is_alive():
             self.thread.start()
         self.open += 1
         self.work.put((work, done))
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -8,7 +8,7 @@
 
 from basalthoist.configuration import Configuration
 
-from .descriptors import Descriptors, polled
+from .descriptors import Descriptors, ended, polled
 from .exchanges import Exchange, Exchanges
 from .framing import LAST_CHUNK, BadMessage, Message, Reader, chunk_of, head_of
 from .log import Log
@@ -52,9 +52,7 @@
 
     def left(self) -> bool:
         """Whether its end has come here, though it may not have been read yet."""
-        if self.transport.is_closing():
-            return True
-        return polled(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return ended(self.transport, select.POLLRDHUP)
 
     def leave(self) -> None:
         """As when its end is read."""
--- a/basalthoist/net/descriptors.py
+++ b/basalthoist/net/descriptors.py
@@ -11,6 +11,11 @@
     return bool(poller.poll(0))
 
 
+def ended(transport, events: int = 0) -> bool:
+    """Whether a connection is broken, or any of these events is there, though it may not have been read."""
+    return transport.is_closing() or polled(transport.get_extra_info("socket").fileno(), events)
+
+
 class Descriptors:
     """`most` may be in use, and half of `reserve` on top of it by those that are let in to be turned away."""
 
