--- a/basalthoist/jsonrpc/front.py
+++ b/basalthoist/jsonrpc/front.py
@@ -1,9 +1,11 @@
 """Clients that speak JSON-RPC: connections with many calls under way, batches, notifications."""
 
 import asyncio
+import os
+import select
 from functools import partial
 
-from basalthoist.net.descriptors import ended
+from basalthoist.net.descriptors import descriptor_of, ended, lain
 from basalthoist.net.exchanges import Exchanges
 from basalthoist.net.log import Log
 from basalthoist.net.timers import SECOND, Timers, now
@@ -24,6 +26,8 @@
 )  # fmt: skip
 from .upstream import JsonConnection, JsonExchange, Line
 
+MOMENT = 10  # tenths after which a call has waited: its client is asked before a try of it is made
+
 
 class Caller:
     """One call: what `Exchanges` takes for its client. A notification's answer goes nowhere."""
@@ -34,7 +38,9 @@
         self.conversation, self.ident, self.batch, self.exchange = conversation, ident, batch, None
 
     def left(self) -> bool:
-        return self.conversation.left()
+        """A notification's client waits for nothing, so its end of sending says nothing about it."""
+        waited = self.exchange.calls or now() - self.exchange.came_at > MOMENT
+        return self.conversation.left() if self.ident and waited else self.conversation.broken()
 
     def leave(self) -> None:
         self.conversation.transport.abort()
@@ -64,6 +70,7 @@
     def __init__(self, front: "Front") -> None:
         self.front, self.transport = front, None
         self.pending, self.skipping, self.since = b"", False, now()
+        self.came_at = self.since  # when what was read last came to the machine
         self.callers: dict[Caller, None] = {}
         self.idents: set[bytes] = set()
         self.full, self.paused, self.ending = False, False, False
@@ -86,6 +93,7 @@
 
     def data_received(self, data: bytes) -> None:
         self.since = now()
+        self.came_at = self.since - lain(self.transport)
         self.pending = self.pending + data if self.pending else data
         self.go_on()
 
@@ -105,14 +113,32 @@
         self.hold_back()
         self.go_on()
 
-    def left(self) -> bool:
-        """Whether its connection is broken. One that only ends may still read what it has asked for."""
+    def broken(self) -> bool:
         return ended(self.transport)
 
+    def left(self) -> bool:
+        """Whether a client that is owed an answer has gone.
+
+        One that has only ended its sending may still read, one that has closed looks the same. It is told
+        apart by a space, which JSON allows ahead of an answer: the machine of one that has closed replies
+        with a reset, on one machine within the write and else a way there and back later.
+        """
+        if self.broken() or not ended(self.transport, select.POLLRDHUP):
+            return self.broken()
+        # Guards against a space in the midst of a line. What waits to be written does its work as well.
+        if not self.transport.get_write_buffer_size():
+            try:
+                os.write(descriptor_of(self.transport), b" ")
+            except BlockingIOError:
+                pass  # it doesn't read, but is there
+            except OSError:
+                return True
+        return self.broken()
+
     # Lines and calls.
 
     def go_on(self) -> None:
-        if self.paused and self.left():
+        if self.paused and self.broken():
             # Guards against calls that are begun for a client whose end was not read meanwhile.
             return self.transport.abort()
         while not self.full and not self.front.leaving and len(self.callers) < self.front.most_open:
@@ -196,7 +222,7 @@
 
     def check_time(self, at: int) -> None:
         limits = self.front.limits
-        if self.paused and self.left():
+        if (self.paused or self.ending) and self.broken():
             self.transport.abort()
         elif self.full and at - self.since > limits.client_read_s * SECOND:
             self.transport.abort()  # answers that are not read
@@ -240,6 +266,7 @@
         timeout = route.overall_timeout // 100 or SECOND
         ident, params = self.exchanges.new_id(), bytes(request.params)
         exchange = caller.exchange = JsonExchange(ident, caller, request.method, params, now() + timeout)
+        exchange.came_at = caller.conversation.came_at
         self.exchanges.begin(exchange, number, self.customer, False)
 
     def sweep(self) -> None:
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -8,11 +8,12 @@
 
 from basalthoist.configuration import Configuration
 
-from .descriptors import Descriptors, ended, polled
+from .descriptors import Descriptors, descriptor_of, ended, lain, polled
 from .exchanges import Exchange, Exchanges
 from .framing import LAST_CHUNK, BadMessage, Message, Reader, chunk_of, head_of
 from .log import Log
 from .members import family_of
+from .paused import Paused
 from .room import Room
 from .timers import SECOND, Timers, now
 from .uploads import Upload
@@ -23,7 +24,6 @@
     431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
     503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
-LAST_RECEIVED = struct.Struct("I")  # tcpi_last_data_recv of Linux' struct tcp_info, milliseconds
 METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))
 SWEEP = SECOND // 4  # between two looks at how long clients take
 PROBES = (b"/health", b"/status/load")
@@ -75,6 +75,7 @@
     def connection_lost(self, wrong: Exception | None) -> None:
         self.door.clients.pop(self, None)
         self.door.kept.pop(self, None)
+        self.door.paused.drop(self)
         self.door.descriptors.give_back()
         self.connection_ended()
         self.door.check_drained()
@@ -91,7 +92,7 @@
             self.touch()
             self.door.kept.pop(self, None)
         try:
-            self.reader.feed(data, now() - self.lain())
+            self.reader.feed(data, now() - lain(self.transport))
             if self.upload is not None and self.reader.next() is not None:
                 self.end_body()
         except Exception as wrong:
@@ -116,6 +117,7 @@
         if deaf != self.deaf and not self.ended:
             self.deaf = deaf
             (self.transport.pause_reading if deaf else self.transport.resume_reading)()
+            (self.door.paused.keep if deaf else self.door.paused.drop)(self)
 
     def touch(self) -> None:
         """`clients` is in the order of `since`: whose has been idle for longest comes first."""
@@ -123,16 +125,6 @@
         if self.door.clients.pop(self, self) is None:
             self.door.clients[self] = None
 
-    def lain(self) -> int:
-        """For how long what is read now lay in the machine's buffer, where that is more than a moment."""
-        # Guards against a node that stood still and then believes that a request was sent only now.
-        try:
-            info = self.transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 56)
-        except OSError:
-            return 0
-        (lain_ms,) = LAST_RECEIVED.unpack_from(info, 52) if len(info) >= 56 else (0,)
-        return lain_ms * 10 if 10 <= lain_ms < 60_000 else 0  # it is counted by the kernel's ticks
-
     def pause_writing(self) -> None:
         self.writing = True
         self.touch()
@@ -249,7 +241,7 @@
 
     def more_came(self) -> bool:
         """Whether bytes lie in the machine's buffer that have not been read here."""
-        return polled(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return polled(descriptor_of(self.transport), select.POLLIN)
 
     def head(self, status: int, headers) -> bytes:
         closing = b"" if self.keep else b"Connection: close\r\n"
@@ -363,9 +355,6 @@
         limits, waited = self.door.limits, at - self.since
         if self.transport.is_closing():
             return
-        # Guards against work that goes on for a client whose end nobody reads.
-        if self.exchange is not None and self.deaf and self.left():
-            return self.leave()
         unread = self.transport.get_write_buffer_size()
         if unread != self.unread or not unread:
             self.unread, self.read_at = unread, at
@@ -413,7 +402,7 @@
         self.customers = {name.encode(): i for i, name in enumerate(configuration.customers)}
         self.clients: dict[Client, None] = {}
         self.kept: dict[Client, None] = {}  # asked and idle, in the order in which they fell idle
-        self.room = Room(self.limits.memory_mb)
+        self.room, self.paused = Room(self.limits.memory_mb), Paused(timers)
         self.most_kept = int(self.limits.sockets * self.limits.client_kept_part)
         self.listener: Listener | None = None
         self.fresh = int(self.limits.client_fresh_s * SECOND)
--- a/basalthoist/net/descriptors.py
+++ b/basalthoist/net/descriptors.py
@@ -1,8 +1,12 @@
 """One budget for all descriptors, so that the process never comes to the end of them."""
 
 import select
+import socket
+import struct
 from collections.abc import Callable
 
+LAST_RECEIVED = struct.Struct("I")  # tcpi_last_data_recv of Linux' struct tcp_info, milliseconds
+
 
 def polled(descriptor: int, events: int) -> bool:
     """Whether any of these events, or its end, is there to be had on a descriptor, without waiting."""
@@ -13,7 +17,22 @@
 
 def ended(transport, events: int = 0) -> bool:
     """Whether a connection is broken, or any of these events is there, though it may not have been read."""
-    return transport.is_closing() or polled(transport.get_extra_info("socket").fileno(), events)
+    return transport.is_closing() or polled(descriptor_of(transport), events)
+
+
+def descriptor_of(transport) -> int:
+    return transport.get_extra_info("socket").fileno()
+
+
+def lain(transport) -> int:
+    """Tenths for which what is read now lay in the machine's buffer, where that is more than a moment."""
+    # Guards against a node that stood still and then believes that a request was sent only now.
+    try:
+        info = transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 56)
+    except OSError:
+        return 0
+    (lain_ms,) = LAST_RECEIVED.unpack_from(info, 52) if len(info) >= 56 else (0,)
+    return lain_ms * 10 if 10 <= lain_ms < 60_000 else 0  # it is counted by the kernel's ticks
 
 
 class Descriptors:
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -17,7 +17,6 @@
 OWN_HEADERS = frozenset((b"request-timeout-ms", b"host", b"site-hops", b"site-from"))  # written anew
 KEPT_BACK = frozenset((b"server-load", b"not-started"))  # for the node, not for its clients
 OVERDUE = 20  # tenths after its deadline at which an exchange is answered whatever has become of it
-MOMENT = 10  # tenths after which an exchange has waited: its client is looked for before a try is made
 
 
 class Exchange:
@@ -173,8 +172,8 @@
 
     def wanted(self, xchg: Exchange) -> bool:
         """Whether its client is still there, as far as this machine knows."""
-        # Guards against sending on for a client that left while the exchange waited: its end may lie unread,
-        # as after the node stood still, or while nothing is read from that client.
+        # Guards against sending on for a client that has left: its end may lie unread, as after the node
+        # stood still, or while nothing is read from that client.
         if xchg.open and xchg.client.left():
             self.loop.call_soon(xchg.client.leave)
             return False
@@ -319,9 +318,8 @@
             told = min(told, xchg.upload.grace)  # which counts from its last byte there too
         call = None
         gone = xchg.upload is not None and xchg.upload.spent  # its body, and cannot be sent again
-        waited = number > 0 or began_at - xchg.came_at > MOMENT
         # Guards against a process that stood still and sends by what it knew before.
-        if not gone and self.may_send() and not (waited and not self.wanted(xchg)):
+        if not gone and self.may_send():
             call = self.upstream.call(backend, xchg.parts(told, marks), timeout, ended, starts,
                                       streams=xchg.streams, upload=xchg.upload,
                                       wanted=partial(self.wanted, xchg))  # fmt: skip
--- a/basalthoist/net/upstream.py
+++ b/basalthoist/net/upstream.py
@@ -62,7 +62,7 @@
                  tells=False, streams=False, upload: Upload | None = None,
                  wanted: Callable[[], bool] = lambda: True) -> None:  # fmt: skip
         self.pool, self.parts, self.done = pool, parts, done
-        self.wanted = wanted  # asked where it has waited: whether anybody still waits for its answer
+        self.wanted = wanted  # asked in the turn in which it is written: whether anybody waits for its answer
         self.tells = tells  # a probe: nobody is served with its answer, and it may be lost
         self.starts = starts  # for an answer that is passed on as it comes,
         self.streams = streams  # long or not
@@ -259,7 +259,11 @@
         self.opening: set[asyncio.Task] = set()
         self.closed, self.heard_at = False, now()
 
+    # Here and in `next_call` each call that is carried has been asked in the same turn whether it is wanted.
+
     def submit(self, call: Call) -> None:
+        if not call.wanted():
+            return call.finish_soon(Outcome.NOT_SENT)
         connection = self.sound(self.upstream.rest)
         if connection is None and call.tells:
             connection = self.sound(0)
