--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -122,6 +122,10 @@
     """It comes in the very turn in which the try is chosen. A further one and a second copy are controls."""
 
     async def act(node, one, other):
+        pools = node.exchanges.upstream.pools.values()
+        while not all(pool.idle for pool in pools):  # connections that a try is written to at once
+            await node.answer(request(ident=f"warm-{time.monotonic()}"))
+        await asyncio.sleep(2 * node.node.limits.upstream_rest_s)
         decisions, ident = node.exchanges.node, {"further": "cut", "second copy": "held"}.get(which, "first")
         chosen, begins, ends = asyncio.Event(), decisions.on_exchange, decisions.on_try_ended
 
@@ -144,7 +148,7 @@
         sock = node.connect()
         sock.sendall(request(timeout=8000, ident=ident))
         if which == "second copy":
-            await node.until(lambda: one.seen)
+            await node.until(lambda: ident in seen_of(one))
             last_try(copies[0])
         await asyncio.wait_for(chosen.wait(), 10)
         await node.until(lambda: not node.exchanges.under_way)
