--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -8,11 +8,12 @@
 
 from basalthoist.configuration import Configuration
 
-from .descriptors import Descriptors, ended, polled
+from .descriptors import Descriptors, descriptor_of, ended, lain, polled
 from .exchanges import Exchange, Exchanges
 from .framing import LAST_CHUNK, BadMessage, Message, Reader, chunk_of, head_of
 from .log import Log
 from .members import family_of
+from .paused import Paused
 from .room import Room
 from .timers import SECOND, Timers, now
 from .uploads import Upload
@@ -23,7 +24,6 @@
     431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
     503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
-LAST_RECEIVED = struct.Struct("I")  # tcpi_last_data_recv of Linux' struct tcp_info, milliseconds
 METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))
 SWEEP = SECOND // 4  # between two looks at how long clients take
 PROBES = (b"/health", b"/status/load")
@@ -75,6 +75,7 @@
     def connection_lost(self, wrong: Exception | None) -> None:
         self.door.clients.pop(self, None)
         self.door.kept.pop(self, None)
+        self.door.paused.drop(self)
         self.door.descriptors.give_back()
         self.connection_ended()
         self.door.check_drained()
@@ -91,9 +92,11 @@
             self.touch()
             self.door.kept.pop(self, None)
         try:
-            self.reader.feed(data, now() - self.lain())
-            if self.upload is not None and self.reader.next() is not None:
-                self.end_body()
+            self.reader.feed(data, now() - lain(self.transport))
+            if self.upload is not None:
+                self.door.room.used += len(data)
+                if self.reader.next() is not None:
+                    self.end_body()
         except Exception as wrong:
             return self.not_read(wrong)
         if self.exchange is not None or self.writing:
@@ -116,6 +119,7 @@
         if deaf != self.deaf and not self.ended:
             self.deaf = deaf
             (self.transport.pause_reading if deaf else self.transport.resume_reading)()
+            (self.door.paused.keep if deaf else self.door.paused.drop)(self)
 
     def touch(self) -> None:
         """`clients` is in the order of `since`: whose has been idle for longest comes first."""
@@ -123,16 +127,6 @@
         if self.door.clients.pop(self, self) is None:
             self.door.clients[self] = None
 
-    def lain(self) -> int:
-        """For how long what is read now lay in the machine's buffer, where that is more than a moment."""
-        # Guards against a node that stood still and then believes that a request was sent only now.
-        try:
-            info = self.transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 56)
-        except OSError:
-            return 0
-        (lain_ms,) = LAST_RECEIVED.unpack_from(info, 52) if len(info) >= 56 else (0,)
-        return lain_ms * 10 if 10 <= lain_ms < 60_000 else 0  # it is counted by the kernel's ticks
-
     def pause_writing(self) -> None:
         self.writing = True
         self.touch()
@@ -159,7 +153,7 @@
 
     def long_body_begun(self, message: Message, length: int | None):
         """The body is longer than what is kept: its exchange begins now."""
-        self.upload, self.body_held = Upload(self, length, self.door.limits.body_bytes), False
+        self.upload, self.body_held = Upload(self, length, self.door.enough_ahead), False
         upload = self.upload
         self.take(message)
         if self.exchange is None:
@@ -249,7 +243,7 @@
 
     def more_came(self) -> bool:
         """Whether bytes lie in the machine's buffer that have not been read here."""
-        return polled(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return polled(descriptor_of(self.transport), select.POLLIN)
 
     def head(self, status: int, headers) -> bytes:
         closing = b"" if self.keep else b"Connection: close\r\n"
@@ -343,6 +337,8 @@
         held, xchg = self.reader.held() + self.transport.get_write_buffer_size(), self.exchange
         if self.upload is not None:
             held += len(self.upload.held)
+            if (out := self.upload.connection) is not None and not out.transport.is_closing():
+                held += out.transport.get_write_buffer_size()
         if xchg is not None:
             held += len(xchg.body)
             for call in xchg.calls:
@@ -363,9 +359,6 @@
         limits, waited = self.door.limits, at - self.since
         if self.transport.is_closing():
             return
-        # Guards against work that goes on for a client whose end nobody reads.
-        if self.exchange is not None and self.deaf and self.left():
-            return self.leave()
         unread = self.transport.get_write_buffer_size()
         if unread != self.unread or not unread:
             self.unread, self.read_at = unread, at
@@ -413,7 +406,7 @@
         self.customers = {name.encode(): i for i, name in enumerate(configuration.customers)}
         self.clients: dict[Client, None] = {}
         self.kept: dict[Client, None] = {}  # asked and idle, in the order in which they fell idle
-        self.room = Room(self.limits.memory_mb)
+        self.room, self.paused = Room(self.limits.memory_mb), Paused(timers)
         self.most_kept = int(self.limits.sockets * self.limits.client_kept_part)
         self.listener: Listener | None = None
         self.fresh = int(self.limits.client_fresh_s * SECOND)
@@ -516,6 +509,13 @@
                 client.make_room()
                 self.room.used -= size
 
+    def enough_ahead(self, held: int) -> bool:
+        """Whether so much of a body is all that is read of it before there is a try."""
+        # Guards against a client's end that lies behind more than the machine's buffer holds, and so never
+        # comes as long as nothing is read: what there is room for is read.
+        ahead = self.limits.ahead_bytes * (self.room.used < 0.5 * self.room.most)
+        return held > max(ahead, self.limits.body_bytes)
+
     def close_idle(self, rested: int) -> None:
         at = now()
         for client in list(self.clients):
