A try that has waited for a connection tells its backend the time that is left then

Cause: a try's head, with Request-Timeout-Ms, was made as the try was decided on. Ruled out: long bodies (their time counts from the last byte, as before) and other sites (they take their part off the same figure).

Now the request is made in the turn in which it is written.

--- a/basalthoist/gateway/links.py
+++ b/basalthoist/gateway/links.py
@@ -53,7 +53,7 @@
         for name in self.addresses:
             # Guards against beats that pile up on a link that says nothing: each ends before the next.
             ended = partial(self.heard, name, now())
-            self.upstream.call(f"gateway:{name}", request, self.beat_tenths, ended, tells=True)
+            self.upstream.call(f"gateway:{name}", request.copy, self.beat_tenths, ended, tells=True)
         self.show()
 
     def heard(self, name: str, began_at: int, outcome: Outcome, answer: Message | None) -> None:
--- a/basalthoist/jsonrpc/upstream.py
+++ b/basalthoist/jsonrpc/upstream.py
@@ -55,9 +55,10 @@
         super().__init__(pool, sock)
         self.reader = LineReader(pool.upstream.limits.body_bytes)
 
-    def carry(self, call: Call) -> None:
-        self.reader.expected = call.parts.ident
-        super().carry(call)
+    def begin(self, call: Call) -> Line:
+        line = call.parts()
+        self.reader.expected = line.ident
+        return line
 
 
 class JsonExchange(Exchange):
@@ -69,5 +70,5 @@
         super().__init__(ident, b"jsonrpc:%d" % ident, client, b"", b"", deadline)
         self.method, self.params = method, params
 
-    def parts(self, timeout: int, marks: bytes = b"") -> Line:
-        return Line(f"{self.id}.{len(self.calls)}", self.method, self.params)
+    def parts(self, number: int, until: int, marks: bytes = b"") -> Line:
+        return Line(f"{self.id}.{number}", self.method, self.params)
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -36,9 +36,12 @@
         self.came_at = now()
         self.upload: Upload | None = None  # its body, where that is too long to be kept
 
-    def parts(self, timeout: int, marks: bytes = b"") -> list:
-        """The request towards a backend, which is told for how long the node will wait."""
-        head = self.head + marks + b"Request-Timeout-Ms: %d\r\n\r\n" % max(timeout // 10, 1)
+    def parts(self, number: int, until: int, marks: bytes = b"") -> list:
+        """The request of this try towards a backend, told how long the node will wait from now on."""
+        left = until - now()
+        if self.upload is not None:
+            left = min(left, self.upload.grace)  # which counts from its last byte there too
+        head = self.head + marks + b"Request-Timeout-Ms: %d\r\n\r\n" % max(left // 10, 1)
         return [head, self.body] if len(self.body) else [head]
 
 
@@ -314,13 +317,13 @@
         xchg.out += 1
         starts = partial(self.answer_begun, xchg, number)
         marks, told = self.links.head_for(backend, timeout) if self.links is not None else (b"", timeout)
-        if xchg.upload is not None:
-            told = min(told, xchg.upload.grace)  # which counts from its last byte there too
+        # Guards against a backend that is told of time which has gone while the try waited for a connection.
+        parts = partial(xchg.parts, number, began_at + told, marks)
         call = None
         gone = xchg.upload is not None and xchg.upload.spent  # its body, and cannot be sent again
         # Guards against a process that stood still and sends by what it knew before.
         if not gone and self.may_send():
-            call = self.upstream.call(backend, xchg.parts(told, marks), timeout, ended, starts,
+            call = self.upstream.call(backend, parts, timeout, ended, starts,
                                       streams=xchg.streams, upload=xchg.upload,
                                       wanted=partial(self.wanted, xchg))  # fmt: skip
         if call is None:
@@ -357,8 +360,8 @@
 
     def probe(self, backend: str) -> None:
         ended = partial(self.probe_ended, backend, now())
-        parts = self.probe_parts()
-        if not self.probes or self.upstream.call(backend, parts, self.probe_time, ended, tells=True) is None:
+        call, parts = self.upstream.call, self.probe_parts
+        if not self.probes or call(backend, parts, self.probe_time, ended, tells=True) is None:
             self.loop.call_soon(ended, Outcome.NOT_SENT, None)
 
     def tell(self, words: Words, peers: list[int]) -> None:
--- a/basalthoist/net/upstream.py
+++ b/basalthoist/net/upstream.py
@@ -51,6 +51,7 @@
 Done = Callable[[Outcome, Message | None], None]
 Sink = Callable[[bytes], None]
 Starts = Callable[[Message, int | None], Sink | None]
+Parts = Callable[[], list[bytes]]  # the request, made in the turn in which it is written
 
 
 class Call:
@@ -58,7 +59,7 @@
 
     __slots__ = "pool parts done starts streams tells upload wanted connection timer over began_at".split()
 
-    def __init__(self, pool: "Pool", parts: list[bytes], done: Done, starts: Starts | None = None,
+    def __init__(self, pool: "Pool", parts: Parts, done: Done, starts: Starts | None = None,
                  tells=False, streams=False, upload: Upload | None = None,
                  wanted: Callable[[], bool] = lambda: True) -> None:  # fmt: skip
         self.pool, self.parts, self.done = pool, parts, done
@@ -212,11 +213,14 @@
         except (OSError, ValueError):
             return False  # its socket is already closed
 
+    def begin(self, call: Call) -> list:
+        return call.parts()
+
     def carry(self, call: Call) -> None:
         self.call, call.connection, self.waits = call, self, False
         # Guards against a failing write that ends a decision half-way: some of it may be on its way.
         try:
-            self.transport.writelines(call.parts)
+            self.transport.writelines(self.begin(call))
             if call.upload is not None:
                 call.upload.attach(self)
         except Exception as wrong:
@@ -432,7 +436,7 @@
         pool.drop_idle(now())
         pool.withdraw_all()
 
-    def call(self, name: str, parts: list[bytes], timeout: int, done: Done, starts=None,
+    def call(self, name: str, parts: Parts, timeout: int, done: Done, starts=None,
              tells=False, streams=False, upload=None, wanted=lambda: True) -> Call | None:  # fmt: skip
         """Starts a call that ends within `timeout` tenths; None where the backend is not known."""
         pool = self.pools.get(name)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -342,6 +342,50 @@
     assert late.got() == ["next"]
 
 
+class LateAfterOne(Late):
+    """Takes one connection, and the others late: answers 500 on the first once its queue is full."""
+
+    def __init__(self):
+        super().__init__()
+        self.failed = threading.Event()
+        for sock in self.fillers:
+            sock.close()
+        threading.Thread(target=self.fail_one, daemon=True).start()
+
+    def fail_one(self):
+        while True:
+            sock, _ = self.listener.accept()
+            sock.settimeout(10)
+            if sock.recv(1 << 20):  # not one of the fillers, which are closed by now
+                break
+        self.fillers = [socket.socket() for _ in range(3)]
+        for filler in self.fillers:
+            filler.setblocking(False)
+            filler.connect_ex(self.listener.getsockname())
+        self.own |= {filler.getsockname()[1] for filler in self.fillers}
+        sock.sendall(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+        sock.close()
+        self.failed.set()
+
+
+@pytest.mark.parametrize("kind", [Late, LateAfterOne], ids=["first try", "further try"])
+def test_a_try_that_has_waited_for_a_connection_tells_the_time_that_is_left_then(start, kind):
+    late = kind()
+    program, _, _ = start(late, settings_more=patient())
+    sock, _ = asks(program, request(timeout=8000, ident="late"))
+    asked_at = time.monotonic()
+    with sock, sock.makefile("rb") as source:
+        if kind is LateAfterOne:
+            assert late.failed.wait(10)
+        wait_for(lambda: connecting_to(late))
+        time.sleep(0.3)
+        most = 8000 - (time.monotonic() - asked_at) * 1000  # nothing can be written there before
+        late.come_up()
+        assert read_message(source).body == b"late"
+    [told] = [first.lower() for first in late.came if b"request-id: late" in first.lower()]
+    assert int(told.partition(b"request-timeout-ms: ")[2].split()[0]) <= most
+
+
 @pytest.mark.parametrize("change", ["draining", "gone", "moved", "anew", "banned"])
 @pytest.mark.parametrize("route", ["read", "pay"])
 def test_a_try_that_waits_for_a_connection_to_who_drains_goes_elsewhere_at_once(start, change, route):
