Discovery is called again in time whatever hung before, decided without I/O and drawn on a clock

Cause: waits were bounded, calls were not. Each byte counted as a word, so a list or change that came byte by byte, or half a change with heartbeats behind it, went on for ever, and what such a call brought in the end put the next one off by 4.2 s more.

Change: `net/following.py` decides without I/O when discovery is called, what is asked for and when a call is given up; `net/discovery.py` carries it out. What is bounded is the time between the beginnings of two calls (4.5 s, 0.75 of `watch_told_s`). A call has 4.2 s to the first whole line of its watch; what comes in pieces counts from the first. A `watch_silent_s` over 0.75 of `watch_told_s` is refused at the start. `subscribe` needs nothing any more, as a call or a wait always goes on; its hook is gone. Chance is the LCG, as in the other parts. Ruled out: a second connection beside an overdue call (design.md, Discovery).

--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -51,7 +51,7 @@
     first_list_s: Positive = 0.3  # how long `/ready` waits for discovery before the saved list has to do
     answer_hold_s: Positive = 0.005  # from its first bytes, for one of unknown length; then it is passed on
     stream_silent_s: Positive = 15.0  # an answer that was begun and of which nothing more comes
-    watch_silent_s: Positive = 4.2  # of two of its heartbeats none has come
+    watch_silent_s: Positive = 4.2  # of two of its heartbeats none has come, or a call has not come so far
     watch_told_s: Positive = 6.0  # what a watch has missed for as long counts as known, however it was missed
     watch_retry_s: Positive = 0.4  # before discovery is tried again; it doubles, spread by half either way
     watch_retry_most_s: Positive = 2.0
@@ -165,6 +165,10 @@
             raise ConfigurationError(f"seed: expected hex digits, got {document.seed!r}") from None
         for member in document.known.members:
             address(f"known.members, {member.id}: host_port", member.host_port)
+        # Guards against silence that is found too late for what it missed to be known in time.
+        if document.limits.watch_silent_s > 0.75 * document.limits.watch_told_s:
+            most = 0.75 * document.limits.watch_told_s
+            raise ConfigurationError(f"limits.watch_silent_s: at most {most:g}, by watch_told_s")
         # Guards against a machine that allows fewer descriptors than the file says.
         sockets = min(document.limits.sockets, open_files)
         reserve = min(document.limits.reserve, sockets // 3)
--- a/basalthoist/net/discovery.py
+++ b/basalthoist/net/discovery.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import random
 import re
 from collections.abc import Callable
 
@@ -12,11 +11,13 @@
 import msgspec
 
 from basalthoist.configuration import Configuration
+from basalthoist.decisions.chance import Lcg
 
 from .exchanges import Exchanges
+from .following import Following
 from .log import Log
 from .members import MemberList, Translator, address_of
-from .timers import SECOND, Timers, now
+from .timers import SECOND, Timer, Timers, now
 from .upstream import Upstream
 
 LINE = msgspec.json.Decoder(MemberList)
@@ -37,66 +38,71 @@
 
     def __init__(self, discovery: "Discovery") -> None:
         self.discovery, self.limit = discovery, discovery.limits.list_bytes
-        self.address = discovery.address
+        self.following, self.address = discovery.following, discovery.address
         self.transport: asyncio.Transport | None = None
-        self.heard_at, self.watching, self.closed = now(), False, False
+        self.watching, self.reading = False, False  # reading: a head has begun and is not whole
         self.begun = False  # an answer has begun; what is wrong with it is then more than that it was refused
         self.text, self.lines, self.depth = b"", [], 0  # lines: of an object that is not whole yet
         self.parser = httptools.HttpResponseParser(self)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        self.transport, self.heard_at = transport, now()
+        self.transport = transport
         if self.left():
             self.leave()
-        elif self.discovery.listed:
+        elif self.following.listed:
             self.watch()
         else:
             self.ask("/v1/endpoints")
 
     def watch(self) -> None:
         self.watching = True
-        self.ask(f"/v1/endpoints?stream=1&index={self.discovery.revision}")
+        self.ask(f"/v1/endpoints?stream=1&index={self.following.revision}")
 
     def ask(self, path: str) -> None:
         host = "{}:{}".format(*self.address)
         self.transport.write(f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
 
     def data_received(self, data: bytes) -> None:
-        if self.closed or self.left():
+        if self.left():
             return
-        self.heard_at = now()
+        self.following.on_read(now())
         try:
             self.parser.feed_data(data)
             if len(self.text) + sum(map(len, self.lines)) > self.limit:
                 raise ValueError("a list too large")
         except (httptools.HttpParserError, ValueError) as wrong:
             cause = wrong.__context__ or wrong
-            # Guards against going on from a revision that discovery cannot read on from.
-            self.discovery.listed &= not (self.watching and self.begun)
-            self.fail(f"not understood: {cause}")
+            return self.fail(f"not understood: {cause}", self.watching and self.begun)
+        if not self.pending():
+            self.following.on_rest(now())
+
+    def pending(self) -> bool:
+        """Whether something has begun to come that is not whole yet."""
+        return self.reading or bool(self.text or self.lines)
 
     def connection_lost(self, wrong: Exception | None) -> None:
         self.fail(f"ended: {wrong or 'closed'}")
 
     def left(self) -> bool:
-        """Whether discovery has moved since: what the old agent says, or that it ends, counts no more."""
-        return self.address is not self.discovery.address
+        """Whether it has been given up, or discovery has moved: what comes here counts no more."""
+        return self.discovery.watch is not self
 
     def leave(self) -> None:
-        self.closed = True
         if self.transport is not None:
             self.transport.abort()
 
-    def fail(self, why: str) -> None:
-        if not self.closed and not self.left():
-            self.closed = True
-            if self.transport is not None:
-                self.transport.abort()
-            self.discovery.failed(self, why)
+    def fail(self, why: str, lost: bool = False) -> None:
+        if not self.left():
+            self.discovery.drop(why)
+            self.following.on_failed(now(), lost)
 
     # Called by httptools.
 
+    def on_message_begin(self) -> None:
+        self.reading = True
+
     def on_headers_complete(self) -> None:
+        self.reading = False
         status = self.parser.get_status_code()
         self.begun = status != 429 and status < 500
         if status != 200:
@@ -109,7 +115,8 @@
             for line in lines:
                 if line.strip():
                     self.take(line)
-                self.discovery.heard()
+                if not self.lines:
+                    self.discovery.heard()
 
     def take(self, line: bytes) -> None:
         """One object a line, or an object over several, as indented ones are: learnt whole or not at all."""
@@ -131,7 +138,7 @@
 
 
 class Discovery:
-    """Keeps a watch up and hands on what it says, to the connections first and then to the decisions."""
+    """Carries out what `Following` decides, and hands on what comes, to the connections and the decisions."""
 
     def __init__(self, configuration: Configuration, loop, timers: Timers, exchanges: Exchanges,
                  upstream: Upstream, log: Log) -> None:  # fmt: skip
@@ -139,123 +146,80 @@
         self.exchanges, self.upstream = exchanges, upstream
         self.limits, self.address = configuration.limits, configuration.discovery
         self.translator = Translator(configuration.told.zones, configuration.told.kinds)
+        limits = self.limits
+        tenths = [int(seconds * SECOND) for seconds in (
+            limits.watch_silent_s, limits.watch_told_s, limits.watch_retry_s, limits.watch_retry_most_s,
+            configuration.turns_s)]  # fmt: skip
         # Guards against a whole tier that comes back to discovery in step.
-        self.chance = random.Random(configuration.seed)
-        self.revision, self.watch, self.opening, self.waiting = 0, None, None, None
-        self.listed, self.failures = False, 0  # listed: the next thing to ask for is the watch
+        self.following = Following(self, Lcg(configuration.seed).uniform, *tenths)
+        self.watch: Watch | None = None  # the call that goes on
+        self.opening: asyncio.Task | None = None
+        self.timer: Timer | None = None
         self.on_first = lambda: None
         self.on_names: Callable[[list[str]], None] = lambda names: None  # of each list and change
-        self.silent = int(self.limits.watch_silent_s * SECOND)
-        # Guards against a large tier that asks faster than discovery, which does not grow with it, answers.
-        limits = self.limits
-        self.turns_s = configuration.turns_s
-        self.least_wait_s = max(limits.watch_retry_s, self.turns_s / 2)
-        self.most_wait_s = max(limits.watch_retry_most_s, self.turns_s)
-        # Whatever the tier's size: what is missed counts as known after so long, and a call takes time too.
-        self.told = int(limits.watch_told_s * SECOND)
-        self.missing_from = now()
-        timers.every(SECOND // 4, self.check)
 
     def start(self, known: MemberList) -> None:
         known.complete = True
         self.learn(known)
-        self.listed = known.revision > 0  # then a watch from there brings all that a list would
-        # Guards against nodes killed together that ask together: what they know serves meanwhile.
-        if self.turns_s > self.limits.watch_retry_most_s and known.members:
-            self.wait(min(self.turns_s, self.longest_s()) * self.chance.random())
-        else:
-            self.connect()
+        self.following.on_start(now(), known.revision, bool(known.members))
 
     def move(self, address: tuple[str, int]) -> None:
-        """Another agent, as planned: no failure. The whole list first, as its revisions may be others."""
-        self.address, self.listed, self.revision, self.failures = address, False, 0, 0
-        self.missing_from = now()
-        if self.opening is not None:
-            self.opening.cancel()
-            self.opening = None
-        if self.watch is not None:
-            self.watch.leave()
-            self.watch = None
+        """Another agent, as planned. The old one, and a connect on its way, count no more."""
+        self.leave()
+        self.address = address
         self.log("discovery moves to {}:{}".format(*address))
-        self.connect()
-
-    def connect(self) -> None:
-        """At once, where there is neither a watch nor one on its way."""
-        if self.waiting is not None:
-            self.waiting.stop()
-            self.waiting = None
-        if self.watch is None and self.opening is None:
-            self.opening = self.loop.create_task(self.open())
-            self.opening.add_done_callback(self.opened)
-
-    async def open(self) -> Watch:
-        opening = self.loop.create_connection(lambda: Watch(self), *self.address)
-        return (await asyncio.wait_for(opening, self.limits.watch_silent_s))[1]
-
-    def opened(self, task: asyncio.Task) -> None:
-        if task is not self.opening:  # discovery has moved since
-            if not task.cancelled() and task.exception() is None:
-                task.result().leave()
-            return
-        self.opening = None
-        if task.cancelled():
-            return
-        if task.exception() is not None:
-            self.failed(None, f"not reached: {task.exception()!r}")
-        elif task.result().closed:
-            self.later()
+        self.following.on_move(now())
+
+    # What `Following` asks for.
+
+    def call(self) -> None:
+        watch = self.watch = Watch(self)
+        self.opening = self.loop.create_task(self.loop.create_connection(lambda: watch, *self.address))
+        self.opening.add_done_callback(lambda task: self.opened(watch, task))
+
+    def opened(self, watch: Watch, task: asyncio.Task) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            watch.fail(f"not reached: {task.exception()!r}")
+
+    def give_up(self) -> None:
+        within = f"{self.limits.watch_silent_s:.1f} s"
+        if self.watch.transport is None:
+            self.drop(f"not reached: no connection in {within}")
         else:
-            self.watch = task.result()
+            self.drop(f"not whole in {within}" if self.watch.pending() else f"silent for {within}")
+
+    def wake_at(self, at: int) -> None:
+        if self.timer is not None:
+            self.timer.stop()
+        self.timer = self.timers.after(max(at - now(), 0), lambda: self.following.on_wake(now()))
 
-    def check(self) -> None:
-        # Guards against a watch that was cut off: nothing ends it, it only falls silent.
-        if self.watch is not None and now() - self.watch.heard_at > self.silent:
-            # What it has not told since then is missing; and to wait for it was a wait between two calls.
-            self.missing_from, self.failures = self.watch.heard_at, 0
-            self.watch.fail(f"silent for {self.limits.watch_silent_s:.1f} s")
+    # What happens on the call.
 
-    def failed(self, watch: Watch | None, why: str) -> None:
+    def leave(self) -> None:
+        watch, self.watch = self.watch, None
+        if self.opening is not None:
+            self.opening.cancel()
+            self.opening = None
+        if watch is not None:
+            watch.leave()
+
+    def drop(self, why: str) -> None:
         self.log(f"discovery {why}")
-        if watch is self.watch:
-            self.watch = None
-            self.exchanges.on_list_failed()
-            self.later()
-
-    def longest_s(self) -> float:
-        """Between two calls at the most, so that the second is answered in time."""
-        return 0.7 * self.told / SECOND
-
-    def later(self) -> None:
-        if self.waiting is None:
-            longer = min(self.least_wait_s * 2**self.failures, self.most_wait_s)
-            self.failures = min(self.failures + 1, 20)
-            # Guards against waits past the time at which what was missed counts as known: until then half of
-            # what is left of it at the most, so that there is time for a call more.
-            left = (self.missing_from + self.told - now()) / SECOND
-            least = min(self.limits.watch_retry_s, 0.1 * self.told / SECOND)
-            most = max(left / 2, least) if left > 0 else self.longest_s()
-            self.wait(min(longer * (0.5 + self.chance.random()), most * (0.5 + 0.5 * self.chance.random())))
-
-    def wait(self, seconds: float) -> None:
-        self.waiting = self.timers.after(int(seconds * SECOND), self.connect)
-
-    def ask(self) -> None:
-        """The decisions want it followed. A wait that has begun goes on: two clocks would ask twice."""
-        if self.waiting is None:
-            self.connect()
+        self.leave()
+        self.exchanges.on_list_failed()
 
     def learn_whole(self, said: MemberList) -> None:
         """A list that was asked for has come."""
         self.learn(said)
-        self.listed = True
-        self.heard()
+        self.following.on_list(said.revision)
+        self.on_first()
 
     def heard(self) -> None:
-        self.failures, self.missing_from = 0, now()
+        self.following.on_line(now())
         self.on_first()
 
     def learn(self, said: MemberList) -> None:
-        self.revision = said.revision
+        self.following.revision = said.revision
         self.on_names([member.id for member in said.members])
         entries, present, left = [], set(), set()
         for member in said.members:
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -61,7 +61,6 @@
         self.ends_at: int | None = None  # when the process has to have answered all that it takes
         asks = head_of(b"GET %b HTTP/1.1" % self.probe_path, [(b"Host", b"basalthoist")]) + b"\r\n"
         self.probe_parts: Callable[[], list[bytes]] = lambda: [asks]
-        self.ask_discovery: Callable[[], None] = lambda: None
         self.tell_peers: Callable[[Words, list[int]], None] = lambda words, peers: None
         self.may_send: Callable[[], bool] = lambda: True
         self.shadow, began_at = None, now()
@@ -367,7 +366,7 @@
         self.tell_peers(words, peers)
 
     def subscribe(self) -> None:
-        self.ask_discovery()
+        """Nothing is left to do: discovery is followed for as long as the node lives."""
 
     def wake(self, after: int, tag: str) -> None:
         self.timers.after(after, partial(self.woken, tag))
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -39,7 +39,6 @@
         self.exchanges = Exchanges(configuration, loop, self.timers, self.upstream, self.log)
         self.door = Door(configuration, loop, self.timers, self.exchanges, descriptors, self.log)
         self.discovery = Discovery(configuration, loop, self.timers, self.exchanges, self.upstream, self.log)
-        self.exchanges.ask_discovery = self.discovery.ask
         self.maintenance, self.admin, self.succession = None, None, None
         self.aside = Beside(loop)
         self.peers_wait, self.joining = False, None
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -131,6 +131,7 @@
     [
         ("limits.sockets", 10, "$.limits.sockets"),
         ("limits.client_idle_s", "long", "$.limits.client_idle_s"),
+        ("limits.watch_silent_s", 4.6, "limits.watch_silent_s: at most 4.5"),
         ("listen", "nowhere", "listen"),
         ("discovery", "", "discovery"),
         ("seed", "xyz", "seed"),
