--- a/basalthoist/__main__.py
+++ b/basalthoist/__main__.py
@@ -1,54 +1,22 @@
 """One real node: `python -m basalthoist`. With a command it is the command line."""
 
-import signal
+import os
 import sys
 
 
-async def run(configuration, others, form, hangups) -> None:
-    import asyncio
-
-    from .net.service import Service
-
-    loop = asyncio.get_running_loop()
-    service = Service(configuration, loop, *others)
-    if form is not None:
-        form.bind(service.log)
-    for name in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(name, service.leave)
-    loop.add_signal_handler(signal.SIGHUP, service.reload)
-    if hangups:
-        service.reload()
-    await service.serve()
-
-
-def serve_by(form=None) -> int:
-    """By the file that PROXY_CONFIG names; `form` gives log lines another form."""
-    # Guards against a SIGHUP that comes before there is a node: it would end the process or, had the file
-    # been read already, be missed with all that is new in it. Ahead of the imports, which take longest.
-    hangups: list[bool] = []
-    signal.signal(signal.SIGHUP, lambda *_: hangups.append(True))
-
-    import uvloop
-
-    from .configuration import ConfigurationError, load, load_fleet, load_gateway, load_jsonrpc
-
-    hangups.clear()
-    try:
-        configuration = load()
-        others = load_gateway(), load_jsonrpc(configuration), load_fleet(configuration)
-    except ConfigurationError as wrong:
-        print(f"basalthoist: configuration: {wrong}", file=sys.stderr)
-        return 2
-    try:
-        uvloop.run(run(configuration, others, form, hangups))
-    except OSError as wrong:
-        print(f"basalthoist: {wrong}", file=sys.stderr)
-        return 1
-    return 0
+def find_libraries() -> None:
+    """Under `-S`, which spares the start the looking through all that is installed, they are named here."""
+    if "site" not in sys.modules:
+        environment = os.path.dirname(os.path.dirname(sys.executable))
+        version = f"python{sys.version_info.major}.{sys.version_info.minor}"
+        sys.path.append(os.path.join(environment, "lib", version, "site-packages"))
 
 
 def main() -> int:
+    find_libraries()
     if len(sys.argv) < 2:
+        from .start import serve_by
+
         return serve_by()
     try:
         from .commands.line import main as line
--- a/basalthoist/commands/line.py
+++ b/basalthoist/commands/line.py
@@ -44,7 +44,7 @@
     """Serve by a CONFIGURATION file, JSON or TOML."""
     import os
 
-    from basalthoist.__main__ import serve_by
+    from basalthoist.start import serve_by
 
     os.environ["PROXY_CONFIG"] = str(configuration)
     made = None
@@ -284,6 +284,25 @@
             fail(f"pair {result['pair']}: {result['ran_twice']} exchanges ran twice", FAILED)
 
 
+@main.command()
+@click.option("--count", type=click.IntRange(min=1), default=200, show_default=True, help="Nodes at once.")
+@click.option("--busy", type=click.IntRange(min=0), default=40, show_default=True, help="Busy loops beside.")
+@click.option("--program", type=click.Path(path_type=Path, exists=True), default=Path(), show_default=True,
+              help="Folder that is started, by its deploy/balancer.toml.")  # fmt: skip
+def starts(count: int, busy: int, program: Path) -> None:
+    """Start COUNT nodes at once, without and with busy loops beside, and say how long until each is ready."""
+    import asyncio
+
+    from basalthoist.experiments.starts import play, said
+
+    for loops in (0, busy) if busy else (0,):
+        try:
+            found = asyncio.run(play(count, loops, program.resolve()))
+        except (OSError, RuntimeError) as wrong:
+            fail(wrong, FAILED)
+        click.echo(said(found, loops))
+
+
 def say_result(result: dict) -> None:
     counts, broken = result["counts"], result["broken"]
     click.echo(f"{counts['offered']} requests: {counts['in_time']} in time, {counts['shed']} shed, "
--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -3,7 +3,6 @@
 import os
 import resource
 from collections.abc import Mapping
-from hashlib import blake2b
 from typing import Annotated, Literal
 
 import msgspec
@@ -273,6 +272,8 @@
 
     def key(self) -> bytes:
         """What all nodes of the fleet must have alike; their addresses may differ from place to place."""
+        from hashlib import blake2b
+
         alike = [self.fleet, sorted(self.nodes), sorted(self.voters), *self.bounds(), self.limits]
         return blake2b(msgspec.json.encode(alike), digest_size=16).digest()
 
--- a/basalthoist/experiments/cluster/launcher.py
+++ b/basalthoist/experiments/cluster/launcher.py
@@ -113,7 +113,7 @@
         if disk.lie:
             disk.wrap()
     Clocks(lies.get("rate", 1.0), lies.get("wall_s", 0.0)).wrap()
-    from basalthoist.__main__ import serve_by
+    from basalthoist.start import serve_by
 
     return serve_by()
 
--- a/basalthoist/net/fleet.py
+++ b/basalthoist/net/fleet.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from functools import partial
 from hashlib import blake2b
-from pathlib import Path
 
 import msgspec
 
@@ -65,7 +64,7 @@
         self.key, bounds = told.key(), told.bounds()
         self.addresses = {name: address_of(text) for name, text in told.nodes.items()}
         self.names = {at: name for name, at in self.addresses.items() if name != self.me}
-        self.path = Path(configuration.folder) / "fleet.msgpack" if configuration.folder else None
+        self.path = os.path.join(configuration.folder, "fleet.msgpack") if configuration.folder else None
         self.writing, self.to_write = False, None
         life, at = int.from_bytes(os.urandom(7), "big"), awake_or_not()
         chance = Lcg(int.from_bytes(os.urandom(7), "big"))
@@ -282,7 +281,8 @@
         if self.path is None:
             return None
         try:
-            data = self.path.read_bytes()
+            with open(self.path, "rb") as file:
+                data = file.read()
             if blake2b(data[16:], digest_size=16).digest() != data[:16]:
                 raise ValueError("damaged")
             hint = msgspec.msgpack.decode(data[16:], type=Hint)
--- a/basalthoist/net/maintenance.py
+++ b/basalthoist/net/maintenance.py
@@ -1,8 +1,8 @@
 """Which backends operators have taken out: the door's word, kept over an upgrade in a file of `$TMPDIR`."""
 
+import os
 from collections.abc import Callable, Iterable
 from functools import partial
-from pathlib import Path
 
 import msgspec
 
@@ -29,7 +29,7 @@
 
     def __init__(self, folder: str, log: Log, tell: Callable[[str, bool], None], aside: Aside) -> None:
         # None: bans end with the process.
-        self.path = Path(folder) / "maintenance.json" if folder else None
+        self.path = os.path.join(folder, "maintenance.json") if folder else None
         self.log, self.tell, self.aside = log, tell, aside
         self.spread: Callable[[str, bool], None] = lambda name, banned: None
         self.banned: set[str] = set()
@@ -124,7 +124,8 @@
         if self.path is None:
             return
         try:
-            self.take_all(msgspec.json.decode(self.path.read_bytes(), type=Kept))
+            with open(self.path, "rb") as file:
+                self.take_all(msgspec.json.decode(file.read(), type=Kept))
         except FileNotFoundError:
             pass
         except (OSError, msgspec.DecodeError) as wrong:
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -8,7 +8,6 @@
 
 from basalthoist.configuration import Configuration, ConfigurationError, load
 
-from .admin import Admin
 from .bans import Bans
 from .beside import Beside
 from .clients import Door, Listener
@@ -16,10 +15,7 @@
 from .discovery import Discovery
 from .exchanges import Exchanges
 from .log import Log
-from .maintenance import Maintenance
 from .members import family_of
-from .peers import Peers
-from .succession import Succession
 from .timers import SECOND, Timers, now
 from .upstream import Upstream
 
@@ -57,7 +53,11 @@
             self.open_fleet(fleet)
 
     def open_admin(self, configuration: Configuration) -> None:
-        """The operators' door and what can be asked for there."""
+        """The operators' door and what can be asked for there. Loaded only where it has an address."""
+        from .admin import Admin
+        from .maintenance import Maintenance
+        from .succession import Succession
+
         self.maintenance = Maintenance(configuration.folder, self.log, self.bans.here, self.aside)
         self.discovery.on_names = self.maintenance.saw
         self.maintenance.read()
@@ -209,6 +209,8 @@
         told = self.configuration
         if not told.told.policy_limits.peers or told.peer_listen is None or not told.peers:
             return
+        from .peers import Peers
+
         own = told.peer_listen
         peers = Peers(told.peers, own, self.exchanges.on_told, self.timers, self.log)
 
--- a/basalthoist/net/succession.py
+++ b/basalthoist/net/succession.py
@@ -10,7 +10,6 @@
 import struct
 from collections.abc import Callable
 from contextlib import suppress
-from pathlib import Path
 
 import msgspec
 
@@ -93,7 +92,7 @@
 
     def __init__(self, folder: str, name: str, listen: tuple[str, int], maintenance: Maintenance, loop,
                  log: Log, patience_s: float) -> None:  # fmt: skip
-        self.folder, self.name, self.address, self.maintenance = Path(folder), name, listen, maintenance
+        self.folder, self.name, self.address, self.maintenance = folder, name, listen, maintenance
         self.listen = "{}:{}".format(*listen)
         self.loop, self.log, self.patience_s = loop, log, patience_s
         self.predecessor: Link | None = None
@@ -115,12 +114,12 @@
 
     def path(self, name: str) -> str:
         """Guards against folders whose names are too long for the address of a Unix socket."""
-        path = str(self.folder / name)
+        path = os.path.join(self.folder, name)
         if len(path.encode()) < 104:
             return path
         folder = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)  # open for as long as the process lives
-        self.folder = Path(f"/proc/self/fd/{folder}")
-        return str(self.folder / name)
+        self.folder = f"/proc/self/fd/{folder}"
+        return os.path.join(self.folder, name)
 
     # The one that follows.
 
--- a/basalthoist/net/whole.py
+++ b/basalthoist/net/whole.py
@@ -2,15 +2,14 @@
 
 import os
 from contextlib import suppress
-from pathlib import Path
 
 
-def put_whole(path: Path, data: bytes, synced: bool = False) -> str:
+def put_whole(path: str, data: bytes, synced: bool = False) -> str:
     """Another file takes the old one's place; `synced`: once the machine says that it is on the disk.
 
     Returns what went wrong, or nothing.
     """
-    beside = path.with_suffix(f".{os.getpid()}")
+    beside = f"{os.path.splitext(path)[0]}.{os.getpid()}"
     try:
         with open(beside, "wb") as file:
             file.write(data)
@@ -21,5 +20,5 @@
         return ""
     except OSError as wrong:
         with suppress(OSError):
-            beside.unlink()
+            os.unlink(beside)
         return str(wrong)
--- /dev/null
+++ b/basalthoist/start.py
@@ -0,0 +1,53 @@
+"""The start of one real node, up to serving."""
+
+import gc
+import signal
+import sys
+
+
+async def run(configuration, others, form, hangups) -> None:
+    import asyncio
+
+    from .net.service import Service
+
+    loop = asyncio.get_running_loop()
+    service = Service(configuration, loop, *others)
+    # What is there by now is not looked through again while it serves either.
+    gc.freeze()
+    gc.enable()
+    if form is not None:
+        form.bind(service.log)
+    for name in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(name, service.leave)
+    loop.add_signal_handler(signal.SIGHUP, service.reload)
+    if hangups:
+        service.reload()
+    await service.serve()
+
+
+def serve_by(form=None) -> int:
+    """By the file that PROXY_CONFIG names; `form` gives log lines another form."""
+    # Guards against a SIGHUP that comes before there is a node: it would end the process or, had the file
+    # been read already, be missed with all that is new in it. Ahead of the imports, which take longest.
+    hangups: list[bool] = []
+    signal.signal(signal.SIGHUP, lambda *_: hangups.append(True))
+    # All that a start makes stays: looking for garbage in it took a tenth of a start's processor time.
+    gc.disable()
+
+    import uvloop
+
+    from .configuration import ConfigurationError, load, load_fleet, load_gateway, load_jsonrpc
+
+    hangups.clear()
+    try:
+        configuration = load()
+        others = load_gateway(), load_jsonrpc(configuration), load_fleet(configuration)
+    except ConfigurationError as wrong:
+        print(f"basalthoist: configuration: {wrong}", file=sys.stderr)
+        return 2
+    try:
+        uvloop.run(run(configuration, others, form, hangups))
+    except OSError as wrong:
+        print(f"basalthoist: {wrong}", file=sys.stderr)
+        return 1
+    return 0
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -5,6 +5,7 @@
 import os
 import socket
 import time
+from pathlib import Path
 
 import pytest
 from helpers import (
@@ -263,10 +264,10 @@
     assert told == [("a", True), ("b", True)] and not answers and len(under_way) == 1
     work, done = under_way.pop()
     done(work())
-    assert answers == {"a": ""} and json.loads(made.path.read_text())["banned"] == ["a"]
+    assert answers == {"a": ""} and json.loads(Path(made.path).read_text())["banned"] == ["a"]
     [(work, done)] = under_way  # the second write has what came during the first
     done(work())
-    assert answers == {"a": "", "b": ""} and json.loads(made.path.read_text())["banned"] == ["a", "b"]
+    assert answers == {"a": "", "b": ""} and json.loads(Path(made.path).read_text())["banned"] == ["a", "b"]
 
 
 def test_where_one_write_fails_all_that_wait_are_told_and_nothing_is_left_half_way(kept):
