--- a/basalthoist/emulator/fleet.py
+++ b/basalthoist/emulator/fleet.py
@@ -21,6 +21,8 @@
 
 
 class Fleet:
+    make_server = Server
+
     def __init__(self, scenario: Scenario, make_policy: MakePolicy = Node, seed: int | None = None) -> None:
         self.scenario, self.make_policy = scenario, make_policy
         self.seed = scenario.seed if seed is None else seed
@@ -74,8 +76,8 @@
         number, self.last_server = self.last_server, self.last_server + 1
         of, kind = self.scenario.backends, self.kind(kind_no)
         pod = number // self.scenario.locations // of.pod_size * self.scenario.locations + location
-        server = Server(self.events, f"s-{number}", location, pod, kind, kind_no, of, self.chance("backends"),
-                        self.ran, self.fell)  # fmt: skip
+        server = self.make_server(self.events, f"s-{number}", location, pod, kind, kind_no, of,
+                                  self.chance("backends"), self.ran, self.fell)  # fmt: skip
         self.servers[server.name] = server
         return server
 
