--- a/basalthoist/emulator/ramp.py
+++ b/basalthoist/emulator/ramp.py
@@ -11,11 +11,14 @@
 
 import msgspec
 
+from basalthoist.decisions.policy import Node as Decisions
+
 from .backends import Job, Server
 from .events import SECOND
-from .fleet import Fleet
+from .fleet import Fleet, MakePolicy
 from .scenario import Backends, Discovery, Fault, Kind, Load, Node, Route, Scenario
 
+START_S = 6.0
 TOLD = 2 / 3  # of a fall's work, over which it counts
 LISTS = ("once", "late", "half", "half_warm")  # told at once; seconds late; half not at all, or as long warm
 KNOWLEDGE = ("neither", "probes", "peers")
@@ -86,24 +89,24 @@
     burst_s: float = 3.0
     multiple: float = 3.0
     cold_from: float = 0.25
+    warm_s: float = 6.0
     small: float = 1.0  # speed of the cold ones, of the others' speed
     errors: bool = False  # the cold ones fail all they get, at once
 
     def scenario(self, seed: int) -> Scenario:
-        at_s = 6.0 + 4.0 * Random(seed).random()
+        at_s = START_S + self.warm_s * 2 / 3 * Random(seed).random()
         kinds = (Kind(name="std", slots=self.slots), Kind(name="small", slots=self.slots, speed=self.small))
         return Scenario(
-            name="ramp", seed=seed, nodes=self.nodes, length_s=15.0,
+            name="ramp", seed=seed, nodes=self.nodes, length_s=START_S + self.warm_s + 1.0,
             backends=Backends(count=8 - self.cold, kinds=kinds[:1] if self.small == 1.0 else kinds,
-                              cold_from=self.cold_from, warm_s=6.0, fall_multiple=0.0, fall_s=1.0,
+                              cold_from=self.cold_from, warm_s=self.warm_s, fall_multiple=0.0, fall_s=1.0,
                               reports=self.knowledge != "neither"),
             discovery=Discovery(lag_s=0.0, spread_s=4.0 if self.lists == "late" else 0.0),
             node=Node(probes=self.knowledge == "probes", peers=self.knowledge == "peers"),
             load=Load(rate=self.load * 8 * self.slots * 1000 / self.service_ms),
             routes=(Route(name="read", service_ms=self.service_ms, objective_ms=5 * self.service_ms,
                           timeout_ms=15 * self.service_ms),),
-            faults=(Fault(kind="surge", at_s=at_s, for_s=self.burst_s, factor=self.burst),
-                    *([Fault(kind="freeze", at_s=at_s, for_s=self.burst_s, part=self.out)] * (self.out > 0))),
+            faults=(Fault(kind="surge", at_s=at_s, for_s=self.burst_s, factor=self.burst),),
         )  # fmt: skip
 
 
@@ -121,17 +124,17 @@
 
 
 class Ramp(Fleet):
-    """A fleet in which some backends start at `STARTS`. They do not fall, so that all of the ramp is seen."""
+    """A fleet in which some backends start. They do not fall, so that all of the ramp is seen."""
 
     make_server = Watched
-    STARTS = 6 * SECOND
 
-    def __init__(self, case: Case, seed: int) -> None:
+    def __init__(self, case: Case, seed: int, make_policy: MakePolicy = Decisions) -> None:
         self.case, self.heard, self.cold = case, {}, []
-        super().__init__(case.scenario(seed))
+        super().__init__(case.scenario(seed), make_policy)
         weights = [5 if case.uneven and i % 5 == 0 else 1 for i in range(case.nodes)]
         self.weights = weights
-        self.events.after(self.STARTS, self.start_cold)
+        self.events.after(START_S * SECOND, self.start_cold)
+        self.events.after(self.scenario.faults[0].at_s * SECOND, self.hang)
 
     def kind_no(self, number: int) -> int:
         return 0
@@ -143,13 +146,19 @@
         return super().settings_of(node) | {"rules.fall_multiple": self.case.multiple}
 
     def start_cold(self) -> None:
-        for number in range(self.case.cold):
+        for _ in range(self.case.cold):
             server = self.add_server(0, len(self.scenario.backends.kinds) - 1)
             server.good = 0.0 if self.case.errors else 1.0
             server.start()
             self.cold.append(server)
         self.tell([server.entry() for server in self.cold])
 
+    def hang(self) -> None:
+        others = [server for server in self.servers.values() if server.started is None]
+        for server in others[: round(self.case.out * len(others))]:
+            server.freeze()
+            self.events.after(self.case.burst_s * SECOND, server.thaw)
+
     def told(self, node, entries) -> None:
         half = node.number % 2 and self.case.lists.startswith("half")
         if half and self.case.lists == "half":
