An idle cold backend gets one beyond its budget only from who it has answered lately

Cause: where nodes probe, each sent one beyond the budget to a cold backend that it heard of as idle. One that fails or turns away at once is always idle, and each node stopped only after its own first: chance per node.

Now such a send needs an answer from that backend within the last overload_for. It can answer only what it can do in that time, so the sum is bounded by N over the multiple whatever the number of nodes.

--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -78,7 +78,6 @@
         for (r0, t0), (r1, t1) in zip(self.line, self.line[1:], strict=False):
             if time <= t1:
                 return r0 + (r1 - r0) * (time - t0) / (t1 - t0) if t1 > t0 else r1
-        r1, t1 = self.line[-1]
         last = (t1 - t0) / (r1 - r0) if r1 > r0 else 1e-6
         return r1 + (time - t1) / max(t1 * t1 / SECOND / self.steep, (t1 - self.line[0][1]) / r1, last)
 
@@ -175,8 +174,10 @@
 
     def cold_allows(self, backend: Backend, now: int) -> bool:
         backend.tokens = min(backend.tokens + (now - backend.tokens_at) * backend.budget, 1.0)
-        backend.tokens_at, calm = now, not backend.refusals and not backend.doubt  # one at a time while idle
-        return backend.tokens >= 1.0 or calm and self.asks and self.ahead(backend, now) < 0.1
+        backend.tokens_at, fresh = now, now - backend.last_answer < self.settings.get("rules.overload_for", 0)
+        # Guards against one more from each of many nodes: it can have answered only so many within that time.
+        calm = self.asks and fresh and backend.slots and not backend.refusals and not backend.doubt
+        return backend.tokens >= 1.0 or calm and self.ahead(backend, now) < 0.1  # one at a time while idle
 
     def choose(self, now: int) -> None:  # who is used, of each location its part; cold ones' budgets; shares
         get, push = self.settings.get, 0.5 * self.settings.get("rules.fall_multiple", 1.0) / SECOND
@@ -591,8 +592,7 @@
         if not backend.stage or not backend.points:
             return
         rate, time = max(backend.points, key=lambda p: p[3])[:2]
-        cores, target = 1.0 / self.users, 0.8 * self.objective
-        service = service_time(rate, time, cores)
+        service, target = service_time(rate, time, cores := 1.0 / self.users), 0.8 * self.objective
         if backend.stage == 2:
             backend.stage = 0
             self.host.log(f"profiled {backend.name}: {rate:.1f}/s at {time / 10:.0f} ms")
