--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -42,12 +42,11 @@
     "basalthoist.hearsay", "basalthoist.decisions", "basalthoist.decisions.chance",
     "basalthoist.decisions.host", "basalthoist.decisions.policy", "basalthoist.net",
 } | {f"basalthoist.net.{name}" for name in (
-    "bans", "beside", "clients", "descriptors", "discovery", "exchanges", "framing", "log", "members",
-    "peers", "room", "service", "timers", "uploads", "upstream",
+    "bans", "beside", "clients", "descriptors", "discovery", "exchanges", "following", "framing", "log",
+    "members", "paused", "peers", "room", "service", "timers", "uploads", "upstream",
 )}  # fmt: skip
-# Of the standard library, besides what the libraries need: runpy by `-m`, limits, chance, decisions.
-STANDARD = {"runpy", "importlib.util", "importlib._abc", "resource", "random", "_random", "_sha512", "bisect",
-            "_bisect", "zlib", "atexit"}  # fmt: skip
+# Of the standard library, besides what the libraries need: runpy by `-m`, limits, decisions.
+STANDARD = {"runpy", "importlib.util", "importlib._abc", "resource", "bisect", "_bisect", "zlib", "atexit"}  # fmt: skip
 
 
 def environment_of(folder):
