--- a/basalthoist/experiments/cold_start.py
+++ b/basalthoist/experiments/cold_start.py
@@ -250,9 +250,13 @@
     parts = []
     for way in sorted({row["way"] for row in rows}):
         mine = [row for row in rows if row["way"] == way]
-        for key, name in (("nodes", f"{way}, nodes"), ("knowledge", f"{way}, what nodes hear"),
-                          ("lists", f"{way}, the list told"), ("kind", f"{way}, what else")):  # fmt: skip
-            values = sorted({row[key] for row in mine}, key=lambda value: (len(value), value))
-            lines = [line_of(value, [row for row in mine if row[key] == value]) for value in values]
-            parts.append("\n".join([HEAD.format(name), *lines]))
+        alike = [row for row in mine if row["kind"] != "smaller than the others"]
+        for key, name, some in (
+            ("nodes", "nodes, backends of one size", alike), ("nodes", "nodes, all plays", mine),
+            ("knowledge", "what nodes hear", mine), ("lists", "the list told", mine),
+            ("kind", "what else", mine),
+        ):  # fmt: skip
+            values = sorted({row[key] for row in some}, key=lambda value: (len(value), value))
+            lines = [line_of(value, [row for row in some if row[key] == value]) for value in values]
+            parts.append("\n".join([HEAD.format(f"{way}, {name}"), *lines]))
     return "\n\n".join(parts) + "\n"
