--- a/basalthoist/net/uploads.py
+++ b/basalthoist/net/uploads.py
@@ -12,9 +12,9 @@
     bytes have gone out, after which the body cannot be sent again, and `ended` when the last one has come.
     """
 
-    def __init__(self, client, length: int | None, enough: Callable[[int], bool]) -> None:
-        """`enough`: whether so many bytes are all that is read ahead of a try."""
-        self.client, self.length, self.enough = client, length, enough
+    def __init__(self, client, length: int | None, most: Callable[[int], bool]) -> None:
+        """`most`: whether as many bytes are all that is read ahead of a try."""
+        self.client, self.length, self.most = client, length, most
         self.held, self.whole, self.connection, self.spent = bytearray(), False, None, False
         self.grace = 0  # how long its exchange has from its last byte on
         self.begun, self.ended = lambda: None, lambda: None
@@ -24,7 +24,7 @@
         if self.connection is not None:
             return self.connection.send_on(self.framed(data))
         self.held += data
-        if self.enough(len(self.held)):
+        if self.most(len(self.held)):
             self.client.hold_body(True)
 
     def end(self) -> None:
