--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -513,8 +513,8 @@
         """Whether so much of a body is all that is read of it before there is a try."""
         # Guards against a client's end that lies behind more than the machine's buffer holds, and so never
         # comes as long as nothing is read: what there is room for is read.
-        ahead = self.limits.ahead_bytes * (self.room.used < 0.5 * self.room.most)
-        return held > max(ahead, self.limits.body_bytes)
+        limits, free = self.limits, self.room.used < 0.5 * self.room.most
+        return held > (limits.ahead_bytes if free else limits.body_bytes)
 
     def close_idle(self, rested: int) -> None:
         at = now()
