--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -93,10 +93,8 @@
             self.door.kept.pop(self, None)
         try:
             self.reader.feed(data, now() - lain(self.transport))
-            if self.upload is not None:
-                self.door.room.used += len(data)
-                if self.reader.next() is not None:
-                    self.end_body()
+            if self.upload is not None and self.reader.next() is not None:
+                self.end_body()
         except Exception as wrong:
             return self.not_read(wrong)
         if self.exchange is not None or self.writing:
@@ -153,7 +151,7 @@
 
     def long_body_begun(self, message: Message, length: int | None):
         """The body is longer than what is kept: its exchange begins now."""
-        self.upload, self.body_held = Upload(self, length, self.door.enough_ahead), False
+        self.upload, self.body_held = Upload(self, length, self.door.limits.body_bytes), False
         upload = self.upload
         self.take(message)
         if self.exchange is None:
@@ -337,8 +335,6 @@
         held, xchg = self.reader.held() + self.transport.get_write_buffer_size(), self.exchange
         if self.upload is not None:
             held += len(self.upload.held)
-            if (out := self.upload.connection) is not None and not out.transport.is_closing():
-                held += out.transport.get_write_buffer_size()
         if xchg is not None:
             held += len(xchg.body)
             for call in xchg.calls:
@@ -509,13 +505,6 @@
                 client.make_room()
                 self.room.used -= size
 
-    def enough_ahead(self, held: int) -> bool:
-        """Whether so much of a body is all that is read of it before there is a try."""
-        # Guards against a client's end that lies behind more than the machine's buffer holds, and so never
-        # comes as long as nothing is read: what there is room for is read.
-        limits, free = self.limits, self.room.used < 0.5 * self.room.most
-        return held > (limits.ahead_bytes if free else limits.body_bytes)
-
     def close_idle(self, rested: int) -> None:
         at = now()
         for client in list(self.clients):
--- a/basalthoist/net/uploads.py
+++ b/basalthoist/net/uploads.py
@@ -1,7 +1,5 @@
 """Bodies too long to be kept: they go on to a backend as they are read from the client."""
 
-from collections.abc import Callable
-
 from .framing import LAST_CHUNK, chunk_of
 
 
@@ -12,8 +10,7 @@
     bytes have gone out, after which the body cannot be sent again, and `ended` when the last one has come.
     """
 
-    def __init__(self, client, length: int | None, most: Callable[[int], bool]) -> None:
-        """`most`: whether as many bytes are all that is read ahead of a try."""
+    def __init__(self, client, length: int | None, most: int) -> None:
         self.client, self.length, self.most = client, length, most
         self.held, self.whole, self.connection, self.spent = bytearray(), False, None, False
         self.grace = 0  # how long its exchange has from its last byte on
@@ -24,7 +21,7 @@
         if self.connection is not None:
             return self.connection.send_on(self.framed(data))
         self.held += data
-        if self.most(len(self.held)):
+        if len(self.held) > self.most:
             self.client.hold_body(True)
 
     def end(self) -> None:
