--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -46,7 +46,7 @@
     "members", "paused", "peers", "room", "service", "timers", "uploads", "upstream",
 )}  # fmt: skip
 # Of the standard library, besides what the libraries need: runpy by `-m`, limits, decisions.
-STANDARD = {"runpy", "importlib.util", "importlib._abc", "resource", "bisect", "_bisect", "zlib", "atexit"}  # fmt: skip
+STANDARD = {"runpy", "importlib.util", "importlib._abc", "resource", "bisect", "_bisect", "zlib", "atexit"}
 
 
 def environment_of(folder):
