Mute callers at the door: some are still there when the call is answered, asked for without a wait

The check before looked with a read that waits as long as its socket may, so it always found them gone. Seen to fail with calls put off until the mute callers' time is over.

--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -6,13 +6,13 @@
 import socket
 import time
 from pathlib import Path
+from select import select
 
 import pytest
 from helpers import (
     NOW,
     SECOND,
     call,
-    ended,
     listed,
     node,
     own_address,
@@ -75,12 +75,12 @@
 
 
 def test_callers_that_say_nothing_stand_in_nobodys_way(operated):
-    program, _, _, ask = operated(reply(), limits={"admin_line_s": 2.0})
+    program, _, _, ask = operated(reply(), limits={"admin_line_s": 3.0})
     admin = address_of(program.environment["PROXY_ADMIN"])
     with contextlib.ExitStack() as stack:
         mute = [stack.enter_context(socket.create_connection(admin, timeout=10)) for _ in range(40)]
         assert ask("status") == "SUCCESS status\n"
-        assert not all(ended(sock) for sock in mute)  # it was answered while they were there
+        assert len(select(mute, [], [], 0)[0]) < len(mute)  # it was answered while some were there
         for sock in mute:  # closed all the same, by their number or by the time
             with contextlib.suppress(ConnectionResetError):
                 assert sock.recv(1) == b""
