At a small budget a process keeps back the descriptors it needs itself

Cause: at `sockets` = 64 the reserve was 21, half of it given to clients to be turned away, while a process needs 18 for itself: EMFILE under a crowd of idle clients. Change: 20 for each process, 28 reserved at the least. Not run: the whole suite, repetitions beside busy loops.

--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -13,6 +13,7 @@
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Count = Annotated[int, msgspec.Meta(gt=0)]
+LEAST_RESERVE = 28  # descriptors: a process without any connection has about 18 open
 
 
 class ConfigurationError(Exception):
@@ -171,7 +172,7 @@
             raise ConfigurationError(f"limits.watch_silent_s: at most {most:g}, by watch_told_s")
         # Guards against a machine that allows fewer descriptors than the file says.
         sockets = min(document.limits.sockets, open_files)
-        reserve = min(document.limits.reserve, sockets // 3)
+        reserve = min(document.limits.reserve, max(sockets // 3, LEAST_RESERVE))
         self.limits = msgspec.structs.replace(document.limits, sockets=sockets, reserve=reserve)
         self.peer_listen = address("peer_listen", document.peer_listen) if document.peer_listen else None
         self.peers = [address(f"peers.{number}", peer) for number, peer in enumerate(document.peers)]
--- a/basalthoist/net/descriptors.py
+++ b/basalthoist/net/descriptors.py
@@ -17,17 +17,22 @@
 
 
 class Descriptors:
-    """`most` may be in use, and half of `reserve` on top of it by those that are let in to be turned away."""
+    """`most` may be in use, and on top of it a part of `reserve` by those that are let in to be turned away.
 
-    def __init__(self, most: int, reserve: int = 0) -> None:
-        self.whole, self.reserve, self.used = most, reserve, 0
+    `own` of the reserve is each process's, for loop, listeners, log and discovery; half the rest is theirs.
+    """
+
+    def __init__(self, most: int, reserve: int = 0, own: int = 0) -> None:
+        self.whole, self.reserve, self.own, self.used = most, reserve, own, 0
         self.makers_of_room: list[Callable[[], bool]] = []
         self.share(1)
 
     def share(self, processes: int) -> None:
         """The budget is that of so many processes; beyond this one's part what is idle goes."""
-        self.most = self.whole // processes
-        self.brim = self.most + self.reserve // 2 // processes**2  # each has some for itself
+        # Guards against a small budget of which the processes themselves need more than was kept back.
+        spare = self.reserve - self.own * processes
+        self.most = max(self.whole + min(spare, 0), processes) // processes
+        self.brim = self.most + max(spare // 2 // processes**2, 0)  # each has some for itself
         self.keep_to_part()
 
     def keep_to_part(self) -> None:
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -25,6 +25,10 @@
 
 SETTLE_S = 0.1  # at the end, for what is being written
 
+# Counted on Linux with uvloop, operators' door and succession: 16, and two for a call to discovery that ends
+# as the next begins, and two for a link to another process and a file that is written.
+OWN_DESCRIPTORS = 20
+
 
 class Service:
     def __init__(self, configuration: Configuration, loop: asyncio.AbstractEventLoop, gateway=None,
@@ -33,7 +37,7 @@
         self.configuration, self.loop, self.limits = configuration, loop, limits
         self.log = Log(configuration.name, limits.log_lines_per_s)
         self.timers = Timers(loop, self.log)
-        descriptors = Descriptors(limits.sockets - limits.reserve, limits.reserve)
+        descriptors = Descriptors(limits.sockets - limits.reserve, limits.reserve, OWN_DESCRIPTORS)
         self.upstream = Upstream(loop, self.timers, self.log, descriptors, limits,
                                  configuration.connect_timeout_s, configuration.upstream_idle_s)  # fmt: skip
         self.exchanges = Exchanges(configuration, loop, self.timers, self.upstream, self.log)
