--- /dev/null
+++ b/basalthoist/distribution/wire.py
@@ -0,0 +1,185 @@
+"""What author, relays and nodes say to one another over a stream: MessagePack behind length and checksum.
+
+The checksum is keyed by the fleet's name: a word of another fleet is as good as damaged, and ends the
+connection. Times are the sender's own, whole tenths of a millisecond, and only ever come back to it.
+"""
+
+from hashlib import blake2b
+
+import msgspec
+
+from .catalogue import Change, Entry
+
+LENGTH, CHECK = 4, 8
+MOST_BYTES = 64 * 1024 * 1024  # of a frame: a snapshot of everything
+
+
+class Hello(msgspec.Struct, array_like=True, tag=0):
+    """First on a connection, from whoever opens it. `role`: node, or relay (to the author, or another store).
+
+    What it holds stands in `version` and `digest` (of its scopes, without tenants on demand)."""
+
+    name: str
+    life: int
+    role: str
+    region: str
+    scopes: list[str]  # of a node; a relay has all
+    version: int
+    digest: bytes
+
+
+class Welcome(msgspec.Struct, array_like=True, tag=1):
+    name: str
+    life: int
+
+
+class Away(msgspec.Struct, array_like=True, tag=2):
+    """Not here, or not yet: come back after so many tenths; or try these first."""
+
+    after: int
+    relays: list[str]
+    why: str
+
+
+class Snapshot(msgspec.Struct, array_like=True, tag=3):
+    """All entries of the scopes (and tenants) asked for, at a version; what is not in it is not there."""
+
+    version: int
+    digest: bytes
+    entries: list[Entry]
+
+
+class Delta(msgspec.Struct, array_like=True, tag=4):
+    """What changed for this subscriber from one version to another, in order."""
+
+    before: int
+    version: int
+    digest: bytes  # of what the subscriber holds after it, without tenants on demand
+    entries: list[Entry]
+
+
+class Names(msgspec.Struct, array_like=True, tag=5):
+    """Which tenants exist: the filter, as of a version, in place of all names told before."""
+
+    version: int
+    bits: bytes
+    hashes: int
+
+
+class Demand(msgspec.Struct, array_like=True, tag=6):
+    """Tenants that come to this node, and such as have gone again."""
+
+    wants: list[str]
+    leaves: list[str]
+
+
+class Tenants(msgspec.Struct, array_like=True, tag=7):
+    """In answer to a demand, and as they change: entries with `on` false are not there (any more)."""
+
+    version: int
+    entries: list[Entry]
+
+
+class Touch(msgspec.Struct, array_like=True, tag=8):
+    """What is acted on here. From a relay also the least version that any of its nodes may act on."""
+
+    sent: int
+    version: int
+    digest: bytes
+    least: int = -1
+    nodes: int = 0  # connected here and in touch
+    out: int = 0  # that can't act any more until they have been brought up
+    stored: int = -1  # the change held that may not count yet
+
+
+class Confirm(msgspec.Struct, array_like=True, tag=9):
+    """In answer to a touch: `sent` is its own; `age` is the answerer's, of its own view at this moment."""
+
+    sent: int
+    version: int
+    digest: bytes
+    age: int
+    ballot: int = 0
+
+
+class Proposed(msgspec.Struct, array_like=True, tag=10):
+    """From the author to stores: hold this, it does not count yet."""
+
+    ballot: int
+    change: Change
+
+
+class Counts(msgspec.Struct, array_like=True, tag=11):
+    """From the author: the change held of this version and digest counts now."""
+
+    ballot: int
+    version: int
+    digest: bytes
+
+
+class Want(msgspec.Struct, array_like=True, tag=12):
+    """What I hold does not prove true, or I lack something: from this version on, or all (-1)."""
+
+    version: int
+
+
+class Call(msgspec.Struct, array_like=True, tag=13):
+    """An operator's change, passed on to the author. Without entries it asks how things stand."""
+
+    ident: int
+    entries: list[Entry]
+    more: int
+
+
+class Answer(msgspec.Struct, array_like=True, tag=14):
+    ident: int
+    text: str
+
+
+Word = (Hello | Welcome | Away | Snapshot | Delta | Names | Demand | Tenants | Touch | Confirm | Proposed
+        | Counts | Want | Call | Answer)  # fmt: skip
+
+ENCODE = msgspec.msgpack.Encoder().encode
+DECODE = msgspec.msgpack.Decoder(Word).decode
+
+
+def key_of(fleet: str) -> bytes:
+    return blake2b(fleet.encode(), digest_size=16, person=b"distribution").digest()
+
+
+def encode(key: bytes, word: Word) -> bytes:
+    """A frame. Raises ValueError for one that no receiver takes."""
+    data = ENCODE(word)
+    if len(data) + CHECK > MOST_BYTES:
+        raise ValueError(f"{type(word).__name__} of {len(data)} bytes")
+    check = blake2b(data, digest_size=CHECK, key=key).digest()
+    return (len(data) + CHECK).to_bytes(LENGTH, "big") + check + data
+
+
+class Frames:
+    """Cuts a stream into words. Raises ValueError for what nobody of this fleet has written."""
+
+    def __init__(self, key: bytes, most: int = MOST_BYTES) -> None:
+        self.key, self.most, self.buffer = key, most, bytearray()
+
+    def feed(self, data: bytes) -> list[Word]:
+        self.buffer += data
+        found, at = [], 0
+        while len(self.buffer) - at >= LENGTH:
+            length = int.from_bytes(self.buffer[at : at + LENGTH], "big")
+            # Guards against a length that no word has: all of it would be waited for.
+            if not CHECK < length <= self.most:
+                raise ValueError(f"a frame of {length} bytes")
+            if len(self.buffer) - at < LENGTH + length:
+                break
+            start = at + LENGTH
+            check, data = bytes(self.buffer[start : start + CHECK]), bytes(self.buffer[start + CHECK : start + length])
+            if blake2b(data, digest_size=CHECK, key=self.key).digest() != check:
+                raise ValueError("damaged, or of another fleet")
+            try:
+                found.append(DECODE(data))
+            except (msgspec.DecodeError, RecursionError) as wrong:
+                raise ValueError(f"of another version: {wrong}") from None
+            at = start + length
+        del self.buffer[:at]
+        return found
