The decisions' round goes over the customers that are active, not over all there are

Cause: each second's round counted down and sorted every customer. Customers who never came have at most an even part, so the quarter that decides is found among the active ones alone; rounds missed are made up for when one comes. A customer leaves the round after 900 idle ones: what is left of its usual part by then is under the last digit.

New doors for configuration in service: `on_quota` takes in a customer that is unknown and, with None, lets one go; `on_route` changes objective, overall timeout and value.

Ruled out: decay as a power of the rounds missed: not the same to the last digit.

Against a reference that goes over all customers, `part` is equal to the last digit over 2,000 rounds of ten draws.

--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -12,7 +12,7 @@
 
 SECOND = 10_000  # times are whole tenths of a millisecond
 WINDOW, WINDOW_MOST = 2 * SECOND, 8 * SECOND  # a profile window is lengthened until it holds SAMPLES
-SAMPLES, POINT_LIFE, SPREAD, CROWD = 4, 30 * SECOND, 4.0, 4.0
+SAMPLES, POINT_LIFE, SPREAD, CROWD, IDLE = 4, 30 * SECOND, 4.0, 4.0, 900  # IDLE: rounds; see `Customer`
 FLOOR_SHARE, LEAST = 0.2, 6  # of an even share; warm backends' worth that a node uses at the least
 PRIOR = 3.0  # samples' worth of the wider mean (kind's, fleet's) that every measured mean is blended with
 EJECT, TRIAL = 6.0, 3.0  # sums of the sequential test: over the first out, over the second one try at a time
@@ -21,8 +21,7 @@
 STRAIN, LOSSY = 2.5, 0.8  # idle times at which who reports a whole rate is passed over; see `overtake`
 
 
-def service_time(rate: float, time: float, cores: float) -> float:
-    return time / (1 + rate * time / SECOND / cores)
+def service_time(rate, time, cores): return time / (1 + rate * time / SECOND / cores)  # fmt: skip
 
 
 class Backend:
@@ -68,8 +67,7 @@
             blended.append((max(rate, 0.01), time + (mean_time - time) * PRIOR / both, both))
             while len(blended) > 1 and blended[-2][1] > blended[-1][1]:
                 (r0, t0, n0), (r1, t1, n1) = blended[-2:]
-                both = n0 + n1
-                blended[-2:] = [((r0 * n0 + r1 * n1) / both, (t0 * n0 + t1 * n1) / both, both)]
+                blended[-2:] = [((r0 * n0 + r1 * n1) / (n0 + n1), (t0 * n0 + t1 * n1) / (n0 + n1), n0 + n1)]
         self.line = [(0.0, service_time(*blended[0][:2], cores))] + [(r, t) for r, t, _ in blended]
 
     def rate_at(self, time: float) -> float:
@@ -78,7 +76,6 @@
         for (r0, t0), (r1, t1) in zip(self.line, self.line[1:], strict=False):
             if time <= t1:
                 return r0 + (r1 - r0) * (time - t0) / (t1 - t0) if t1 > t0 else r1
-        r1, t1 = self.line[-1]
         last = (t1 - t0) / (r1 - r0) if r1 > r0 else 1e-6
         return r1 + (time - t1) / max(t1 * t1 / SECOND / self.steep, (t1 - self.line[0][1]) / r1, last)
 
@@ -101,17 +98,23 @@
 
 
 class Customer:  # its share at this node, as a bucket that fills at the share's rate
-    limit = None  # its part of what the fleet holds down, where it does
-    def __init__(self, quota: float, part: float) -> None:
+    def __init__(self, quota: float, part: float, active: dict, rounds: int) -> None:
         self.quota, self.usual, self.came, self.tokens, self.at = quota, quota * part, 0, 0.0, -WINDOW_MOST
+        self.active, self.rounds, self.idle, self.limit = active, rounds, 0, None  # limit: the fleet's on it
 
     def within(self, now: int, again: bool, part: float) -> bool:
         filled = self.tokens + (now - self.at) * self.quota * part / SECOND
         self.tokens, self.at = min(filled, max(3.0 * self.quota * part, 6.0)), now  # 6: chance is no surplus
-        fits, self.came = self.tokens >= 1.0, self.came + (not again)
+        fits, self.came, self.active[self] = self.tokens >= 1.0, self.came + (not again), None
         self.tokens -= fits and not again  # or surplus shed comes back as a retry and passes for in share
         return fits
 
+    def reckon(self, rounds: int) -> float:  # its usual part; rounds without it are made up for
+        for came in [0] * min(rounds - self.rounds - 1, IDLE) + [self.came]:
+            self.usual += (came - self.usual) * 0.05
+        self.idle, self.rounds, self.came = (self.idle + 1) * (not self.came), rounds, 0
+        return self.usual / max(self.quota, 1e-6)
+
 
 class Exchange:
     def __init__(self, ident: int, route: Route, now, deadline, aim_at, surplus: bool, spilled=False) -> None:
@@ -134,17 +137,15 @@
         self.others_from = len(get("locations")) if isinstance(get("locations"), list) else inf  # other sites
         self.routes = [Route(settings, i) for i in range(get("routes.count", 1))]
         quotas = [get(f"customers.{i}.quota_per_s", 0.0) for i in range(get("customers.count", 0))]
-        self.part = 1 / self.nodes  # of every quota, this node's
-        self.customers = [Customer(quota, self.part) for quota in quotas]
+        self.part, self.active, self.rounds = 1 / self.nodes, {}, 0  # of every quota, this node's; who came
+        self.customers = {i: Customer(quota, self.part, self.active, 0) for i, quota in enumerate(quotas)}
         self.banned, self.top_value = set(), max(r.value for r in self.routes)
         self.objective, self.crossing = min(r.objective for r in self.routes), get("prices.cross_zone", 0.0)
         self.me, self.equal_time = get("me", 0) % self.nodes, float(self.objective)
         self.advice = get("policy_limits.max_retry_after", 0) // 2 if get("policy_limits.retry_after") else 0
-        # Asking backends before a send pays where they report their load and a probe costs little.
         useful = get("policy_limits.probes", False) and "inflight" in get("feedback.fields", ())
-        self.asks = min(int(0.01 / max(get("prices.probe", 0.0), 1e-6)), 4) if useful else 0
-        # Where asking costs too much, nodes tell what they send and what backends report, or what ended.
-        tells = not self.asks and get("policy_limits.peers", False) and self.nodes > 1
+        self.asks = min(int(0.01 / max(get("prices.probe", 0.0), 1e-6)), 4) if useful else 0  # where it pays
+        tells = not self.asks and get("policy_limits.peers", False) and self.nodes > 1  # and hears
         self.telling, self.hears, self.keyed = float(tells), bool(self.asks or tells), {}
         self.blind = tells and "inflight" not in get("feedback.fields", ())
         self.talkers, self.listeners, self.news, self.audiences = defaultdict(Counter), {}, {}, {}
@@ -168,8 +169,7 @@
         most, parallel = get("policy_limits.max_upstream_tries", 1), get("policy_limits.parallel_tries")
         if tries and (len(tries) >= most or not parallel and any(t.outcome is None for t in tries)):
             return False
-        ran, by = [t for t in tries if t.outcome not in NEVER_RAN], route.group
-        free = not ran or route.free
+        free, by = not (ran := [t for t in tries if t.outcome not in NEVER_RAN]) or route.free, route.group
         known = not free and route.semantics == "deduped" and now + 10 < ran[0].sent_at + route.window
         return free or known and (by == "all" or getattr(backend, by, 0) == getattr(ran[0].backend, by, 1))
 
@@ -197,8 +197,7 @@
         if self.telling:
             told = max((len(few) for few in self.listeners.values()), default=0) or self.users
             price = max(get("prices.peer", 0.0) * told * 16 / 256, 1e-6)  # of 16 bytes an exchange
-            # Datagrams of 25 us each: a twentieth of the processor, or half where words are all there is.
-            cpu = get("policy_limits.cpu_us_per_s", 1e6) / (2 if self.blind else 20) / 25
+            cpu = get("policy_limits.cpu_us_per_s", 1e6) / (2 if self.blind else 20) / 25  # us a datagram
             self.telling = min(0.03 / price, cpu / max(told * rate, 1.0), 1.0)
             self.audiences.clear()
         for backend in self.usable:
@@ -214,17 +213,16 @@
 
     def on_exchange(self, now: int, ident: int, route_no, customer_no, grace, again: bool, spilled=False):
         route, self.welcome = self.routes[route_no], min(max(self.welcome, 0.0) + ROOM, 1.0)
-        aim_at, self.arrivals = now + route.objective, self.arrivals + (not again)
+        aim, self.arrivals = now + route.objective, self.arrivals + (not again)
         if not self.demand and len(self.usable) < self.fleet:  # or it crowds a quiet node's few
             self.choose(now)
         route.usual_grace = max(route.usual_grace, 0 if again else min(grace, route.timeout))
-        aim_at -= (route.timeout - grace) * (again and grace < route.usual_grace)  # spent by earlier tries
-        mine = self.customers[customer_no : customer_no + 1]
+        aim -= (route.timeout - grace) * (again and grace < route.usual_grace)  # spent by earlier tries
+        mine = [self.customers[customer_no]] if customer_no in self.customers else []
         surplus = not all(c.within(now, again, self.part) for c in mine)
-        late = now >= aim_at and not route.late_value or surplus and self.chance.uniform() > self.welcome
+        late = now >= aim and not route.late_value or surplus and self.chance.uniform() > self.welcome
         over = not late and any(c.limit and not c.limit.take(now) for c in mine)
-        xchg = Exchange(ident, route, now, now + grace, aim_at, surplus or over, spilled)
-        self.exchanges[ident] = xchg
+        xchg = self.exchanges[ident] = Exchange(ident, route, now, now + grace, aim, surplus or over, spilled)
         if late or over or grace <= self.settings.get("tick", 10):
             return self.give_up(now, xchg)  # or clients' later tries make work that can only end late
         self.at(xchg.deadline - self.settings.get("tick", 10), self.give_up, xchg)
@@ -366,23 +364,28 @@
             fresh.place, fresh.called_back, fresh.started = backend.place, now, now
         self.on_list(now, [backend.listed] if backend is not None else [], False)
 
-    def on_limit(self, now: int, customer_no: int, limit) -> None:  # `take`: may one more be let in?
-        self.customers[customer_no].limit = limit
+    def on_limit(self, now, customer_no, limit): self.customers[customer_no].limit = limit  # fmt: skip
+
+    def on_quota(self, now: int, customer_no: int, quota: float | None) -> None:  # of all; None: gone
+        self.active.pop(one := self.customers.pop(customer_no, None), None)
+        if quota is not None:
+            one = self.customers[customer_no] = one or Customer(quota, self.part, self.active, self.rounds)
+            one.quota, self.active[one] = quota, None
 
-    def on_quota(self, now: int, customer_no: int, quota: float) -> None:  # a second, of the whole fleet
-        self.customers[customer_no].quota = quota
+    def on_route(self, now: int, route_no: int, objective: int, timeout: int, value: float) -> None:
+        route, routes = self.routes[route_no], self.routes
+        route.objective, route.timeout, route.value, route.usual_grace = objective, timeout, value, 0
+        self.top_value, self.objective = max(r.value for r in routes), min(r.objective for r in routes)
 
     def on_wake(self, now: int, tag: str) -> None:
         if tag == "tick":
             return self.tick(now)
         self.woken_for = self.woken_for if now < self.woken_for else 0
         while self.due and self.due[0][0] <= now:
-            _, _, act, what = heappop(self.due)
-            act(now, what)
+            (due := heappop(self.due))[2](now, due[3])
         self.arm(now)
 
-    def at(self, when: int, act, what) -> None:
-        heappush(self.due, (when, next(self.due_seq), act, what))
+    def at(self, when, act, what): heappush(self.due, (when, next(self.due_seq), act, what))  # fmt: skip
 
     def arm(self, now: int) -> None:
         if self.due and (not self.woken_for or self.due[0][0] < self.woken_for):
@@ -404,10 +407,11 @@
                 self.listeners[location] += [peer] if heard < LISTENING * whole else []
             self.talkers[location] = Counter({peer: 0.8 * n for peer, n in talkers.items() if n > 0.1})
         # Guards against shedding at busy nodes what is in share, and bursts that raise their own part.
-        for customer in self.customers:
-            customer.usual, customer.came = customer.usual + (customer.came - customer.usual) * 0.05, 0
-        parts, self.arrivals, self.sends = sorted(c.usual / max(c.quota, 1e-6) for c in self.customers), 0, 0
-        self.part = max([1 / self.nodes, *parts[len(parts) // 4 :][:1]])
+        self.rounds, self.arrivals, self.sends = self.rounds + 1, 0, 0
+        parts = sorted((c.reckon(self.rounds) for c in self.active), reverse=True)  # others': at most even
+        self.part = max([1 / self.nodes, *parts[(3 * len(self.customers) - 1) // 4 :][:1]])
+        for customer in [c for c in self.active if c.idle > IDLE]:
+            del self.active[customer]
         # Guards against hundreds of nodes that each forget a slow backend in seconds and try it in turn.
         fade = min(0.97 ** (self.demand / max(len(self.usable), 1)), 0.85 if self.hears else 0.95)
         for backend in self.usable:
@@ -456,8 +460,7 @@
         self.arm(now)
 
     def try_send(self, now: int, xchg: Exchange) -> bool:
-        backend = self.pick(now, xchg)
-        if backend is None or not self.may_try(xchg, backend, now):
+        if (backend := self.pick(now, xchg)) is None or not self.may_try(xchg, backend, now):
             return False
         self.unhold(xchg)
         upstream = UpstreamTry(xchg, backend, now, self.ahead(backend, now))
@@ -561,9 +564,8 @@
         share = 0.35 if xchg.surplus else 0.5 + 0.25 * xchg.route.value / self.top_value
         bound = (share + 0.2 * bool(self.telling)) * left if left > 0 else 0.3 * xchg.route.objective
         most = max(2.0, 2.0 * sum(len(b.out) for b in fit) / len(fit)) if fit else 0.0
-        asking, heard = self.asks and not xchg.settled, self.asks and now - self.heard_at < SECOND
-        old = 20 if asking else self.slot / 2 if heard else inf  # or crowded ones heard of as idle fill
-        best, best_time, asks = None, inf, self.asks
+        asks, asking, best, best_time = self.asks, self.asks and not xchg.settled, None, inf
+        old = 20 if asking else self.slot / 2 if asks and now - self.heard_at < SECOND else inf  # or all fill
         lull = self.telling or asks and fit and now - max(b.last_answer for b in fit) > self.objective
         for backend in fit:
             if len(backend.out) > most or now - backend.held_at > old and backend.location < self.others_from:
--- a/basalthoist/net/fleet.py
+++ b/basalthoist/net/fleet.py
@@ -61,7 +61,7 @@
         self.shut, self.exchanges, self.stands_by, self.aside = shut, exchanges, stands_by, aside
         self.rests = rests
         self.customers, self.set_here = configuration.customers, {}
-        self.quotas = [customer.quota for customer in exchanges.node.customers]  # as configured
+        self.quotas = [customer.quota for customer in exchanges.node.customers.values()]
         self.key, bounds = told.key(), told.bounds()
         self.addresses = {name: address_of(text) for name, text in told.nodes.items()}
         self.names = {at: name for name, at in self.addresses.items() if name != self.me}
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,9 +1,11 @@
+import random
+
 import pytest
 from helpers import NOW, SECOND, listed, node
 
 from basalthoist.decisions.chance import Lcg
 from basalthoist.decisions.host import Load, Outcome
-from basalthoist.decisions.policy import EJECT, LEAST, TRIAL, Backend, Exchange, UpstreamTry
+from basalthoist.decisions.policy import EJECT, IDLE, LEAST, TRIAL, Backend, Customer, Exchange, UpstreamTry
 
 
 def profiled(name, *points):
@@ -291,6 +293,86 @@
     assert made.customers[1].quota == 10.0
 
 
+class EveryCustomer:
+    """The round as it was while it went over all customers: a reference for one over the active."""
+
+    def __init__(self, quotas, nodes):
+        self.nodes, self.quotas, self.came = nodes, quotas, [0] * len(quotas)
+        self.usual = [quota * (1 / nodes) for quota in quotas]
+
+    def tick(self):
+        for number, came in enumerate(self.came):
+            self.usual[number] = self.usual[number] + (came - self.usual[number]) * 0.05
+        self.came = [0] * len(self.came)
+        parts = sorted(u / max(q, 1e-6) for u, q in zip(self.usual, self.quotas, strict=True))
+        return max([1 / self.nodes, *parts[len(parts) // 4 :][:1]])
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_round_over_active_customers_finds_the_part_that_one_over_all_finds(seed):
+    chance = random.Random(seed)
+    count, nodes = [0, 1, 2, 3, 4, 5, 7, 8, 12, 40][seed], chance.choice([30, 100])
+    quotas = [chance.choice([0.0, 0.4, 3.0, 17.3]) for _ in range(count)]
+    made, _ = node([listed("a")], nodes=nodes, **customers(quotas))
+    every, moved = EveryCustomer(quotas, nodes), 0
+    busy = [chance.choice([0.0, 0.002, 1.0, 6.0, 6.0, 6.0]) for _ in quotas]  # some fall idle and come back
+    for second in range(2000):
+        at = NOW + second * SECOND
+        if second % 500 == 499:
+            chance.shuffle(busy)
+        if count and second % 400 == 399:
+            number, quota = chance.randrange(count), chance.choice([0.0, 1.0, 50.0])
+            every.quotas[number] = quota
+            made.on_quota(at, number, quota)
+        for number, rate in enumerate(busy):
+            for _ in range(int(rate + chance.random())):
+                again = chance.random() < 0.2
+                every.came[number] += not again
+                made.customers[number].within(at, again, made.part)
+        made.tick(at)
+        assert made.part == every.tick()
+        moved += made.part > 1 / nodes
+    assert moved or seed in (0, 4, 7)  # or it would be an even part throughout that is compared
+
+
+def test_a_round_costs_the_active_customers_and_not_all_there_are(monkeypatch):
+    made, _ = node([listed("a")], nodes=100, **customers([1.0] * 5000))
+    reckoned, reckon = [], Customer.reckon
+    monkeypatch.setattr(Customer, "reckon", lambda one, rounds: reckoned.append(one) or reckon(one, rounds))
+    made.tick(NOW)
+    for number in range(30):
+        made.customers[number].within(NOW, False, made.part)
+    made.tick(NOW + SECOND)
+    assert len(reckoned) == 30
+    for second in range(2, 2 + IDLE + 1):
+        made.tick(NOW + second * SECOND)
+    reckoned.clear()
+    made.tick(NOW + 1000 * SECOND)
+    assert not reckoned and not made.active
+
+
+def test_a_customer_comes_in_service_and_goes_again():
+    made, host = node([listed("a")], nodes=2, **customers([10.0]))
+    made.on_quota(NOW, 7, 5.0)
+    assert made.customers[7].quota == 5.0 and made.customers[0].quota == 10.0
+    made.on_exchange(NOW, 1, 0, 7, 8000, False)
+    assert host.take("send") and made.customers[7].came == 1
+    made.on_quota(NOW, 7, None)
+    made.on_quota(NOW, 7, None)
+    assert 7 not in made.customers and all(c is made.customers[0] for c in made.active)
+    made.on_exchange(NOW, 2, 0, 7, 8000, False)  # one that had been taken in before its customer went
+    made.tick(NOW + SECOND)
+
+
+def test_a_route_changed_in_service_counts_for_the_next_exchange():
+    made, host = node([listed("a")])
+    made.on_route(NOW, 0, 1000, 4000, 6.0)
+    assert (made.objective, made.top_value) == (1000, 6.0)
+    made.on_exchange(NOW, 1, 0, 0, 4000, False)
+    xchg = made.exchanges[1]
+    assert xchg.aim_at == NOW + 1000 and xchg.order[1] == -6.0
+
+
 def test_before_two_profiles_remote_backends_pay_for_their_crossing():
     made, _ = node([listed("a"), listed("far", location=1)], **{"prices__cross_zone": 0.2})
     assert made.backends["far"].share < 0.5 * made.backends["a"].share
