--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -277,6 +277,13 @@
         return blake2b(msgspec.json.encode(alike), digest_size=16).digest()
 
 
+def wrong_with_entries(entries: list, present, catalogue) -> str:
+    """What is wrong with entries of a catalogue, by the name of the key, or ""; `entries.wrong_among`."""
+    from .entries import wrong_among
+
+    return wrong_among(entries, present, catalogue, Route, LimitDocument)
+
+
 def load_fleet(configuration: Configuration, environment: Mapping[str, str] = os.environ):
     told = read_toml("PROXY_FLEET", FleetDocument, environment)
     if told is None:
--- /dev/null
+++ b/basalthoist/distribution/relay.py
@@ -0,0 +1,241 @@
+"""The sessions of nodes at a store: each is told of its scopes and its tenants, and of every version."""
+
+from typing import Protocol
+
+from .bounds import LONG, Bounds, Views
+from .catalogue import TENANT, Entry
+from .store import Store
+from .wire import Away, Confirm, Demand, Hello, Packed, Snapshot, Tenants, Touch, Want, Welcome, Word
+
+
+class Host(Protocol):
+    """What a relay can make happen. Sessions have the numbers that the carrier handed in."""
+
+    def send(self, session: int, word: Word | Packed) -> None: ...
+    def waiting(self, session: int) -> int: ...  # bytes written to it that it has not taken
+    def end(self, session: int, why: str) -> None: ...
+    def age(self, now: int) -> int: ...  # of the store's view
+    def most(self) -> int: ...  # sessions that the author allows here; 0: as many as come
+    def all_there(self, now: int) -> None: ...  # nobody here may act on an older version any more
+    def log(self, line: str) -> None: ...
+
+
+class Session:
+    def __init__(self, number: int, hello: Hello, now: int) -> None:
+        self.number, self.name, self.life, self.region = number, hello.name, hello.life, hello.region
+        self.scopes = tuple(sorted({"", *hello.scopes}))
+        self.version = hello.version  # the latest that went out to it
+        self.acts = hello.version  # as it has told
+        self.views, self.heard_at = Views(), now
+        self.large = 0  # bytes of a snapshot that may still be on their way
+        self.tenants: set[str] = set()
+
+
+class Paced:
+    """So much a second; who comes too early is told when its turn is, one after the other."""
+
+    def __init__(self, per_s: float, now: int) -> None:
+        self.each, self.free_at, self.turn = 10_000 / per_s, float(now), float(now)
+
+    def wait(self, now: int, most: int) -> int:
+        """0: at once."""
+        if self.free_at <= now + 5_000:
+            return 0
+        self.turn = max(self.turn, self.free_at)
+        if self.turn > now + most:
+            self.turn = self.free_at
+        self.turn += self.each
+        return max(int(self.turn) - now, 1)
+
+    def take(self, now: int, much: float = 1.0) -> None:
+        self.free_at = max(self.free_at, now) + much * self.each
+
+
+class Relay:
+    def __init__(self, host: Host, me: str, life: int, bounds: Bounds, store: Store, now: int) -> None:
+        self.host, self.me, self.life, self.bounds, self.store = host, me, life, bounds, store
+        self.sessions: dict[int, Session] = {}
+        self.by_name: dict[str, Session] = {}
+        self.wanted: dict[str, set[int]] = {}  # tenants, and the sessions that hold them
+        self.gone: list[Views] = []  # of sessions that have ended
+        self.behind: set[int] = set()  # sessions that were told of a version and have not acted on it yet
+        self.new, self.bytes = Paced(bounds.sessions_per_s, now), Paced(bounds.snapshot_bytes_per_s, now)
+        self.turned_away: dict[str, int] = {}
+        self.looked_at = now
+
+    # For the author.
+
+    def least(self, now: int) -> int:
+        """The least version that anybody may act on by what was confirmed here."""
+        self.gone = [views for views in self.gone if views.oldest(now) is not None]
+        found = [self.store.version]
+        for views in [*self.gone, *(session.views for session in self.sessions.values())]:
+            oldest = views.oldest(now)
+            if oldest is not None:
+                found.append(oldest)
+        return min(found)
+
+    def state(self, now: int) -> tuple[int, int, int, int]:
+        """Least version, nodes in touch, nodes that can't act, nodes turned away within the last second."""
+        there = sum(session.views.oldest(now) is not None for session in self.sessions.values())
+        self.turned_away = {n: at for n, at in self.turned_away.items() if now - at < self.bounds.touch}
+        return self.least(now), there, len(self.sessions) - there, len(self.turned_away)
+
+    # Sessions.
+
+    def on_hello(self, now: int, number: int, word: Hello) -> None:
+        old = self.by_name.get(word.name)
+        if old is not None and old.life > word.life:
+            return self.turn_away(number, self.bounds.wait_most, "a later life of it is here")
+        if old is not None:
+            self.host.end(old.number, "another session of it")
+            self.on_ended(now, old.number)
+        most = self.host.most()
+        if most and len(self.sessions) >= most:
+            self.turned_away[word.name] = now
+            return self.turn_away(number, 0, "enough are here", self.others(word))
+        wait = max(self.new.wait(now, self.bounds.wait_most), self.bytes.wait(now, self.bounds.wait_most))
+        if wait:
+            return self.turn_away(number, wait, "too many at once")
+        self.new.take(now)
+        session = self.sessions[number] = self.by_name[word.name] = Session(number, word, now)
+        self.host.send(number, Welcome(self.me, self.life))
+        if not word.names:
+            self.large(now, session, self.store.names())
+        if word.version == self.store.version and word.digest != self.store.digest_of(session.scopes):
+            session.version = -1
+        self.bring_up(now, session)
+
+    def turn_away(self, number: int, after: int, why: str, others: list[str] | None = None) -> None:
+        self.host.send(number, Away(after, others or [], why))
+        self.host.end(number, why)
+
+    def others(self, word: Hello) -> list[str]:
+        """Those of its region first; which of them first is the node's to choose."""
+        common = self.store.catalogue.scopes.get("", {}).values()
+        relays = [entry for entry in common if entry.kind == "relay" and entry.name != self.me]
+        near = [e for e in relays if e.body.get("region") == word.region]
+        far = [e for e in relays if e.body.get("region") != word.region]
+        return [str(e.body.get("address", "")) for e in near + far]
+
+    def bring_up(self, now: int, session: Session) -> None:
+        """What it lacks; nothing where it is ahead of what is held here."""
+        lacks = self.store.lacks(session.scopes, session.version)
+        if lacks is None:
+            return
+        session.version = self.store.version
+        if session.views.given:
+            self.behind.add(session.number)
+        if type(lacks.word) is Snapshot:
+            self.large(now, session, lacks)
+        else:
+            self.send(session, lacks)
+
+    def large(self, now: int, session: Session, word: Packed) -> None:
+        session.large += len(word)
+        self.bytes.take(now, len(word))
+        self.send(session, word)
+
+    def send(self, session: Session, word: Word | Packed) -> None:
+        # Guards against one that reads slowly or stands still: the others are not kept waiting for it.
+        if self.host.waiting(session.number) > self.bounds.waiting + session.large:
+            self.host.log(f"distribution: {session.name} reads too slowly, its session ends")
+            return self.host.end(session.number, "too slow")
+        self.host.send(session.number, word)
+
+    def on_ended(self, now: int, number: int) -> None:
+        session = self.sessions.pop(number, None)
+        if session is None:
+            return
+        if self.by_name.get(session.name) is session:
+            del self.by_name[session.name]
+        self.behind.discard(number)
+        for name in session.tenants:
+            self.no_more(number, name)
+        if session.views.oldest(now) is not None:
+            self.gone.append(session.views)
+
+    # What comes.
+
+    def on_word(self, now: int, number: int, word: Word) -> None:
+        session = self.sessions.get(number)
+        if session is None:
+            return
+        session.heard_at, kind = now, type(word)
+        if kind is Touch:
+            self.on_touch(now, session, word)
+        elif kind is Demand:
+            self.on_demand(session, word)
+        elif kind is Want:
+            self.on_want(now, session, word)
+
+    def on_touch(self, now: int, session: Session, word: Touch) -> None:
+        session.views.told(word.version)
+        session.acts = max(session.acts, word.version)
+        if word.version >= session.version:
+            session.large = 0
+        if session.version < self.store.version:
+            self.bring_up(now, session)
+        self.confirm(now, session, word)
+        if session.number in self.behind and session.acts >= self.store.version:
+            self.behind.discard(session.number)
+            if not self.behind and not self.gone:
+                self.host.all_there(now)
+
+    def confirm(self, now: int, session: Session, word: Touch) -> None:
+        """As old as the view here. It counts only for one that holds just this."""
+        age, version = self.host.age(now), self.store.version
+        left = self.bounds.stale - age
+        if left > 0:
+            session.views.give(version, now + self.bounds.slower(left))
+        self.send(session, Confirm(word.sent, version, self.store.digest_of(session.scopes), min(age, LONG)))
+
+    def on_demand(self, session: Session, word: Demand) -> None:
+        for name in word.leaves:
+            if name in session.tenants:
+                session.tenants.discard(name)
+                self.no_more(session.number, name)
+        for name in word.wants:
+            session.tenants.add(name)
+            self.wanted.setdefault(name, set()).add(session.number)
+        if word.wants:
+            self.send(session, Tenants(self.store.version, self.store.tenants(word.wants)))
+
+    def no_more(self, number: int, name: str) -> None:
+        holders = self.wanted.get(name, set())
+        holders.discard(number)
+        if not holders:
+            self.wanted.pop(name, None)
+
+    def on_want(self, now: int, session: Session, word: Want) -> None:
+        if self.bytes.wait(now, self.bounds.wait_most):
+            return  # it asks again
+        session.version = min(word.version, self.store.version)
+        if word.version < 0:
+            self.large(now, session, self.store.names())
+        self.bring_up(now, session)
+
+    # Time, and the store.
+
+    def on_counted(self, now: int, entries: list[Entry]) -> None:
+        """The store has moved on: all are told, tenants first, so that a version says that they have come."""
+        news: dict[int, list[Entry]] = {}
+        for entry in entries:
+            if entry.kind == TENANT:
+                for number in self.wanted.get(entry.name, ()):
+                    news.setdefault(number, []).append(entry)
+        for number, session in list(self.sessions.items()):
+            if number in news:
+                self.send(session, Tenants(self.store.version, news[number]))
+            self.bring_up(now, session)
+        if not self.behind:
+            self.host.all_there(now)
+
+    def on_tick(self, now: int) -> None:
+        """Guards against sessions whose other end is gone without a word."""
+        if now - self.looked_at < self.bounds.touch:
+            return
+        self.looked_at = now
+        for number, session in list(self.sessions.items()):
+            if now - session.heard_at > 2 * self.bounds.silent:
+                self.host.end(number, "silent")
--- /dev/null
+++ b/basalthoist/distribution/store.py
@@ -0,0 +1,194 @@
+"""The catalogue at the version that counts, at most one change that does not yet, and the latest history."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+import msgspec
+
+from .catalogue import TENANT, Catalogue, Change, Entry, History
+from .tenants import Filter
+from .wire import Delta, Names, Packed, Snapshot
+
+CHECK = 16
+MOST_CALLS = 1024  # operators' calls that are remembered
+
+
+class Kept(msgspec.Struct, array_like=True):
+    """On disk, behind a checksum. Never proof: the digest of a head is."""
+
+    fleet: str
+    version: int
+    digest: bytes
+    entries: list[Entry]
+
+
+ENCODE = msgspec.msgpack.Encoder().encode
+DECODE = msgspec.msgpack.Decoder(Kept).decode
+
+
+def to_bytes(fleet: str, version: int, entries: list[Entry], digest: bytes) -> bytes:
+    data = ENCODE(Kept(fleet, version, digest, entries))
+    return blake2b(data, digest_size=CHECK).digest() + data
+
+
+def from_bytes(fleet: str, data: bytes) -> Catalogue | None:
+    """None for one that is torn, of another fleet, or not what its own digest says."""
+    if blake2b(data[CHECK:], digest_size=CHECK).digest() != data[:CHECK]:
+        return None
+    try:
+        kept = DECODE(data[CHECK:])
+    except (msgspec.DecodeError, RecursionError):
+        return None
+    made = Catalogue(kept.version, kept.entries)
+    return made if kept.fleet == fleet and made.digest() == kept.digest else None
+
+
+class Store:
+    def __init__(self, most: int, hint: Catalogue | None = None) -> None:
+        self.catalogue, self.history = hint or Catalogue(), History(most)
+        self.digest = self.catalogue.digest()
+        self.ballot, self.proposed = 0, None
+        self.calls: dict[tuple[str, int], int] = {}  # the latest that are in what counts, and since when
+        self.filter: Filter | None = None
+        self.packed: dict[tuple, Packed] = {}  # of the version that counts
+        self.digests: dict[tuple[str, ...], bytes] = {}
+
+    @property
+    def version(self) -> int:
+        return self.catalogue.version
+
+    @property
+    def head(self) -> tuple[int, bytes]:
+        return self.version, self.digest
+
+    @property
+    def stored(self) -> int:
+        return self.proposed.version if self.proposed is not None else -1
+
+    # What comes from the author.
+
+    def propose(self, ballot: int, change: Change) -> bool:
+        """Whether it is held now. One of an earlier author does not take the place of a later one's."""
+        if ballot < self.ballot or not self.catalogue.fits(change):
+            return False
+        self.ballot, self.proposed = ballot, change
+        return True
+
+    def counts(self, version: int, digest: bytes) -> list[Entry] | None:
+        """The change held of this version and digest counts: its entries, or None where it is not held."""
+        change = self.proposed
+        if change is None or (change.version, change.after) != (version, digest):
+            return None
+        self.lay(change.entries, version)
+        self.remember((name, ident, version) for name, ident in change.calls)
+        return change.entries
+
+    def remember(self, calls: Iterable[tuple[str, int, int]]) -> None:
+        for name, ident, version in calls:
+            self.calls.setdefault((name, ident), version)
+        while len(self.calls) > MOST_CALLS:
+            del self.calls[next(iter(self.calls))]
+
+    def recent(self, scopes: tuple[str, ...] | None) -> list[tuple[str, int, int]]:
+        return [(*key, version) for key, version in self.calls.items()] if scopes is None else []
+
+    def take(self, word: Snapshot | Delta) -> list[Entry] | None:
+        """What it changed, or None for what is no news or does not come out as it says."""
+        if type(word) is Delta:
+            if word.before != self.version or word.version <= self.version:
+                return None
+            entries = list({entry.key: entry for entry in word.entries}.values())
+            if self.catalogue.after(entries) % (1 << 256) != int.from_bytes(word.digest, "big"):
+                return None
+        else:
+            # Guards against a snapshot that was long under way: nothing goes back.
+            if word.version < self.version or (word.version, word.digest) == self.head:
+                return None
+            other = Catalogue(word.version, word.entries)
+            if other.digest() != word.digest:
+                return None
+            entries = self.catalogue.unlike(other)
+        self.lay(entries, word.version)
+        self.remember(word.calls)
+        return entries
+
+    def lay(self, entries: list[Entry], version: int) -> None:
+        before = self.version
+        laid = self.catalogue.lay(entries, version)
+        self.history.add(before, version, laid)
+        self.digest = self.catalogue.digest()
+        if self.proposed is not None and not self.catalogue.fits(self.proposed):
+            self.proposed = None
+        for entry, old in laid:
+            if entry.kind == TENANT and self.filter is not None:
+                self.filter.changed(entry.name, entry.on, old is not None)
+        self.packed, self.digests = {}, {}
+
+    # What others lack.
+
+    def digest_of(self, scopes: tuple[str, ...]) -> bytes:
+        found = self.digests.get(scopes)
+        if found is None:
+            found = self.digests[scopes] = self.catalogue.digest_of(scopes)
+        return found
+
+    def lacks(self, scopes: tuple[str, ...] | None, version: int) -> Packed | None:
+        """For one at that version, a delta or a snapshot, whichever is smaller. `scopes` None: all of them.
+
+        None where it lacks nothing, or is ahead."""
+        if version >= self.version:
+            return None
+        key = scopes, version
+        if key not in self.packed:
+            made = self.delta(scopes, version)
+            self.packed[key] = made if made is not None else self.snapshot(scopes)
+        return self.packed[key]
+
+    def delta(self, scopes: tuple[str, ...] | None, version: int) -> Packed | None:
+        keys = self.history.since(scopes, version, self.version)
+        if keys is None:
+            return None
+        entries = [self.now(key, scopes) for key in keys]
+        catalogue, most = self.catalogue, self.catalogue.sizes
+        if scopes is None:
+            whole = sum(most.values()) + 40 * len(catalogue.tenants)
+        else:
+            whole = sum(most.get(scope, 0) for scope in {"", *scopes})
+        made = Packed(Delta(version, self.version, self.proof(scopes), entries, self.recent(scopes)))
+        if len(made) > whole and len(self.snapshot(scopes)) < len(made):
+            return None
+        return made
+
+    def proof(self, scopes: tuple[str, ...] | None) -> bytes:
+        return self.digest if scopes is None else self.digest_of(scopes)
+
+    def now(self, key: tuple[str, str], scopes: tuple[str, ...] | None) -> Entry:
+        found = self.catalogue.get(key)
+        if scopes is None:
+            return found or Entry(*key, on=False)
+        if key[0] == TENANT:
+            return Entry(*key, on=found is not None)
+        return found if found is not None and found.scope in ("", *scopes) else Entry(*key, on=False)
+
+    def snapshot(self, scopes: tuple[str, ...] | None) -> Packed:
+        key = scopes, -1
+        if key not in self.packed:
+            entries = self.catalogue.all() if scopes is None else self.catalogue.of(scopes)
+            word = Snapshot(self.version, self.proof(scopes), entries, self.recent(scopes))
+            self.packed[key] = Packed(word)
+        return self.packed[key]
+
+    def names(self) -> Packed:
+        if self.filter is None or self.filter.worn():
+            self.filter = Filter.of(self.catalogue.tenants)
+        key = "names", -1
+        if key not in self.packed:
+            self.packed[key] = Packed(Names(self.version, bytes(self.filter.bits), self.filter.hashes))
+        return self.packed[key]
+
+    def tenants(self, names: Iterable[str]) -> list[Entry]:
+        found = self.catalogue.tenants
+        return [found.get(name) or Entry(TENANT, name, on=False) for name in names]
+
+    def to_bytes(self, fleet: str) -> bytes:
+        return to_bytes(fleet, self.version, self.catalogue.all(), self.digest)
--- /dev/null
+++ b/basalthoist/distribution/subscriber.py
@@ -0,0 +1,213 @@
+"""At a node: it chooses a relay, holds the entries of its scopes, proves them, and knows its age."""
+
+from hashlib import blake2b
+from typing import Protocol
+
+from .bounds import LONG, LONG_AGO, Bounds
+from .catalogue import TENANT, Catalogue, Entry, as_bytes
+from .tenants import Here
+from .wire import Away, Confirm, Delta, Demand, Hello, Names, Snapshot, Tenants, Touch, Want, Welcome, Word
+
+
+class Host(Protocol):
+    """What it can make happen. One connection at a time; `connect` ends the one before."""
+
+    def connect(self, address: str) -> None: ...
+    def close(self) -> None: ...
+    def send(self, word: Word) -> None: ...
+    def act(self, entries: list[Entry], version: int) -> None: ...  # these are other ones now
+    def tenant(self, name: str, body: dict | None) -> None: ...  # held from now on; None: not any more
+    def log(self, line: str) -> None: ...
+
+
+class Subscriber:
+    """`seeds`: addresses to begin with. `hint`: what a life before held, of the same scopes."""
+
+    def __init__(self, host: Host, me: str, life: int, region: str, scopes: list[str], seeds: list[str],
+                 bounds: Bounds, chance, now: int, hint: Catalogue | None = None) -> None:  # fmt: skip
+        self.host, self.me, self.life, self.region, self.seeds = host, me, life, region, seeds
+        self.scopes, self.bounds, self.chance = sorted({"", *scopes}), bounds, chance
+        self.held = hint or Catalogue(-1)
+        self.view_at = LONG_AGO  # as if the author had confirmed it just then
+        self.here = Here(self, bounds)
+        self.acts = self.version  # with the tenants held here as of it
+        self.proving = False  # the relay has not said yet how these are
+        self.named = False  # the names that there are have come
+        self.address, self.up, self.next_at = "", False, now
+        self.heard_at, self.touch_at, self.asked_at, self.old_since = now, LONG_AGO, LONG_AGO, now
+        self.failures, self.doubts = 0, 0
+        self.left: dict[str, int] = {}  # relays, until when they are not tried
+        self.told: list[str] = []  # to be tried next
+        self.by_hint = hint is not None
+        if hint is not None:
+            host.act(hint.all(), hint.version)
+
+    # Its view.
+
+    @property
+    def version(self) -> int:
+        return self.held.version
+
+    def digest(self) -> bytes:
+        return as_bytes(sum(self.held.sums.values()))
+
+    def age(self, now: int) -> int:
+        """What is acted on here was current at some moment within it."""
+        return min(now - self.view_at, LONG)
+
+    def may_act(self, now: int) -> bool:
+        if not self.bounds.strict:
+            return self.by_hint or self.view_at != LONG_AGO
+        return self.age(now) <= self.bounds.stale
+
+    # Which relay.
+
+    def relays(self) -> list[str]:
+        """Those of the own region first, each part in this node's own order (Thaler and Ravishankar 1998)."""
+        known = {}
+        for (kind, _), entry in self.held.scopes.get("", {}).items():
+            if kind == "relay" and entry.body.get("address"):
+                known[entry.body["address"]] = entry.body.get("region", "")
+        for seed in self.seeds:
+            known.setdefault(seed, None)
+        return sorted(known, key=lambda at: (known[at] != self.region, self.rank(at)))
+
+    def rank(self, address: str) -> bytes:
+        return blake2b(f"{self.me}\0{address}".encode(), digest_size=8).digest()
+
+    def choose(self, now: int) -> str:
+        self.left = {address: until for address, until in self.left.items() if until > now}
+        relays = self.relays()
+        open_ones = [address for address in relays if address not in self.left]
+        told = [address for address in open_ones if address in self.told]
+        return (told or open_ones or sorted(relays, key=lambda at: self.left[at]))[0]
+
+    def leave(self, now: int, why: str, after: int = 0) -> None:
+        self.host.log(f"distribution: left {self.address}, {why}")
+        self.left[self.address] = now + max(after, self.bounds.wait_most)
+        self.host.close()
+        self.on_lost(now)
+
+    def on_lost(self, now: int) -> None:
+        """The connection has ended, or none came about. Full jitter (Brooker 2015), bounded."""
+        if self.address:
+            self.left.setdefault(self.address, now + self.bounds.wait_most)
+        self.up, self.address = False, ""
+        most = min(self.bounds.wait << min(self.failures, 10), self.bounds.wait_most)
+        self.failures += 1
+        self.next_at = now + int(most * self.chance.uniform())
+
+    # Time.
+
+    def on_tick(self, now: int) -> None:
+        if not self.address:
+            if now >= self.next_at:
+                self.heard_at, self.address = now, self.choose(now)
+                self.host.connect(self.address)
+        elif now - self.heard_at > self.bounds.silent:
+            # Guards against one that stands still, or is cut off without an end to its connection.
+            self.leave(now, "silent")
+        elif self.up:
+            if self.age(now) <= self.bounds.fresh:
+                self.old_since, self.doubts = now, 0
+            elif now - self.old_since > self.bounds.silent << min(self.doubts, 3):
+                # Guards against one that answers, but is out of touch or behind itself. Where all are, it is
+                # looked into less and less often.
+                self.doubts += 1
+                return self.leave(now, "behind")
+            if now - self.touch_at >= self.bounds.touch:
+                self.touch(now)
+        self.here.on_tick(now, self.up)
+
+    def touch(self, now: int) -> None:
+        self.touch_at = now
+        self.host.send(Touch(now, self.acts, self.digest()))
+
+    # What comes.
+
+    def on_connected(self, now: int) -> None:
+        self.heard_at = now
+        held = self.version, self.digest()
+        self.host.send(Hello(self.me, self.life, "node", self.region, self.scopes, *held, self.named))
+
+    def on_word(self, now: int, word: Word) -> None:
+        self.heard_at, kind = now, type(word)
+        if kind is Welcome:
+            self.up, self.failures, self.old_since, self.told = True, 0, now, []
+            self.proving = self.here.on_connected()
+            self.touch(now)
+        elif kind is Away:
+            self.on_away(now, word)
+        elif kind is Confirm:
+            self.on_confirm(now, word)
+        elif kind is Delta:
+            self.on_delta(now, word)
+        elif kind is Snapshot:
+            self.on_snapshot(now, word)
+        elif kind is Names:
+            self.named = True
+            self.here.on_names(word)
+        elif kind is Tenants:
+            if self.here.on_tenants(now, word, self.version) and self.proving:
+                self.proving, self.acts = False, self.version
+                self.touch(now)
+
+    def on_away(self, now: int, word: Away) -> None:
+        address, others = self.address, word.relays
+        self.host.close()
+        self.on_lost(now)
+        self.left[address] = now + (word.after or self.bounds.wait_most)
+        if others:
+            self.told, self.next_at = others, now + int(self.bounds.wait * self.chance.uniform())
+        elif word.after:
+            self.next_at = now + min(word.after, self.bounds.wait_most)
+            self.told = [address]
+
+    def on_confirm(self, now: int, word: Confirm) -> None:
+        if word.version == self.version and word.digest == self.digest():
+            self.view_at = max(self.view_at, word.sent - word.age)
+        elif word.version >= self.version:
+            self.want(now, -1 if word.version == self.version else self.version)
+
+    def want(self, now: int, version: int) -> None:
+        if now - self.asked_at >= self.bounds.touch // 2:
+            self.asked_at = now
+            self.host.send(Want(version))
+
+    def on_delta(self, now: int, word: Delta) -> None:
+        if word.version <= self.version:
+            return
+        if word.before != self.version:
+            return self.want(now, self.version)
+        entries = [entry for entry in word.entries if entry.kind != TENANT]
+        # Guards against a change laid over what it does not fit: all is asked for anew.
+        if as_bytes(self.held.after(entries)) != word.digest:
+            return self.want(now, -1)
+        for entry in word.entries:
+            if entry.kind == TENANT:
+                self.here.on_name(now, entry.name, entry.on)
+        self.lay(now, entries, word.version)
+
+    def on_snapshot(self, now: int, word: Snapshot) -> None:
+        # Guards against a snapshot that was long under way: nothing goes back.
+        if word.version < self.version:
+            return
+        other = Catalogue(word.version, word.entries)
+        if as_bytes(sum(other.sums.values())) != word.digest:
+            return self.want(now, -1)
+        self.lay(now, self.held.unlike(other), word.version)
+
+    def lay(self, now: int, entries: list[Entry], version: int) -> None:
+        self.held.lay(entries, version)
+        # Guards against a version said to be acted on while a tenant's part here may still be an older one.
+        self.acts = self.acts if self.proving else version
+        self.host.act(entries, version)
+        self.touch(now)
+
+    # For the tenants.
+
+    def demand(self, word: Demand) -> None:
+        self.host.send(word)
+
+    def tenant(self, name: str, body: dict | None) -> None:
+        self.host.tenant(name, body)
--- a/basalthoist/distribution/wire.py
+++ b/basalthoist/distribution/wire.py
@@ -26,6 +26,7 @@
     scopes: list[str]  # of a node; a relay has all
     version: int
     digest: bytes
+    names: bool = False  # it knows which tenants there are, as of that version
 
 
 class Welcome(msgspec.Struct, array_like=True, tag=1):
@@ -47,15 +48,19 @@
     version: int
     digest: bytes
     entries: list[Entry]
+    calls: list[tuple[str, int, int]] = []  # to stores: the latest operators' calls, and their version
 
 
 class Delta(msgspec.Struct, array_like=True, tag=4):
-    """What changed for this subscriber from one version to another, in order."""
+    """What changed for this subscriber from one version to another: the last of each key.
+
+    To a node a tenant's entry only says that there is one now, or none any more; its body goes by Tenants."""
 
     before: int
     version: int
     digest: bytes  # of what the subscriber holds after it, without tenants on demand
     entries: list[Entry]
+    calls: list[tuple[str, int, int]] = []
 
 
 class Names(msgspec.Struct, array_like=True, tag=5):
@@ -90,6 +95,8 @@
     nodes: int = 0  # connected here and in touch
     out: int = 0  # that can't act any more until they have been brought up
     stored: int = -1  # the change held that may not count yet
+    ballot: int = 0  # whose that one is
+    away: int = 0  # nodes turned away lately because there are enough here
 
 
 class Confirm(msgspec.Struct, array_like=True, tag=9):
@@ -100,6 +107,7 @@
     digest: bytes
     age: int
     ballot: int = 0
+    most: int = 0  # sessions that a relay takes; 0: as many as come
 
 
 class Proposed(msgspec.Struct, array_like=True, tag=10):
@@ -143,13 +151,23 @@
 DECODE = msgspec.msgpack.Decoder(Word).decode
 
 
+class Packed:
+    """A word that goes to many: written once."""
+
+    def __init__(self, word: Word) -> None:
+        self.word, self.data = word, ENCODE(word)
+
+    def __len__(self) -> int:
+        return len(self.data)
+
+
 def key_of(fleet: str) -> bytes:
     return blake2b(fleet.encode(), digest_size=16, person=b"distribution").digest()
 
 
-def encode(key: bytes, word: Word) -> bytes:
+def encode(key: bytes, word: Word | Packed) -> bytes:
     """A frame. Raises ValueError for one that no receiver takes."""
-    data = ENCODE(word)
+    data = word.data if type(word) is Packed else ENCODE(word)
     if len(data) + CHECK > MOST_BYTES:
         raise ValueError(f"{type(word).__name__} of {len(data)} bytes")
     check = blake2b(data, digest_size=CHECK, key=key).digest()
@@ -173,7 +191,8 @@
             if len(self.buffer) - at < LENGTH + length:
                 break
             start = at + LENGTH
-            check, data = bytes(self.buffer[start : start + CHECK]), bytes(self.buffer[start + CHECK : start + length])
+            check = bytes(self.buffer[start : start + CHECK])
+            data = bytes(self.buffer[start + CHECK : start + length])
             if blake2b(data, digest_size=CHECK, key=self.key).digest() != check:
                 raise ValueError("damaged, or of another fleet")
             try:
--- a/basalthoist/fleet/register.py
+++ b/basalthoist/fleet/register.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-Kind = Literal["ban", "sick", "customer", "quota"]
+Kind = Literal["ban", "sick", "customer", "quota", "head"]  # head: of distribution/, docs/distribution.md
 KEPT = 64  # changes of so many versions are kept for those that are behind
 PIECE = 1024  # bytes of a whole set in a datagram
 WINDOW = 16  # pieces asked for at once
