--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -424,6 +424,7 @@
         self.parts_for: set[str] = set()  # whose word it is: an operator's, or that of a view gone stale
         self.may_send: Callable[[], bool] = lambda: True
         self.shut: set[bytes] = set()  # customers that the fleet has shut out
+        self.customer_no = lambda name: self.customers.get(name) if self.customers else 0
         self.drained: asyncio.Future = loop.create_future()
         descriptors.makers_of_room.append(self.close_idlest)
         timers.every(SWEEP, self.sweep)
@@ -455,13 +456,12 @@
             raise BadMessage(400, "not one Request-Id")
         number, route = self.routes[first]
         customer = message.get(b"tenant")
-        if self.customers and customer not in self.customers:
+        if (customer_no := self.customer_no(customer)) is None:
             raise BadMessage(400, "unknown Tenant")  # or none named, which would pass by every share
         if customer in self.shut:
             raise BadMessage(403, "customer shut out")
         if not self.may_send():
             return client.answer(503, [(b"retry-after", b"1")])
-        customer_no = self.customers[customer] if self.customers else 0
         again = message.get(b"client-retry") == b"1"
         spilled = links is not None and message.get(b"site-hops") is not None
         if spilled and not links.sites.accepts(self.hops(message)):
