--- a/basalthoist/__main__.py
+++ b/basalthoist/__main__.py
@@ -30,12 +30,19 @@
 
     import uvloop
 
-    from .configuration import ConfigurationError, load, load_fleet, load_gateway, load_jsonrpc
+    from .configuration import (
+        ConfigurationError,
+        load,
+        load_distribution,
+        load_fleet,
+        load_gateway,
+        load_jsonrpc,
+    )
 
     hangups.clear()
     try:
         configuration = load()
-        others = load_gateway(), load_jsonrpc(configuration), load_fleet(configuration)
+        others = load_gateway(), load_jsonrpc(configuration), load_fleet(configuration), load_distribution()
     except ConfigurationError as wrong:
         print(f"basalthoist: configuration: {wrong}", file=sys.stderr)
         return 2
--- a/basalthoist/commands/line.py
+++ b/basalthoist/commands/line.py
@@ -55,6 +55,28 @@
     sys.exit(serve_by(made))
 
 
+@main.command()
+@click.argument("file", type=click.Path(path_type=Path))
+def relay(file: Path) -> None:
+    """Run a machine set aside for control by FILE, TOML: a relay, and where it votes an author."""
+    import os
+
+    import uvloop
+
+    from basalthoist.configuration import ConfigurationError, load_relay
+
+    try:
+        told = load_relay(str(file))
+    except ConfigurationError as wrong:
+        fail(f"configuration: {wrong}")
+    from basalthoist.net.relaying import run
+
+    try:
+        uvloop.run(run(told, os.environ.get("TMPDIR", "")))
+    except OSError as wrong:
+        fail(wrong, FAILED)
+
+
 @main.command()
 @click.argument("configuration", type=click.Path(path_type=Path), required=False)
 @click.option("--reference", is_flag=True, help="Print the page that lists every key instead.")
--- a/basalthoist/commands/reference.py
+++ b/basalthoist/commands/reference.py
@@ -27,6 +27,13 @@
     ("`sites[]` in the gateway's file", configuration.Site),
     ("The file of the JSON-RPC front, named by `PROXY_JSONRPC`, TOML", configuration.JsonRpcDocument),
     ("The fleet's file, named by `PROXY_FLEET`, TOML", configuration.FleetDocument),
+    ("The distribution's file, named by `PROXY_DISTRIBUTION` or `relay FILE`, TOML",
+     configuration.DistributionDocument),
+    ("`voters` in it", configuration.Voter),
+    ("What is distributed: `route`, microseconds", configuration.RouteBody),
+    ("`tenant`", configuration.TenantBody), ("`backends`", configuration.BackendsBody),
+    ("`limit`", configuration.LimitBody), ("`verdict`", configuration.VerdictBody),
+    ("`relay`", configuration.RelayBody),
 )  # fmt: skip
 
 
--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -284,6 +284,195 @@
     return wrong_among(entries, present, catalogue, Route, LimitDocument)
 
 
+class Voter(msgspec.Struct, forbid_unknown_fields=True):
+    """A machine that votes on who is author: its address for connections and that for the register."""
+
+    address: str
+    register: str
+
+
+class DistributionDocument(msgspec.Struct, forbid_unknown_fields=True):
+    """The file that PROXY_DISTRIBUTION or `relay FILE` names. docs/distribution.md."""
+
+    fleet: Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9-]+$")]
+    role: Literal["node", "relay"] = "node"
+    region: str = ""
+    seeds: list[str] = []  # of a node: addresses of relays to begin with
+    scopes: list[Annotated[str, msgspec.Meta(min_length=1)]] = []  # of a node: the services it fronts
+    name: str = ""  # of a relay
+    listen: str = ""  # of a relay: where nodes and other relays come
+    admin: str = ""  # of a relay: the operators' door
+    voters: dict[str, Voter] = {}  # for a relay; one that stands among them votes, and may be author
+    touch_s: Seconds = 1.0  # between two touches, by which a view stays fresh
+    fresh_s: Seconds = 2.5  # a relay whose view stays older is left
+    stale_s: Seconds = 4.0  # at this age at the latest a node knows that its view is stale
+    when_stale: Literal["stand_by", "serve"] = "stand_by"
+    silent_s: Seconds = 2.0  # a connection on which nothing comes for as long is left
+    idle_s: Seconds = 300.0  # a tenant to which nothing came for as long goes again
+    drift: Annotated[float, msgspec.Meta(ge=0, le=0.1)] = 0.001  # how far a clock's rate may be off
+    answer_s: Seconds = 6.0  # how long an operator's call is tried
+    batch_s: Seconds = 0.1  # between two changes; what comes meanwhile goes together
+    wait_most_s: Seconds = 1.5  # before another relay is tried, at most
+    sessions_per_s: Count = 200  # new ones that a relay takes
+    snapshot_bytes_per_s: Count = 16 * 1024 * 1024  # that a relay sends
+    waiting_bytes: Count = 1024 * 1024  # unsent to a session, beyond a snapshot, before it is ended
+    history_bytes: Count = 8 * 1024 * 1024  # of changes, for those that are behind
+    keep_s: Seconds = 30.0  # between two writings of a relay's file, and 1 s at a node
+    tenants: Count = 2_000  # held at a node
+    usual_quota: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 10.0  # until a tenant's is known
+    lease_s: Seconds = 2.0  # of the register, as in the fleet's file
+    beat_s: Seconds = 0.2
+
+    def bounds(self):
+        from .distribution.bounds import Bounds
+
+        def tenths(seconds: float) -> int:
+            return int(seconds * 10_000)
+
+        return Bounds(
+            touch=tenths(self.touch_s), fresh=tenths(self.fresh_s), stale=tenths(self.stale_s),
+            silent=tenths(self.silent_s), drift=self.drift, strict=self.when_stale == "stand_by",
+            answer=tenths(self.answer_s), batch=tenths(self.batch_s), wait_most=tenths(self.wait_most_s),
+            sessions_per_s=self.sessions_per_s, snapshot_bytes_per_s=self.snapshot_bytes_per_s,
+            waiting=self.waiting_bytes, history=self.history_bytes, tenants=self.tenants,
+            idle=tenths(self.idle_s),
+        )  # fmt: skip
+
+    def register(self) -> FleetDocument:
+        """The register that the voters keep: its set is the head of the catalogue."""
+        nodes = {name: voter.register for name, voter in self.voters.items()}
+        times = {"lease_s": self.lease_s, "beat_s": self.beat_s, "drift": self.drift}
+        return FleetDocument(self.fleet, nodes, sorted(nodes), **times)
+
+
+def load_distribution(environment: Mapping[str, str] = os.environ) -> DistributionDocument | None:
+    """Of a node."""
+    told = read_toml("PROXY_DISTRIBUTION", DistributionDocument, environment)
+    return None if told is None else checked_distribution(environment["PROXY_DISTRIBUTION"], told, "node")
+
+
+def load_relay(path: str) -> DistributionDocument:
+    told = read_toml("FILE", DistributionDocument, {"FILE": path})
+    return checked_distribution(path, told, "relay")
+
+
+def checked_distribution(path: str, told: DistributionDocument, role: str) -> DistributionDocument:
+    def refuse(key: str, expected: str, got: object) -> None:
+        raise ConfigurationError(f"{path}: {key}: expected {expected}, got {got}")
+
+    if told.role != role:
+        refuse("role", repr(role), repr(told.role))
+    for number, seed in enumerate(told.seeds):
+        address(f"{path}: seeds[{number}]", seed)
+    if role == "node" and not told.seeds:
+        refuse("seeds", "addresses of relays", "none")
+    if role == "relay":
+        if not told.name:
+            refuse("name", "this relay's name", "none")
+        address(f"{path}: listen", told.listen)
+        if told.admin:
+            address(f"{path}: admin", told.admin)
+        if not told.voters:
+            refuse("voters", "machines that vote on who is author", "none")
+        taken = {}
+        for name, voter in told.voters.items():
+            for key in ("address", "register"):
+                at = key, address(f"{path}: voters.{name}.{key}", getattr(voter, key))
+                # Guards against two voters that would answer for one another.
+                if at in taken:
+                    refuse(f"voters.{name}.{key}", "an address of its own", f"that of {taken[at]}")
+                taken[at] = name
+        own = told.voters.get(told.name)
+        if own is not None and own.address != told.listen:
+            refuse("listen", f"{own.address}, as among voters", told.listen)
+        if told.lease_s < 4 * told.beat_s:
+            refuse("beat_s", f"at most a quarter of lease_s, {told.lease_s / 4:g}", told.beat_s)
+    if told.fresh_s < 2 * told.touch_s:
+        refuse("fresh_s", f"at least two touches, {2 * told.touch_s:g}", told.fresh_s)
+    if told.stale_s < told.fresh_s:
+        refuse("stale_s", f"at least fresh_s, {told.fresh_s:g}", told.stale_s)
+    if told.silent_s < 2 * told.touch_s:
+        refuse("silent_s", f"at least two touches, {2 * told.touch_s:g}", told.silent_s)
+    return told
+
+
+class ServiceBody(msgspec.Struct, forbid_unknown_fields=True):
+    """What is distributed of a service; its routes and backends are entries of its scope."""
+
+
+class RouteBody(msgspec.Struct, forbid_unknown_fields=True):
+    """As in a file's `settings.routes[]`, microseconds."""
+
+    overall_timeout: Annotated[int, msgspec.Meta(ge=0, le=10**10)] = 0
+    latency_objective: Annotated[int, msgspec.Meta(ge=0, le=10**10)] = 0
+    value: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 1.0
+
+
+class TenantBody(msgspec.Struct, forbid_unknown_fields=True):
+    quota_per_s: Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+
+
+class BackendsBody(msgspec.Struct, forbid_unknown_fields=True):
+    members: list[str]
+
+
+class LimitBody(msgspec.Struct, forbid_unknown_fields=True):
+    rate: Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+    burst: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 10.0
+
+
+class VerdictBody(msgspec.Struct, forbid_unknown_fields=True):
+    """`ban`: a backend is left out; `customer`: a customer is shut out."""
+
+    kind: Literal["ban", "customer"]
+    subject: Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class RelayBody(msgspec.Struct, forbid_unknown_fields=True):
+    address: str
+    region: str = ""
+
+
+BODIES = {"service": ServiceBody, "route": RouteBody, "tenant": TenantBody, "backends": BackendsBody,
+          "limit": LimitBody, "verdict": VerdictBody, "relay": RelayBody}  # fmt: skip
+
+
+def wrong_with(entries, present, catalogue) -> str:
+    """Why a change can't be distributed, naming the key, or nothing. `present`: an entry as it will be."""
+    coming = {entry.key: entry.on for entry in entries}
+    for entry in entries:
+        scoped = entry.kind in ("route", "backends")
+        key = f"{entry.kind}/{entry.scope}/{entry.name}" if scoped else f"{entry.kind}/{entry.name}"
+        if not entry.name or not entry.name.isascii() or not entry.name.isprintable() or " " in entry.name:
+            return f"{key}: name: expected printable ASCII without spaces"
+        if not entry.on:
+            if present(entry.key) is None:
+                return f"{key}: there is none"
+            left = catalogue.scopes.get(entry.name, {}).keys() - coming.keys()
+            if entry.kind == "service" and left:
+                return f"{key}: it still has routes or backends"
+            continue
+        try:
+            body = msgspec.convert(entry.body, BODIES[entry.kind])
+            if entry.kind == "relay":
+                address_of(body.address)
+            for member in body.members if entry.kind == "backends" else ():
+                address_of(member)
+        except (msgspec.ValidationError, ValueError) as wrong:
+            return f"{key}: {wrong}"
+        service = ("service", entry.scope)
+        if scoped and not coming.get(service, present(service) is not None):
+            return f"{key}: scope: no service {entry.scope!r}"
+        own = entry.name if entry.kind == "service" else ""
+        if not scoped and entry.scope != own:
+            return f"{key}: scope: expected {own!r}, got {entry.scope!r}"
+        old = present(entry.key)
+        # Guards against a name that would move from one service to another under those that serve it.
+        if old is not None and old.scope != entry.scope:
+            return f"{key}: scope: expected {old.scope!r}, as it stands"
+    return ""
+
+
 def load_fleet(configuration: Configuration, environment: Mapping[str, str] = os.environ):
     told = read_toml("PROXY_FLEET", FleetDocument, environment)
     if told is None:
--- /dev/null
+++ b/basalthoist/net/entries.py
@@ -0,0 +1,44 @@
+"""Entries of the catalogue from a file in `$TMPDIR`, and from what an operator writes."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from basalthoist.distribution.catalogue import Catalogue, Entry
+from basalthoist.distribution.store import from_bytes
+
+
+def read_kept(path: Path | None, tag: str, log: Callable[[str], None]) -> Catalogue | None:
+    if path is None:
+        return None
+    try:
+        found = from_bytes(tag, path.read_bytes())
+        if found is None:
+            # Guards against a torn file, or another's: it costs time, not truth.
+            log(f"distribution: {path} not used: damaged, or of another fleet")
+        return found
+    except FileNotFoundError:
+        return None
+    except OSError as wrong:
+        log(f"distribution: {path} not read: {wrong}")
+        return None
+
+
+def entry_of(subject: str, text: str | None) -> Entry | str:
+    """From KIND/NAME, or KIND/SERVICE/NAME for what belongs to a service, and JSON; or what is wrong."""
+    kind, _, rest = subject.partition("/")
+    scope, slash, name = rest.partition("/")
+    if not slash:
+        scope, name = ("" if kind != "service" else rest), rest
+    body = {}
+    if text is not None:
+        try:
+            body = msgspec.json.decode(text, type=dict)
+        except (msgspec.DecodeError, msgspec.ValidationError) as wrong:
+            return f"{subject}: {wrong}"
+    try:
+        return msgspec.convert([kind, name, scope, body, text is not None], Entry)
+    except msgspec.ValidationError:
+        kinds = "service, route, tenant, backends, limit, verdict, relay"
+        return f"{subject}: expected KIND/NAME or KIND/SERVICE/NAME, KIND one of {kinds}"
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -291,10 +291,13 @@
         self.report(self.node.on_maintenance, name, banned)
         self.upstream.rest_connections(name)
 
-    def on_quota(self, customer: int, quota: float) -> None:
-        """Exchanges a second over the fleet."""
+    def on_quota(self, customer: int, quota: float | None) -> None:
+        """Exchanges a second over the fleet; None: that customer comes here no more."""
         self.report(self.node.on_quota, customer, quota)
 
+    def on_route(self, route: int, objective: int, timeout: int, value: float) -> None:
+        self.report(self.node.on_route, route, objective, timeout, value)
+
     def on_limit(self, customer: int, limit) -> None:
         # Not by `report`: a shadow that asked too would use up what its node may let in.
         self.node.on_limit(now(), customer, limit)
--- /dev/null
+++ b/basalthoist/net/relaying.py
@@ -0,0 +1,307 @@
+"""A machine set aside for control: `python -m basalthoist relay FILE`. A store, its connection to the author,
+the sessions of nodes; where it votes, the register's replica and a publisher as well. docs/distribution.md.
+
+What is decided is decided in `distribution/` and `fleet/`; here words are carried.
+"""
+
+import asyncio
+import errno
+import os
+import resource
+import socket
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+
+from basalthoist.configuration import DistributionDocument, address_of, wrong_with
+from basalthoist.decisions.chance import Lcg
+from basalthoist.distribution.catalogue import Catalogue, Entry
+from basalthoist.distribution.feed import Feed
+from basalthoist.distribution.publisher import Publisher
+from basalthoist.distribution.register_head import RegisterHead
+from basalthoist.distribution.relay import Relay
+from basalthoist.distribution.store import Store, to_bytes
+from basalthoist.distribution.wire import MOST_BYTES, Answer, Call, Hello, Packed, Word, key_of
+from basalthoist.fleet.register import Held
+from basalthoist.fleet.replica import Replica
+
+from .admin import Admin
+from .beside import Beside
+from .entries import entry_of, read_kept
+from .log import Log
+from .members import family_of
+from .register import Register
+from .streams import Opening, Stream, safely
+from .timers import SECOND, Timers, awake_or_not
+from .whole import put_whole
+
+TICK = SECOND // 20
+FROM_NODE = 4 * 1024 * 1024  # bytes of a frame: what it demands, or an operator's call
+RESERVE = 48  # descriptors
+LINE_S = 5.0  # a caller at the operators' door has to end its line
+BIND_S = 5.0  # how long an address may still be held by a process before this one
+
+
+class Voting(Register):
+    """The register's replica. `stirred` is told after whatever came to it."""
+
+    def __init__(self, told: DistributionDocument, folder: str, timers: Timers, log: Log, aside,
+                 stirred: Callable[[], None]) -> None:  # fmt: skip
+        register = told.register()
+        bounds, at = register.bounds(), awake_or_not()
+        super().__init__(register, told.name, folder, bounds, timers, log, aside)
+        self.stirred, voters = stirred, sorted(register.voters)
+        self.replica = Replica(self, told.name, voters, voters, bounds, self.chance, at, self.read())
+
+    def tick(self) -> None:
+        self.replica.on_tick(awake_or_not())
+        self.stirred()
+
+    def look(self, at: int) -> None:
+        self.stirred()
+
+    def act(self, held: Held) -> None:
+        pass  # the publisher reads the head where it stands
+
+    def answered(self, ident: int, text: str) -> None:
+        pass  # operators call the publisher
+
+    def sick(self) -> list[str]:
+        return []
+
+    def listed(self) -> int:
+        return 0
+
+
+class Up(Opening):
+    """Towards the author: host of the feed."""
+
+    def __init__(self, machine: "Machine") -> None:
+        super().__init__(machine.loop, machine.key, self, MOST_BYTES)
+        self.machine, self.counted, self.log = machine, machine.counted, machine.log
+
+    def connect(self, address: str) -> None:
+        super().connect(address_of(address))
+
+    def opened(self, stream: Stream) -> None:
+        if stream is self.stream:
+            self.machine.feed.on_connected(awake_or_not())
+
+    def heard(self, stream: Stream, word: Word) -> None:
+        if stream is self.stream:
+            safely(self.machine.feed.on_word, self.log, awake_or_not(), word)
+
+    def ended(self, stream: Stream, why: str) -> None:
+        if stream is self.stream:
+            self.close()
+            self.machine.feed.on_lost(awake_or_not())
+
+    def state(self) -> tuple[int, int, int, int]:
+        return self.machine.relay.state(awake_or_not())
+
+    def answered(self, ident: int, text: str) -> None:
+        caller = self.machine.callers.pop(ident, None)
+        if caller is not None:
+            caller(text)
+
+
+class Machine:
+    """Host of relay and publisher, and owner of the connections that come."""
+
+    def __init__(self, told: DistributionDocument, loop, folder: str) -> None:
+        self.told, self.loop, self.bounds, self.key = told, loop, told.bounds(), key_of(told.fleet)
+        self.log = Log(told.name, 50)
+        self.timers, self.aside = Timers(loop, self.log), Beside(loop)
+        self.path = Path(folder) / "distribution.msgpack" if folder else None
+        self.sessions: dict[int, tuple[Stream, Relay | Publisher | None]] = {}
+        self.numbers: dict[Stream, int] = {}
+        self.last, self.tag = 0, told.fleet
+        self.callers: dict[int, Callable[[str], None]] = {}
+        self.last_call = int.from_bytes(os.urandom(5), "big") << 20
+        allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self.most_open = allowed - RESERVE if allowed != resource.RLIM_INFINITY else 1 << 20
+        life, now = int.from_bytes(os.urandom(7), "big"), awake_or_not()
+        self.store = Store(self.bounds.history, self.read())
+        self.kept, self.keeping = self.store.version, False
+        self.relay = Relay(self, told.name, life, self.bounds, self.store, now)
+        self.up = Up(self)
+        voters = {name: voter.address for name, voter in told.voters.items()}
+        chance, addresses = Lcg(int.from_bytes(os.urandom(7), "big")), list(voters.values())
+        who = told.name, life, told.region
+        self.feed = Feed(self.up, *who, addresses, self.bounds, self.store, chance, now)
+        self.voting, self.publisher, self.server, self.admin = None, None, None, None
+        if told.name in voters:
+            self.voting = Voting(told, folder, self.timers, self.log, self.aside, self.stirred)
+            self.publisher = Publisher(self, RegisterHead(self.voting.replica), told.name, life, voters,
+                                       self.bounds, self.store, wrong_with)  # fmt: skip
+        if told.admin:
+            calls_on = {"config-drop": self.drop}
+            self.admin = Admin({}, calls_on, self.timers, self.log, LINE_S)
+            self.admin.calls_fleet["config-status"] = lambda answer: self.call([], answer)
+            self.admin.calls_with["config-set"] = self.set
+        self.timers.every(TICK, self.tick)
+        self.timers.every(int(told.keep_s * SECOND), self.keep)
+
+    # Time.
+
+    def tick(self) -> None:
+        now = awake_or_not()
+        if self.voting is not None:
+            self.voting.tick()
+        safely(self.feed.on_tick, self.log, now)
+        safely(self.relay.on_tick, self.log, now)
+
+    def stirred(self) -> None:
+        if self.publisher is not None:
+            safely(self.publisher.on_register, self.log, awake_or_not())
+
+    # Connections that come.
+
+    def opened(self, stream: Stream) -> None:
+        # Guards against EMFILE, at which nobody could be told anything any more.
+        if len(self.sessions) >= self.most_open:
+            return stream.close("no descriptors left", at_once=True)
+        self.last += 1
+        self.sessions[self.last], self.numbers[stream] = (stream, None), self.last
+
+    def heard(self, stream: Stream, word: Word) -> None:
+        number, now = self.numbers.get(stream), awake_or_not()
+        if number is None:
+            return
+        _, role = self.sessions[number]
+        if role is None:
+            role = self.relay if getattr(word, "role", "") == "node" else self.publisher
+            # Guards against one that has not said who it is, and relays that take this for a voter.
+            if type(word) is not Hello or role is None:
+                return stream.close("no word of one that may come here", at_once=True)
+            self.sessions[number] = stream, role
+            stream.frames.most = FROM_NODE if role is self.relay else MOST_BYTES
+            safely(role.on_hello, self.log, now, number, word)
+        elif type(word) is Call and role is self.relay:
+            self.call(word.entries, lambda text: stream.send(Answer(word.ident, text)))
+        else:
+            safely(role.on_word, self.log, now, number, word)
+
+    def ended(self, stream: Stream, why: str) -> None:
+        number = self.numbers.pop(stream, None)
+        _, role = self.sessions.pop(number, (None, None))
+        if role is not None:
+            safely(role.on_ended, self.log, awake_or_not(), number)
+
+    # The host's side.
+
+    def send(self, session: int, word: Word | Packed) -> None:
+        if session in self.sessions:
+            self.sessions[session][0].send(word)
+
+    def waiting(self, session: int) -> int:
+        return self.sessions[session][0].waiting() if session in self.sessions else 0
+
+    def end(self, session: int, why: str) -> None:
+        if session in self.sessions:
+            self.sessions[session][0].close(why)
+
+    def age(self, now: int) -> int:
+        return self.feed.age(now)
+
+    def most(self) -> int:
+        return self.feed.most
+
+    def all_there(self, now: int) -> None:
+        if self.feed.up:
+            self.feed.touch(now)
+
+    def counted(self, entries: list[Entry]) -> None:
+        self.relay.on_counted(awake_or_not(), entries)
+
+    # Operators.
+
+    def call(self, entries: list[Entry], answer: Callable[[str], None]) -> None:
+        self.last_call += 1
+        self.callers[self.last_call] = answer
+        self.feed.on_call(awake_or_not(), self.last_call, entries)
+
+    def set(self, subject: str, text: str, answer: Callable[[str], None]) -> None:
+        entry = entry_of(subject, text)
+        self.call([entry], answer) if isinstance(entry, Entry) else answer(entry)
+
+    def drop(self, subject: str, answer: Callable[[str], None]) -> None:
+        entry = entry_of(subject, None)
+        self.call([entry], answer) if isinstance(entry, Entry) else answer(entry)
+
+    # The file.
+
+    def keep(self) -> None:
+        """Written aside; one at a time. A hint: what stands in it is proven by a digest or not used."""
+        if self.path is None or self.keeping or self.kept == self.store.version:
+            return
+        version, entries, digest = self.store.version, self.store.catalogue.all(), self.store.digest
+        self.keeping, self.kept = True, version
+
+        def write() -> str:
+            return put_whole(self.path, to_bytes(self.tag, version, entries, digest), synced=True)
+
+        self.aside(write, partial(self.written, version))
+
+    def written(self, version: int, wrong: str) -> None:
+        self.keeping = False
+        if wrong:
+            self.kept = -1
+            self.log(f"distribution: version {version} not kept: {wrong}")
+
+    def read(self) -> Catalogue | None:
+        return read_kept(self.path, self.tag, self.log)
+
+    # Beginning and end.
+
+    async def serve(self, until: asyncio.Future) -> None:
+        host, port = address_of(self.told.listen)
+        made = partial(Stream, self.loop, self.key, self)
+        self.server = await patient(lambda: self.loop.create_server(made, host, port, backlog=1024))
+        if self.voting is not None:
+            await patient(lambda: self.datagrams(self.voting.addresses[self.told.name]))
+        if self.admin is not None:
+            await patient(lambda: self.admin.listen(self.loop, address_of(self.told.admin)))
+        self.log(f"relay on {host}:{port}, version {self.store.version}")
+        await until
+        self.server.close()
+        self.up.close()
+        for stream, _ in list(self.sessions.values()):
+            stream.close("the relay ends")
+        if self.voting is not None:
+            self.voting.close()
+        if self.admin is not None:
+            self.admin.close()
+        self.keep()
+        await self.aside.settle(2.0)
+
+    async def datagrams(self, own: tuple[str, int]) -> None:
+        sock = socket.socket(family_of(own), socket.SOCK_DGRAM)
+        try:
+            sock.setblocking(False)
+            sock.bind(own)
+            await self.loop.create_datagram_endpoint(lambda: self.voting, sock=sock)
+        except OSError:
+            sock.close()
+            raise
+
+
+async def patient(listens):
+    for left in range(int(BIND_S * 20), -1, -1):
+        try:
+            return await listens()
+        except OSError as wrong:
+            # Guards against a process before this one that has not yet let go of the address.
+            if wrong.errno != errno.EADDRINUSE or not left:
+                raise
+        await asyncio.sleep(0.05)
+
+
+async def run(told: DistributionDocument, folder: str) -> None:
+    import signal
+
+    loop = asyncio.get_running_loop()
+    until = loop.create_future()
+    for name in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(name, lambda: until.done() or until.set_result(None))
+    await Machine(told, loop, folder).serve(until)
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -28,7 +28,7 @@
 
 class Service:
     def __init__(self, configuration: Configuration, loop: asyncio.AbstractEventLoop, gateway=None,
-                 jsonrpc=None, fleet=None) -> None:  # fmt: skip
+                 jsonrpc=None, fleet=None, distribution=None) -> None:  # fmt: skip
         limits = configuration.limits
         self.configuration, self.loop, self.limits = configuration, loop, limits
         self.log = Log(configuration.name, limits.log_lines_per_s)
@@ -44,7 +44,8 @@
         self.aside = Beside(loop)
         self.peers_wait, self.joining = False, None
         self.first_ready: asyncio.Future = loop.create_future()
-        self.bans, self.fleet = Bans(self.exchanges.on_maintenance), None
+        self.bans, self.fleet, self.distribution = Bans(self.exchanges.on_maintenance), None, None
+        self.shut: dict[str, set[str]] = {}  # customers, and by whose word
         if configuration.admin is not None:
             self.open_admin(configuration)
         loop.set_exception_handler(self.unforeseen)
@@ -55,6 +56,8 @@
             self.open_front(jsonrpc)
         if fleet is not None:
             self.open_fleet(fleet)
+        if distribution is not None:
+            self.open_distribution(distribution)
 
     def open_admin(self, configuration: Configuration) -> None:
         """The operators' door and what can be asked for there."""
@@ -89,7 +92,8 @@
         def rests() -> bool:
             return self.door.parting and not self.door.clients
 
-        self.fleet = Fleet(told, self.configuration, self.timers, self.log, self.bans, self.door.shut_out,
+        shut_out = partial(self.shut_out, "fleet")
+        self.fleet = Fleet(told, self.configuration, self.timers, self.log, self.bans, shut_out,
                            self.exchanges, stands_by, self.aside, rests)  # fmt: skip
         self.exchanges.may_send = self.door.may_send = self.fleet.may_send
         if self.admin is not None:
@@ -102,6 +106,29 @@
                 self.admin.calls_on[call] = partial(self.call_fleet, kinds, on)
             self.admin.calls_with["fleet-set-quota"] = self.set_quota
 
+    def open_distribution(self, told) -> None:
+        """Configuration in versions. Its modules are loaded only where a file names it."""
+        from .distribution import WORD, Distribution
+
+        def stands_by(stale: bool) -> None:
+            (self.door.stand_by if stale else self.door.be_active)(WORD)
+
+        made = self.distribution = Distribution(
+            told, self.configuration, self.loop, self.timers, self.log, self.bans,
+            partial(self.shut_out, WORD), self.exchanges, self.door, stands_by, self.aside, self.descriptors,
+        )  # fmt: skip
+        before = self.exchanges.may_send
+        self.exchanges.may_send = self.door.may_send = lambda: made.may_act() and before()
+        if self.admin is not None:
+            self.admin.calls["config-here"] = made.here
+            self.admin.calls_fleet["config-status"] = made.status
+            self.admin.calls_on["config-drop"] = made.drop
+            self.admin.calls_with["config-set"] = made.set
+
+    def shut_out(self, word: str, names: set[str]) -> None:
+        self.shut[word] = names
+        self.door.shut_out(set().union(*self.shut.values()))
+
     def call_fleet(self, kinds: tuple[str, ...], on: bool, subject: str, answer: Callable[[str], None],
                    figure: float = 0.0) -> None:  # fmt: skip
         # Guards against a name mistyped, which would be a verdict on nobody.
@@ -200,6 +227,8 @@
             self.succession.close()
         if self.fleet is not None:
             self.fleet.close()
+        if self.distribution is not None:
+            self.distribution.close()
         if self.exchanges.shadow is not None:
             self.log(self.exchanges.shadow.line())
         self.log("all answered")
@@ -263,7 +292,8 @@
         return "leaving" if self.door.leaving else " and ".join(self.reasons()) or "not ready yet"
 
     def reasons(self) -> list[str]:
-        words = {"operator": "standby", "fleet": "view of the fleet stale"}
+        words = {"operator": "standby", "fleet": "view of the fleet stale",
+                 "configuration": "view of the configuration stale"}
         return [words[word] for word in sorted(self.door.parts_for, reverse=True)]
 
     def stand_by(self) -> str:
