--- a/basalthoist/distribution/catalogue.py
+++ b/basalthoist/distribution/catalogue.py
@@ -50,6 +50,11 @@
     return (total % MODULUS).to_bytes(32, "big")
 
 
+def same(one: Entry | None, other: Entry) -> bool:
+    """Guards against bodies that are equal and yet not alike to a digest, as 1 and 1.0 are."""
+    return one == other and ENCODE(one) == ENCODE(other)
+
+
 class Catalogue:
     """Entries at a version. Those of tenants stand apart: in the digest of the whole, in no scope's."""
 
@@ -119,7 +124,7 @@
         found = []
         for entry in {entry.key: entry for entry in entries}.values():
             old = self.get(entry.key)
-            if entry.on and old != entry:
+            if entry.on and not same(old, entry):
                 found.append(entry)
             elif not entry.on and old is not None:
                 found.append(Entry(entry.kind, entry.name, old.scope, {}, False))
@@ -146,8 +151,7 @@
 
     def unlike(self, other: "Catalogue") -> list[Entry]:
         """What makes this one the other."""
-        found = [entry for entry in other.entries.values() if self.entries.get(entry.key) != entry]
-        found += [entry for entry in other.tenants.values() if self.tenants.get(entry.name) != entry]
+        found = [entry for entry in other.all() if not same(self.get(entry.key), entry)]
         for entry in [e for k, e in self.entries.items() if k not in other.entries]:
             found.append(Entry(entry.kind, entry.name, entry.scope, {}, False))
         found += [Entry(TENANT, name, on=False) for name in self.tenants if name not in other.tenants]
--- a/basalthoist/distribution/feed.py
+++ b/basalthoist/distribution/feed.py
@@ -30,6 +30,7 @@
     def close(self) -> None: ...
     def send(self, word: Word | Packed) -> None: ...
     def counted(self, entries: list[Entry]) -> None: ...  # the store has moved on
+    def proposed(self) -> None: ...  # the store holds a change that may count: `Store.step` goes to its file
     def answered(self, ident: int, text: str) -> None: ...  # to an operator here
     def state(self) -> tuple[int, int, int, int]: ...  # of the relay: least version, nodes, out, away
     def log(self, line: str) -> None: ...
@@ -108,7 +109,10 @@
         elif kind is Confirm:
             self.on_confirm(now, word)
         elif kind is Proposed:
+            held = store.ballot, store.stored
             if store.propose(word.ballot, word.change):
+                if held != (store.ballot, store.stored):
+                    self.host.proposed()
                 self.touch(now)
             elif store.version < word.change.version - 1:
                 self.want(now, store.version)
--- a/basalthoist/distribution/publisher.py
+++ b/basalthoist/distribution/publisher.py
@@ -38,6 +38,7 @@
     def send(self, session: int, word: Word | Packed) -> None: ...
     def end(self, session: int, why: str) -> None: ...
     def counted(self, entries: list[Entry]) -> None: ...  # the store here has moved on
+    def proposed(self) -> None: ...  # it holds a change that may count: `Store.step` goes to its file
     def log(self, line: str) -> None: ...
 
 
@@ -239,7 +240,7 @@
         """The same call may come several times: it is one change."""
         key = name, word.ident
         if not self.leads(now):
-            return self.answer(session, word.ident, "FAILURE no author here")
+            return  # it comes again, or its caller's time runs out
         if not word.entries:
             return self.answer(session, word.ident, f"SUCCESS {self.status(now)}")
         if any(call.key == key for call in self.waiting):
@@ -295,6 +296,7 @@
             self.laid = {}
             return
         self.store.propose(self.ballot, change)
+        self.host.proposed()
         word = Packed(Proposed(self.ballot, change))
         for session in self.known:
             self.host.send(session, word)
--- a/basalthoist/distribution/store.py
+++ b/basalthoist/distribution/store.py
@@ -9,7 +9,7 @@
 from .tenants import Filter
 from .wire import Delta, Names, Packed, Snapshot
 
-CHECK = 16
+LENGTH, CHECK = 4, 16
 MOST_CALLS = 1024  # operators' calls that are remembered
 
 
@@ -20,27 +20,58 @@
     version: int
     digest: bytes
     entries: list[Entry]
+    calls: list[tuple[str, int, int]] = []
+    ballot: int = 0
+    proposed: Change | None = None
+
+
+class Step(msgspec.Struct, array_like=True):
+    """Added to the file behind a snapshot, each behind its length and checksum: a change held since."""
+
+    ballot: int
+    change: Change
 
 
 ENCODE = msgspec.msgpack.Encoder().encode
 DECODE = msgspec.msgpack.Decoder(Kept).decode
+DECODE_STEP = msgspec.msgpack.Decoder(Step).decode
+
+
+def framed(data: bytes) -> bytes:
+    return len(data).to_bytes(LENGTH, "big") + blake2b(data, digest_size=CHECK).digest() + data
+
+
+def pieces(data: bytes) -> Iterable[bytes]:
+    """As many as are whole."""
+    at = 0
+    while at + LENGTH + CHECK <= len(data):
+        end = at + LENGTH + CHECK + int.from_bytes(data[at : at + LENGTH], "big")
+        piece = data[at + LENGTH + CHECK : end]
+        if blake2b(piece, digest_size=CHECK).digest() != data[at + LENGTH : at + LENGTH + CHECK]:
+            return
+        yield piece
+        at = end
 
 
 def to_bytes(fleet: str, version: int, entries: list[Entry], digest: bytes) -> bytes:
-    data = ENCODE(Kept(fleet, version, digest, entries))
-    return blake2b(data, digest_size=CHECK).digest() + data
+    """A node's, for `read`."""
+    return framed(ENCODE(Kept(fleet, version, digest, entries)))
 
 
-def from_bytes(fleet: str, data: bytes) -> Catalogue | None:
+def read(fleet: str, data: bytes) -> tuple[Catalogue, Kept] | None:
     """None for one that is torn, of another fleet, or not what its own digest says."""
-    if blake2b(data[CHECK:], digest_size=CHECK).digest() != data[:CHECK]:
-        return None
     try:
-        kept = DECODE(data[CHECK:])
+        kept = DECODE(next(iter(pieces(data)), b""))
     except (msgspec.DecodeError, RecursionError):
         return None
     made = Catalogue(kept.version, kept.entries)
-    return made if kept.fleet == fleet and made.digest() == kept.digest else None
+    return (made, kept) if kept.fleet == fleet and made.digest() == kept.digest else None
+
+
+def from_bytes(fleet: str, data: bytes) -> Catalogue | None:
+    """A node's hint."""
+    found = read(fleet, data)
+    return found[0] if found is not None else None
 
 
 class Store:
@@ -49,6 +80,7 @@
         self.digest = self.catalogue.digest()
         self.ballot, self.proposed = 0, None
         self.calls: dict[tuple[str, int], int] = {}  # the latest that are in what counts, and since when
+        self.jumped, self.tail = True, 0  # since it was written to disk
         self.filter: Filter | None = None
         self.packed: dict[tuple, Packed] = {}  # of the version that counts
         self.digests: dict[tuple[str, ...], bytes] = {}
@@ -110,6 +142,7 @@
             entries = self.catalogue.unlike(other)
         self.lay(entries, word.version)
         self.remember(word.calls)
+        self.jumped = True
         return entries
 
     def lay(self, entries: list[Entry], version: int) -> None:
@@ -190,5 +223,43 @@
         found = self.catalogue.tenants
         return [found.get(name) or Entry(TENANT, name, on=False) for name in names]
 
+    # On disk: a snapshot now and then, and behind it the changes held since.
+
     def to_bytes(self, fleet: str) -> bytes:
-        return to_bytes(fleet, self.version, self.catalogue.all(), self.digest)
+        calls, self.jumped, self.tail = self.recent(None), False, 0
+        kept = Kept(fleet, *self.head, self.catalogue.all(), calls, self.ballot, self.proposed)
+        return framed(ENCODE(kept))
+
+    def step(self) -> bytes:
+        """What `propose` took in last, to be added."""
+        made = framed(ENCODE(Step(self.ballot, self.proposed)))
+        self.tail += len(made)
+        return made
+
+    def to_be_saved(self) -> bool:
+        """What is on disk does not lead here any more, or by too long a way."""
+        return self.jumped or self.tail > self.history.most
+
+    @classmethod
+    def from_bytes(cls, fleet: str, data: bytes, most: int) -> "Store":
+        """Empty for one that is torn, of another fleet or not as its digest says; else as far as it is whole.
+
+        A change counted if a later one builds on it. The last one may, or not: a head tells."""
+        found = read(fleet, data)
+        made = cls(most, found[0] if found is not None else None)
+        if found is None:
+            return made
+        made.remember(found[1].calls)
+        if found[1].proposed is not None:
+            made.propose(found[1].ballot, found[1].proposed)
+        try:
+            for piece in list(pieces(data))[1:]:
+                step = DECODE_STEP(piece)
+                before = made.proposed
+                if before is not None and before.after == step.change.before:
+                    made.counts(before.version, before.after)
+                if not made.propose(step.ballot, step.change):
+                    break
+        except (msgspec.DecodeError, RecursionError):
+            pass
+        return made
--- a/basalthoist/emulator/distributed.py
+++ b/basalthoist/emulator/distributed.py
@@ -155,6 +155,9 @@
 
 
 class FeedHost(Up):
+    def proposed(self) -> None:
+        self.owner.proposed()
+
     def counted(self, entries: list[Entry]) -> None:
         self.owner.counted(entries)
 
@@ -175,10 +178,10 @@
         world, now = self.world, self.now()
         self.life, self.alive, self.frozen, self.inbox = self.life + 1, True, False, []
         self.links: dict[int, Link] = {}
-        hint = self.disk() if keeps else None
         self.disks = self.disks if keeps else []
         make, self.high = world.make_of, -1
-        self.store = make["store"](world.told.history, hint)
+        data = self.disks[-1] if self.disks else b""
+        self.store = make["store"].from_bytes(FLEET, data, world.told.history)
         self.relay = make["relay"](self, self.name, self.life, world.told, self.store, now)
         chance, self.up = Lcg(world.chance.getrandbits(60)), FeedHost(self)
         voters = list(world.voter_addresses.values())
@@ -264,9 +267,16 @@
     def counted(self, entries: list[Entry]) -> None:
         self.world.counted(self)
         self.relay.on_counted(self.now(), entries)
-        if self.world.chance.random() < self.world.kept:
+        # A file may be written from its beginning at any time.
+        if self.store.to_be_saved() or self.world.chance.random() < self.world.kept:
             self.disks = [*self.disks[-4:], self.store.to_bytes(FLEET)]
 
+    def proposed(self) -> None:
+        if self.disks and not self.store.to_be_saved():
+            self.disks = [*self.disks[-4:], self.disks[-1] + self.store.step()]
+        else:
+            self.disks = [self.store.to_bytes(FLEET)]
+
 
 class Node(Life, Up):
     """Host of a subscriber."""
@@ -327,6 +337,7 @@
                  check=None) -> None:  # fmt: skip
         self.told, self.make_of, self.machines, self.nodes = told, USUAL | (make or {}), {}, {}
         self.links: list[Link] = []
+        self.in_force = 0  # what operators were told
         self.numbers, self.kept, self.check = 0, 0.3, check or (lambda entries, present, catalogue: "")
         self.truth: dict[int, tuple[bytes, dict[str, int]]] = {0: (bytes(32), {})}
         self.counted_at: dict[int, int] = {0: 0}
@@ -456,7 +467,7 @@
     def answered(self, ident: int, text: str) -> None:
         self.answers.setdefault(ident, text)
         if text.startswith("SUCCESS version"):
-            self.sure = max(self.sure, int(text.split()[2]))
+            self.in_force = max(self.in_force, int(text.split()[2]))
             for node in self.nodes.values():
                 self.judge_node(node)
 
@@ -510,8 +521,8 @@
         if not node.alive or not self.told.strict or not made.may_act(node.now()):
             return
         version = made.version
-        if version < self.sure:
-            raise Broken(f"{node.name} may act on {version}, {self.sure} was said to be in force")
+        if version < self.in_force:
+            raise Broken(f"{node.name} may act on {version}, {self.in_force} was said to be in force")
         sums = self.truth[version][1]
         if made.digest() != as_bytes(sum(sums.get(scope, 0) for scope in made.scopes)):
             raise Broken(f"fork: {node.name} acts on another version {version}")
@@ -535,3 +546,126 @@
 
 def route(name: str, service: str, timeout: int = 1000, on: bool = True) -> Entry:
     return Entry("route", name, service, {"overall_timeout": timeout} if on else {}, on)
+
+
+class Storm:
+    """Faults by chance. Memory and disk are lost together by a minority of the voters at most, at once."""
+
+    def __init__(self, world: Distributed, faults: int, calls: float = 0.5) -> None:
+        self.world, self.faults, self.chance, self.part = world, faults, world.chance, calls
+        self.told: list[str] = []
+        self.last = 0
+
+    def blow(self) -> None:
+        """Raises Broken where a promise is not kept, also that all is well soon after the last fault."""
+        world, draw = self.world, self.chance
+        usual = world.delay
+        lives, gap_mean = [*world.by_name], draw.choice((0.7, 2.0, 5.0)) * world.bounds.lease
+        world.run(world.at + 4 * world.bounds.lease)
+        self.call()
+        kinds = ("kill", "die", "lose", "freeze", "freeze", "region", "alone", "alone", "torn", "reverted",
+                 "break", "slow", "zone")  # fmt: skip
+        for _ in range(self.faults):
+            gap = int(draw.expovariate(1 / gap_mean))
+            for _ in range(3):
+                world.run(world.at + gap // 3)
+                if draw.random() < self.part:
+                    self.call()
+            # Authors and relays are met more often than their number says.
+            name = draw.choice(lives)
+            if draw.random() < 0.5:
+                name = draw.choice([*world.voters, world.author() or world.voters[0]])
+            elif draw.random() < 0.5:
+                name = draw.choice([machine.name for machine in world.machines.values()])
+            kind, lasts = draw.choice(kinds), int(draw.choice((0.3, 1.0, 3.0)) * world.bounds.lease)
+            self.told.append(f"{world.at / 10_000:.2f} {kind} {name} for {lasts / 10_000:.2f}")
+            self.meet(kind, name, lasts, usual)
+        world.delay = usual
+        world.mend()
+        for name, life in world.by_name.items():
+            if not life.alive:
+                world.restart(name)
+            elif life.frozen:
+                world.wake(name)
+        world.run(world.at + 12 * world.bounds.lease + 4 * world.told.stale)
+        self.peace()
+
+    def peace(self) -> None:
+        world = self.world
+        top = max(world.truth)
+        able = [node.subscriber for node in world.nodes.values() if node.subscriber.may_act(node.now())]
+        held, author = {subscriber.version for subscriber in able}, world.author()
+        if not author or held != {top} or len(able) < len(world.nodes):
+            odd = f"author {author!r}, {len(able)} nodes, {sorted(held)} of {top}"
+            raise Broken(f"no peace after the storm: {odd}")
+        if top < world.in_force:
+            raise Broken(f"version {world.in_force} was acknowledged, {top} is left")
+
+    def call(self) -> None:
+        world, draw = self.world, self.chance
+        self.last += 1
+        at = draw.choice([machine.name for machine in world.machines.values()])
+        if self.last == 1:
+            entries = [*world.relay_entries, *(Entry("service", name, name) for name in world.services)]
+            entries += [tenant(f"t{number}", 1.0) for number in range(12)]
+        else:
+            entries = [route(f"x{draw.randrange(20)}", draw.choice(world.services), draw.randrange(9),
+                             draw.random() < 0.7) for _ in range(draw.randint(0, 3))]  # fmt: skip
+            entries += [tenant(f"t{draw.randrange(12)}", draw.randrange(9), draw.random() < 0.7)]
+        world.ask(at, self.last, entries)
+
+    def meet(self, kind: str, name: str, lasts: int, usual: tuple[int, int]) -> None:
+        world, draw = self.world, self.chance
+        life = world.by_name[name]
+        if kind in ("kill", "die", "lose", "torn", "reverted"):
+            keeps = kind != "lose" or not self.may_lose(name)
+            if isinstance(life, Node) and life.alive:
+                life.save()
+            world.kill(name, silent=kind == "die")
+            if kind == "torn" and life.disks and self.may_lose(name):
+                at = draw.randrange(len(life.disks[-1]))
+                data = life.disks[-1]
+                life.disks[-1] = data[:at] if draw.random() < 0.5 else data[:at] + b"?" + data[at + 1 :]
+            elif kind == "reverted" and life.disks and self.may_lose(name):
+                life.disks = life.disks[: draw.randint(1, len(life.disks))]
+            world.later(lasts, (self.back, name, life.life, keeps))
+        elif kind == "freeze" and life.alive:
+            world.freeze(name)
+            world.later(lasts, (world.wake, name))
+        elif kind == "region" and len(world.regions) > 1:
+            world.apart.add(frozenset(draw.sample(world.regions, 2)))
+            world.later(lasts, (world.mend,))
+        elif kind == "alone":
+            world.cut_off(name)
+            world.later(lasts, (world.let_in, name))
+        elif kind == "break":
+            for link in list(world.links):
+                if life in link.ends:
+                    link.broken()
+        elif kind == "slow":
+            world.delay = draw.choice((usual, (2, world.bounds.lease // 4), (2, world.bounds.lease)))
+        elif kind == "zone":
+            region = draw.choice(world.regions)
+            for node in world.nodes.values():
+                if node.region == region:
+                    world.kill(node.name)
+                    world.later(lasts, (self.back, node.name, node.life, draw.random() < 0.5))
+
+    def back(self, name: str, life: int, keeps: bool) -> None:
+        if self.world.by_name[name].life == life and not self.world.by_name[name].alive:
+            self.world.restart(name, keeps)
+
+    def may_lose(self, name: str) -> bool:
+        """Whether a minority at most is left without what counts, in the register and in the stores."""
+        world = self.world
+        if name not in world.voters:
+            return True
+        gone = [other for other in world.voters if other != name and not self.holds(other)]
+        return len(gone) + 1 <= (len(world.voters) - 1) // 2
+
+    def holds(self, name: str) -> bool:
+        replica, machine = self.world.fellows[name].replica, self.world.by_name[name]
+        stores = [other.store for other in self.world.machines.values()]
+        top = max(max(self.world.truth), *(store.stored for store in stores))
+        held = max(machine.store.version, machine.store.stored)
+        return replica is not None and replica.voter.sound and machine.alive and held >= top
