--- a/basalthoist/net/entries.py
+++ b/basalthoist/net/entries.py
@@ -9,22 +9,29 @@
 from basalthoist.distribution.store import from_bytes
 
 
-def read_kept(path: Path | None, tag: str, log: Callable[[str], None]) -> Catalogue | None:
-    if path is None:
-        return None
+def read_file(path: Path | None, log: Callable[[str], None]) -> bytes | None:
     try:
-        found = from_bytes(tag, path.read_bytes())
-        if found is None:
-            # Guards against a torn file, or another's: it costs time, not truth.
-            log(f"distribution: {path} not used: damaged, or of another fleet")
-        return found
+        return path.read_bytes() if path is not None else None
     except FileNotFoundError:
         return None
     except OSError as wrong:
+        # Guards against a disk that fails at the start: without its file it begins with nothing.
         log(f"distribution: {path} not read: {wrong}")
         return None
 
 
+def read_kept(path: Path | None, tag: str, log: Callable[[str], None]) -> Catalogue | None:
+    """What a node held."""
+    data = read_file(path, log)
+    if data is None:
+        return None
+    found = from_bytes(tag, data)
+    if found is None:
+        # Guards against a torn file, or another's: it costs time, not truth.
+        log(f"distribution: {path} not used: damaged, or of another fleet or other scopes")
+    return found
+
+
 def entry_of(subject: str, text: str | None) -> Entry | str:
     """From KIND/NAME, or KIND/SERVICE/NAME for what belongs to a service, and JSON; or what is wrong."""
     kind, _, rest = subject.partition("/")
--- a/basalthoist/net/relaying.py
+++ b/basalthoist/net/relaying.py
@@ -15,25 +15,25 @@
 
 from basalthoist.configuration import DistributionDocument, address_of, wrong_with
 from basalthoist.decisions.chance import Lcg
-from basalthoist.distribution.catalogue import Catalogue, Entry
+from basalthoist.distribution.catalogue import Entry
 from basalthoist.distribution.feed import Feed
 from basalthoist.distribution.publisher import Publisher
 from basalthoist.distribution.register_head import RegisterHead
 from basalthoist.distribution.relay import Relay
-from basalthoist.distribution.store import Store, to_bytes
+from basalthoist.distribution.store import Store
 from basalthoist.distribution.wire import MOST_BYTES, Answer, Call, Hello, Packed, Word, key_of
 from basalthoist.fleet.register import Held
 from basalthoist.fleet.replica import Replica
 
 from .admin import Admin
 from .beside import Beside
-from .entries import entry_of, read_kept
+from .entries import entry_of, read_file
 from .log import Log
 from .members import family_of
 from .register import Register
 from .streams import Opening, Stream, safely
 from .timers import SECOND, Timers, awake_or_not
-from .whole import put_whole
+from .whole import put_behind, put_whole
 
 TICK = SECOND // 20
 FROM_NODE = 4 * 1024 * 1024  # bytes of a frame: what it demands, or an operator's call
@@ -78,7 +78,8 @@
 
     def __init__(self, machine: "Machine") -> None:
         super().__init__(machine.loop, machine.key, self, MOST_BYTES)
-        self.machine, self.counted, self.log = machine, machine.counted, machine.log
+        self.machine, self.log = machine, machine.log
+        self.counted, self.proposed = machine.counted, machine.proposed
 
     def connect(self, address: str) -> None:
         super().connect(address_of(address))
@@ -121,8 +122,7 @@
         allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         self.most_open = allowed - RESERVE if allowed != resource.RLIM_INFINITY else 1 << 20
         life, now = int.from_bytes(os.urandom(7), "big"), awake_or_not()
-        self.store = Store(self.bounds.history, self.read())
-        self.kept, self.keeping = self.store.version, False
+        self.store, self.saved = Store.from_bytes(self.tag, self.read(), self.bounds.history), False
         self.relay = Relay(self, told.name, life, self.bounds, self.store, now)
         self.up = Up(self)
         voters = {name: voter.address for name, voter in told.voters.items()}
@@ -229,28 +229,32 @@
         entry = entry_of(subject, None)
         self.call([entry], answer) if isinstance(entry, Entry) else answer(entry)
 
-    # The file.
+    # The file: the store now and then, and behind it each change that is held since. Never proof: a head is.
 
-    def keep(self) -> None:
-        """Written aside; one at a time. A hint: what stands in it is proven by a digest or not used."""
-        if self.path is None or self.keeping or self.kept == self.store.version:
+    def proposed(self) -> None:
+        if self.path is None:
             return
-        version, entries, digest = self.store.version, self.store.catalogue.all(), self.store.digest
-        self.keeping, self.kept = True, version
-
-        def write() -> str:
-            return put_whole(self.path, to_bytes(self.tag, version, entries, digest), synced=True)
+        step = self.store.step()
+        if self.saved and not self.store.to_be_saved():
+            self.aside(partial(put_behind, self.path, step), self.written)
+        else:
+            self.keep()
 
-        self.aside(write, partial(self.written, version))
+    def keep(self) -> None:
+        """Written aside, one piece of work after the other."""
+        if self.path is not None and (self.store.to_be_saved() or not self.saved):
+            self.saved = True
+            data = self.store.to_bytes(self.tag)
+            self.aside(partial(put_whole, self.path, data, synced=True), self.written)
 
-    def written(self, version: int, wrong: str) -> None:
-        self.keeping = False
+    def written(self, wrong: str) -> None:
         if wrong:
-            self.kept = -1
-            self.log(f"distribution: version {version} not kept: {wrong}")
+            # Guards against a file that ends before what is behind it: it is written whole the next time.
+            self.saved = False
+            self.log(f"distribution: not kept: {wrong}")
 
-    def read(self) -> Catalogue | None:
-        return read_kept(self.path, self.tag, self.log)
+    def read(self) -> bytes:
+        return read_file(self.path, self.log) or b""
 
     # Beginning and end.
 
@@ -262,7 +266,7 @@
             await patient(lambda: self.datagrams(self.voting.addresses[self.told.name]))
         if self.admin is not None:
             await patient(lambda: self.admin.listen(self.loop, address_of(self.told.admin)))
-        self.log(f"relay on {host}:{port}, version {self.store.version}")
+        self.log(f"distribution: relay on {host}:{port}, version {self.store.version}")
         await until
         self.server.close()
         self.up.close()
--- a/basalthoist/net/whole.py
+++ b/basalthoist/net/whole.py
@@ -1,4 +1,4 @@
-"""Files in `$TMPDIR` that are written whole or not at all."""
+"""Files in `$TMPDIR`: written whole or not at all, or added to."""
 
 import os
 from contextlib import suppress
@@ -23,3 +23,15 @@
         with suppress(OSError):
             beside.unlink()
         return str(wrong)
+
+
+def put_behind(path: Path, data: bytes) -> str:
+    """At a file's end. Returns what went wrong, or nothing."""
+    try:
+        with open(path, "ab") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        return ""
+    except OSError as wrong:
+        return str(wrong)
