--- a/basalthoist/commands/line.py
+++ b/basalthoist/commands/line.py
@@ -8,6 +8,8 @@
 
 from basalthoist.emulator.scenario import ScenarioError
 
+from .distribute import distribute
+
 WRONG, FAILED = 2, 1
 
 
@@ -306,6 +308,9 @@
             fail(f"pair {result['pair']}: {result['ran_twice']} exchanges ran twice", FAILED)
 
 
+main.add_command(distribute)
+
+
 def say_result(result: dict) -> None:
     counts, broken = result["counts"], result["broken"]
     click.echo(f"{counts['offered']} requests: {counts['in_time']} in time, {counts['shed']} shed, "
--- a/basalthoist/net/relaying.py
+++ b/basalthoist/net/relaying.py
@@ -15,6 +15,7 @@
 
 from basalthoist.configuration import DistributionDocument, address_of, wrong_with
 from basalthoist.decisions.chance import Lcg
+from basalthoist.distribution.bounds import LONG
 from basalthoist.distribution.catalogue import Entry
 from basalthoist.distribution.feed import Feed
 from basalthoist.distribution.publisher import Publisher
@@ -116,7 +117,7 @@
         self.path = Path(folder) / "distribution.msgpack" if folder else None
         self.sessions: dict[int, tuple[Stream, Relay | Publisher | None]] = {}
         self.numbers: dict[Stream, int] = {}
-        self.last, self.tag = 0, told.fleet
+        self.last, self.tag, self.bytes_before = 0, told.fleet, (0, 0)  # bytes of connections that have ended
         self.callers: dict[int, Callable[[str], None]] = {}
         self.last_call = int.from_bytes(os.urandom(5), "big") << 20
         allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -136,7 +137,7 @@
                                        self.bounds, self.store, wrong_with)  # fmt: skip
         if told.admin:
             calls_on = {"config-drop": self.drop}
-            self.admin = Admin({}, calls_on, self.timers, self.log, LINE_S)
+            self.admin = Admin({"config-here": self.here}, calls_on, self.timers, self.log, LINE_S)
             self.admin.calls_fleet["config-status"] = lambda answer: self.call([], answer)
             self.admin.calls_with["config-set"] = self.set
         self.timers.every(TICK, self.tick)
@@ -185,6 +186,8 @@
     def ended(self, stream: Stream, why: str) -> None:
         number = self.numbers.pop(stream, None)
         _, role = self.sessions.pop(number, (None, None))
+        came, went = self.bytes_before
+        self.bytes_before = came + stream.bytes_in, went + stream.bytes_out
         if role is not None:
             safely(role.on_ended, self.log, awake_or_not(), number)
 
@@ -229,6 +232,20 @@
         entry = entry_of(subject, None)
         self.call([entry], answer) if isinstance(entry, Entry) else answer(entry)
 
+    def here(self) -> str:
+        """As this machine has it. Bytes are since it began."""
+        age, (came, went) = self.feed.age(awake_or_not()), self.traffic()
+        said = f"{age / SECOND:.1f} s old" if age < LONG else "never confirmed"
+        return (f"SUCCESS version {self.store.version} {said} by {self.feed.address or 'no author'}, "
+                f"{len(self.relay.sessions)} sessions, {came} bytes in {went} out")  # fmt: skip
+
+    def traffic(self) -> tuple[int, int]:
+        """Bytes in and out on connections so far."""
+        streams = [stream for stream, _ in self.sessions.values()]
+        came, went = self.up.traffic()
+        came += self.bytes_before[0] + sum(stream.bytes_in for stream in streams)
+        return came, went + self.bytes_before[1] + sum(stream.bytes_out for stream in streams)
+
     # The file: the store now and then, and behind it each change that is held since. Never proof: a head is.
 
     def proposed(self) -> None:
@@ -301,11 +318,11 @@
         await asyncio.sleep(0.05)
 
 
-async def run(told: DistributionDocument, folder: str) -> None:
+async def run(told: DistributionDocument, folder: str, make=Machine) -> None:
     import signal
 
     loop = asyncio.get_running_loop()
     until = loop.create_future()
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, lambda: until.done() or until.set_result(None))
-    await Machine(told, loop, folder).serve(until)
+    await make(told, loop, folder).serve(until)
