--- a/basalthoist/distribution/bounds.py
+++ b/basalthoist/distribution/bounds.py
@@ -18,6 +18,7 @@
     batch: int = 1_000  # between two changes; what comes meanwhile goes together
     wait: int = 1_000  # before another relay is tried, at most; it doubles with failures
     wait_most: int = 15_000
+    home: int = 600_000  # after about as long a node goes back to the relay that is first for it
     load: float = 1.25  # of its even part, what a relay takes
     load_least: int = 64  # sessions that it takes in any case
     sessions_per_s: int = 200  # new ones at a relay
--- a/basalthoist/distribution/subscriber.py
+++ b/basalthoist/distribution/subscriber.py
@@ -38,6 +38,7 @@
         self.failures, self.doubts = 0, 0
         self.left: dict[str, int] = {}  # relays, until when they are not tried
         self.told: list[str] = []  # to be tried next
+        self.home_at, self.away_for = now + self.draw_home(), 0
         self.by_hint = hint is not None
         if hint is not None:
             host.act(hint.all(), hint.version)
@@ -97,6 +98,23 @@
         self.failures += 1
         self.next_at = now + int(most * self.chance.uniform())
 
+    def draw_home(self) -> int:
+        return int(self.bounds.home * (0.5 + self.chance.uniform()))
+
+    def go_home(self, now: int) -> None:
+        """To a relay that comes before this one: less and less often where these are full."""
+        self.home_at = now + (self.draw_home() << self.away_for)
+        relays = self.relays()
+        before = relays[: relays.index(self.address)] if self.address in relays else relays
+        if not before:
+            self.away_for = 0
+        elif before[0] not in self.left:
+            self.away_for = min(self.away_for + 1, 5)
+            self.told, here = before, self.address
+            self.host.close()
+            self.on_lost(now)
+            del self.left[here]  # where it may come back at once
+
     # Time.
 
     def on_tick(self, now: int) -> None:
@@ -115,6 +133,8 @@
                 # looked into less and less often.
                 self.doubts += 1
                 return self.leave(now, "behind")
+            if now >= self.home_at:
+                return self.go_home(now)
             if now - self.touch_at >= self.bounds.touch:
                 self.touch(now)
         self.here.on_tick(now, self.up)
--- a/basalthoist/emulator/distributed.py
+++ b/basalthoist/emulator/distributed.py
@@ -345,6 +345,7 @@
         self.acted_at: dict[int, dict[str, int]] = {}
         self.apart: set[frozenset[str]] = set()  # regions that lose each other
         self.alone: set[str] = set()  # lives that are cut off
+        self.pairs: set[frozenset[str]] = set()  # and pairs of them from one another
         self.idents: dict[tuple[str, int], int] = {}
         super().__init__(voters, voters, seed, bounds)
         names = [*self.voters, *(f"r{i}" for i in range(relays))]
@@ -400,15 +401,17 @@
     def severed(self, one: Life, other: Life) -> bool:
         if one is other:
             return False
-        return one.name in self.alone or other.name in self.alone or (
-            frozenset((one.region, other.region)) in self.apart
+        if one.name in self.alone or other.name in self.alone:
+            return True
+        return frozenset((one.region, other.region)) in self.apart or (
+            frozenset((one.name, other.name)) in self.pairs
         )
 
     def stopped(self, link: Link) -> bool:
         return self.severed(*link.ends)
 
     def mend(self) -> None:
-        self.apart, self.alone = set(), set()
+        self.apart, self.alone, self.pairs = set(), set(), set()
         self.flush()
 
     def flush(self) -> None:
@@ -513,6 +516,17 @@
             raise Broken(f"{node.name} acts on version {version}, which does not count")
         self.acted_at.setdefault(version, {}).setdefault(node.name, self.at)
 
+    def peace(self) -> None:
+        """All is well: an author, and every node in touch on the latest version."""
+        top, author = max(self.truth), self.author()
+        able = [node.subscriber for node in self.nodes.values() if node.subscriber.may_act(node.now())]
+        held = {subscriber.version for subscriber in able}
+        if not author or held != {top} or len(able) < len(self.nodes):
+            odd = f"author {author!r}, {len(able)} nodes, {sorted(held)} of {top}"
+            raise Broken(f"no peace after the storm: {odd}")
+        if top < self.in_force:
+            raise Broken(f"version {self.in_force} was acknowledged, {top} is left")
+
     def longest(self) -> float:
         return self.told.stale / (1 - self.told.drift) + 2
 
@@ -551,16 +565,17 @@
 class Storm:
     """Faults by chance. Memory and disk are lost together by a minority of the voters at most, at once."""
 
-    def __init__(self, world: Distributed, faults: int, calls: float = 0.5) -> None:
+    def __init__(self, world: Distributed, faults: int, calls: float = 0.5, mean: float = 0.0) -> None:
         self.world, self.faults, self.chance, self.part = world, faults, world.chance, calls
         self.told: list[str] = []
+        self.mean = mean or self.chance.choice((0.7, 2.0, 5.0))  # leases between two faults
         self.last = 0
 
     def blow(self) -> None:
         """Raises Broken where a promise is not kept, also that all is well soon after the last fault."""
         world, draw = self.world, self.chance
         usual = world.delay
-        lives, gap_mean = [*world.by_name], draw.choice((0.7, 2.0, 5.0)) * world.bounds.lease
+        lives, gap_mean = [*world.by_name], self.mean * world.bounds.lease
         world.run(world.at + 4 * world.bounds.lease)
         self.call()
         kinds = ("kill", "die", "lose", "freeze", "freeze", "region", "alone", "alone", "torn", "reverted",
@@ -587,19 +602,8 @@
                 world.restart(name)
             elif life.frozen:
                 world.wake(name)
-        world.run(world.at + 12 * world.bounds.lease + 4 * world.told.stale)
-        self.peace()
-
-    def peace(self) -> None:
-        world = self.world
-        top = max(world.truth)
-        able = [node.subscriber for node in world.nodes.values() if node.subscriber.may_act(node.now())]
-        held, author = {subscriber.version for subscriber in able}, world.author()
-        if not author or held != {top} or len(able) < len(world.nodes):
-            odd = f"author {author!r}, {len(able)} nodes, {sorted(held)} of {top}"
-            raise Broken(f"no peace after the storm: {odd}")
-        if top < world.in_force:
-            raise Broken(f"version {world.in_force} was acknowledged, {top} is left")
+        world.run(world.at + 8 * world.bounds.lease + 2 * world.told.stale)
+        world.peace()
 
     def call(self) -> None:
         world, draw = self.world, self.chance
