--- a/basalthoist/distribution/subscriber.py
+++ b/basalthoist/distribution/subscriber.py
@@ -108,7 +108,7 @@
         before = relays[: relays.index(self.address)] if self.address in relays else relays
         if not before:
             self.away_for = 0
-        elif before[0] not in self.left:
+        elif self.left.get(before[0], now) <= now:
             self.away_for = min(self.away_for + 1, 5)
             self.told, here = before, self.address
             self.host.close()
