--- a/basalthoist/distribution/relay.py
+++ b/basalthoist/distribution/relay.py
@@ -26,6 +26,7 @@
         self.scopes = tuple(sorted({"", *hello.scopes}))
         self.version = hello.version  # the latest that went out to it
         self.acts = hello.version  # as it has told
+        self.names = hello.version if hello.names else -1  # the latest version whose names it knows all of
         self.views, self.heard_at = Views(), now
         self.large = 0  # bytes of a snapshot that may still be on their way
         self.tenants: set[str] = set()
@@ -101,7 +102,7 @@
         session = self.sessions[number] = self.by_name[word.name] = Session(number, word, now)
         self.host.send(number, Welcome(self.me, self.life))
         if not word.names:
-            self.large(now, session, self.store.names())
+            self.tell_names(now, session)
         if word.version == self.store.version and word.digest != self.store.digest_of(session.scopes):
             session.version = -1
         self.bring_up(now, session)
@@ -123,13 +124,20 @@
         lacks = self.store.lacks(session.scopes, session.version)
         if lacks is None:
             return
-        session.version = self.store.version
         if session.views.given:
             self.behind.add(session.number)
         if type(lacks.word) is Snapshot:
+            # Guards against a leap over tenants that came meanwhile: they would be refused.
+            if session.names < self.store.version:
+                self.tell_names(now, session)
             self.large(now, session, lacks)
         else:
             self.send(session, lacks)
+        session.version = session.names = self.store.version
+
+    def tell_names(self, now: int, session: Session) -> None:
+        session.names = self.store.version
+        self.large(now, session, self.store.names())
 
     def large(self, now: int, session: Session, word: Packed) -> None:
         session.large += len(word)
@@ -210,9 +218,7 @@
     def on_want(self, now: int, session: Session, word: Want) -> None:
         if self.bytes.wait(now, self.bounds.wait_most):
             return  # it asks again
-        session.version = min(word.version, self.store.version)
-        if word.version < 0:
-            self.large(now, session, self.store.names())
+        session.version = session.names = min(word.version, self.store.version)
         self.bring_up(now, session)
 
     # Time, and the store.
--- a/basalthoist/distribution/store.py
+++ b/basalthoist/distribution/store.py
@@ -46,8 +46,8 @@
     at = 0
     while at + LENGTH + CHECK <= len(data):
         end = at + LENGTH + CHECK + int.from_bytes(data[at : at + LENGTH], "big")
-        piece = data[at + LENGTH + CHECK : end]
-        if blake2b(piece, digest_size=CHECK).digest() != data[at + LENGTH : at + LENGTH + CHECK]:
+        check, piece = data[at + LENGTH : at + LENGTH + CHECK], data[at + LENGTH + CHECK : end]
+        if end > len(data) or blake2b(piece, digest_size=CHECK).digest() != check:
             return
         yield piece
         at = end
@@ -184,11 +184,13 @@
         entries = [self.now(key, scopes) for key in keys]
         catalogue, most = self.catalogue, self.catalogue.sizes
         if scopes is None:
-            whole = sum(most.values()) + 40 * len(catalogue.tenants)
+            names, whole = 0, sum(most.values()) + 40 * len(catalogue.tenants)
         else:
-            whole = sum(most.get(scope, 0) for scope in {"", *scopes})
+            # A snapshot says nothing of which tenants there are: the names would have to go with it.
+            names = len(self.names()) if catalogue.tenants else 0
+            whole = names + sum(most.get(scope, 0) for scope in {"", *scopes})
         made = Packed(Delta(version, self.version, self.proof(scopes), entries, self.recent(scopes)))
-        if len(made) > whole and len(self.snapshot(scopes)) < len(made):
+        if len(made) > whole and len(self.snapshot(scopes)) + names < len(made):
             return None
         return made
 
--- a/basalthoist/emulator/distributed.py
+++ b/basalthoist/emulator/distributed.py
@@ -272,6 +272,8 @@
             self.disks = [*self.disks[-4:], self.store.to_bytes(FLEET)]
 
     def proposed(self) -> None:
+        change = self.store.proposed
+        self.world.proposals[change.version, change.after] = change.calls
         if self.disks and not self.store.to_be_saved():
             self.disks = [*self.disks[-4:], self.disks[-1] + self.store.step()]
         else:
@@ -346,7 +348,8 @@
         self.apart: set[frozenset[str]] = set()  # regions that lose each other
         self.alone: set[str] = set()  # lives that are cut off
         self.pairs: set[frozenset[str]] = set()  # and pairs of them from one another
-        self.idents: dict[tuple[str, int], int] = {}
+        self.idents: dict[tuple[str, int], int] = {}  # operators' calls, and their version
+        self.proposals: dict[tuple[int, bytes], list] = {}
         super().__init__(voters, voters, seed, bounds)
         names = [*self.voters, *(f"r{i}" for i in range(relays))]
         addresses = {name: f"127.0.{number}.1:7000" for number, name in enumerate(names)}
@@ -374,9 +377,14 @@
     # Events of the register go on to its publisher.
 
     def happen(self, what: tuple) -> None:
-        super().happen(what)
-        if what[0] == "tick" and what[1] in self.by_name:
-            self.by_name[what[1]].pump()
+        if what[0] != "tick":
+            return super().happen(what)
+        fellow = self.fellows[what[1]]
+        self.later(int(TICK / fellow.rate), what)
+        if fellow.replica is not None and not fellow.frozen:
+            fellow.replica.on_tick(fellow.now())
+            self.judge()
+            self.by_name[fellow.name].pump()
 
     def deliver(self, fellow, source, lives, word) -> None:
         super().deliver(fellow, source, lives, word)
@@ -495,9 +503,9 @@
             self.truth[version] = digest, dict(store.catalogue.sums)
             self.counted_at[version] = self.at
             self.note_bodies(store.catalogue)
-            for key, first in store.calls.items():
-                if self.idents.setdefault(key, first) != first:
-                    raise Broken(f"call {key} is in version {self.idents[key]} and again in {first}")
+            for key in self.proposals.get((version, digest), ()):
+                if self.idents.setdefault(tuple(key), version) != version:
+                    raise Broken(f"call {key} is in version {self.idents[tuple(key)]} and again in {version}")
         elif self.truth[version][0] != digest:
             raise Broken(f"fork: {machine.name} holds another version {version}")
 
@@ -524,6 +532,11 @@
         if not author or held != {top} or len(able) < len(self.nodes):
             odd = f"author {author!r}, {len(able)} nodes, {sorted(held)} of {top}"
             raise Broken(f"no peace after the storm: {odd}")
+        names = next(iter(self.machines.values())).store.catalogue.tenants
+        for subscriber in able:
+            refused = [name for name in names if not subscriber.here.look(subscriber.touch_at, name)[0]]
+            if refused:
+                raise Broken(f"{subscriber.me} refuses {' '.join(refused)}")
         if top < self.in_force:
             raise Broken(f"version {self.in_force} was acknowledged, {top} is left")
 
@@ -552,6 +565,9 @@
                 ended = [end for (_, body), (end, _) in pairwise(known) if body == held.body]
                 if not ended or self.at - max(ended) > self.longest():
                     raise Broken(f"{node.name} goes by an old part of tenant {name}")
+                if max(ended) <= self.counted_at[self.in_force]:
+                    odd = f"{node.name} goes by an old part of tenant {name}"
+                    raise Broken(f"{odd}, {self.in_force} was said to be in force")
 
 
 def tenant(name: str, quota: float, on: bool = True) -> Entry:
