--- a/basalthoist/distribution/catalogue.py
+++ b/basalthoist/distribution/catalogue.py
@@ -69,6 +69,13 @@
         for entry in entries:
             self.put(entry)
 
+    def copy(self) -> "Catalogue":
+        made = Catalogue(self.version)
+        made.scopes = {scope: dict(entries) for scope, entries in self.scopes.items()}
+        made.sums, made.sizes, made.entries = dict(self.sums), dict(self.sizes), dict(self.entries)
+        made.tenants, made.tenants_sum = dict(self.tenants), self.tenants_sum
+        return made
+
     def get(self, key: tuple[str, str]) -> Entry | None:
         return self.tenants.get(key[1]) if key[0] == TENANT else self.entries.get(key)
 
--- /dev/null
+++ b/basalthoist/emulator/costs.py
@@ -0,0 +1,187 @@
+"""What distribution/ costs at a size, counted in simulated time: words and bytes, and the memory of a node.
+
+`python -m basalthoist.emulator.costs [NODES]` prints it as JSON. Bytes are of frames, without TCP's own.
+"""
+
+import json
+import sys
+import tracemalloc
+
+from basalthoist.decisions.chance import Lcg
+from basalthoist.distribution.bounds import Bounds
+from basalthoist.distribution.catalogue import Catalogue, Entry
+from basalthoist.distribution.register_head import KEY
+from basalthoist.distribution.store import Store
+from basalthoist.distribution.subscriber import Subscriber
+from basalthoist.distribution.wire import Delta, Tenants
+from basalthoist.fleet.bounds import Bounds as FleetBounds
+from basalthoist.fleet.register import Held, Verdict
+
+from .distributed import Distributed, Life, route, size_of, tenant
+
+REGISTER = FleetBounds(lease=20_000, beat=2_000, fresh=10_000, stale=40_000, drift=0.001, answer=60_000)
+TOLD = Bounds()
+SECOND = 10_000
+
+
+def catalogue_of(services: int, routes: int, backends: int, tenants: int, relays: list[Entry]) -> Catalogue:
+    """Routes and backends spread evenly over services; addresses are never connected to."""
+    names = [f"service-{number}" for number in range(services)]
+    made = Catalogue(1, relays)
+    for name in names:
+        made.put(Entry("service", name, name))
+    for number in range(routes):
+        body = {"overall_timeout": 500_000 + number, "value": 3.0, "semantics": "idempotent"}
+        made.put(Entry("route", f"route-{number}", names[number % services], body))
+    for at, name in enumerate(names):
+        numbers = range(at, backends, services)
+        members = [{"id": f"backend-{number}", "host_port": f"127.1.{number % 250}.{number // 250}:8000",
+                    "locality": "zone-1", "size": 1.0} for number in numbers]  # fmt: skip
+        made.put(Entry("backends", f"backends-{name}", name, {"members": members}))
+    for number in range(tenants):
+        made.put(tenant(f"tenant-{number}", 10.0))
+    return made
+
+
+class Full(Distributed):
+    """Begun with the catalogue at its size. Nothing is judged: it is counted."""
+
+    tick_nodes = 2_500
+
+    def __init__(self, nodes: int, relays: int, voters: int, catalogue: Catalogue, fronts: int) -> None:
+        begun = catalogue
+
+        class Begun(Store):
+            @classmethod
+            def from_bytes(cls, fleet: str, data: bytes, most: int) -> "Begun":
+                return cls(most, begun.copy())
+
+        super().__init__(0, voters, relays, 1, TOLD, REGISTER, 5, make={"store": Begun})
+        self.truth, self.counted_at = {1: (catalogue.digest(), {})}, {1: 0}
+        head = Verdict(*KEY, figure=1.0, who="author", why=catalogue.digest().hex())
+        for name, fellow in self.fellows.items():
+            fellow.hint = Held(1, 1, {KEY: head})
+            self.restart(name)
+        services = [name for kind, name in catalogue.entries if kind == "service"]
+        self.add(nodes, services, fronts)
+
+    def add(self, nodes: int, services: list[str], fronts: int) -> None:
+        from .distributed import Node
+
+        for number in range(nodes):
+            first = number // 10 * fronts  # ten nodes front the same services
+            scopes = [services[(first + at) % len(services)] for at in range(fronts)]
+            node = Node(self, f"node-{number}", self.regions[number % 5], scopes)
+            self.nodes[node.name] = self.by_name[node.name] = node
+            node.begin()
+
+    def judge(self) -> None: ...
+    def judge_node(self, node) -> None: ...
+    def note_bodies(self, catalogue) -> None: ...
+
+    def counted(self, machine) -> None:
+        self.counted_at.setdefault(machine.store.version, self.at)
+
+    def node_acted(self, node, version: int) -> None:
+        self.acted_at.setdefault(version, {}).setdefault(node.name, self.at)
+
+
+def sums(lives: list[Life]) -> list[tuple[int, int, int, int]]:
+    return [(life.bytes_out, life.words_out, life.bytes_in, life.words_in) for life in lives]
+
+
+class Span:
+    """What was said between two moments, a second, by role: the most of any life of that role."""
+
+    def __init__(self, world: Full) -> None:
+        self.world, self.at, author = world, world.at, world.author()
+        relays = [machine for machine in world.machines.values() if machine.name != author]
+        self.roles = {"author": [world.by_name[author]], "relay": relays, "node": list(world.nodes.values())}
+        self.before = {role: sums(lives) for role, lives in self.roles.items()}
+
+    def rates(self) -> dict:
+        lasted, found = (self.world.at - self.at) / SECOND, {}
+        for role, lives in self.roles.items():
+            pairs = zip(sums(lives), self.before[role], strict=True)
+            grown = [[a - b for a, b in zip(after, before, strict=True)] for after, before in pairs]
+            most = [round(max(one[at] for one in grown) / lasted, 1) for at in range(4)]
+            found[role] = dict(zip(("bytes_out", "words_out", "bytes_in", "words_in"), most, strict=True))
+        return found
+
+
+def lags(world: Full, since: int) -> dict:
+    """Seconds from when a change counts until the node acts on it: median, 99th percentile, last."""
+    found = sorted((at - world.counted_at[version]) / SECOND for version, acted in world.acted_at.items()
+                   if version > since for at in acted.values())  # fmt: skip
+    if not found:
+        return {}
+    return {"p50": found[len(found) // 2], "p99": found[len(found) * 99 // 100], "last": found[-1]}
+
+
+def memory_of(catalogue: Catalogue, scopes: list[str], tenants: int) -> dict:
+    """Bytes that a node's subscriber holds after a snapshot, the names and so many tenants."""
+    store = Store(TOLD.history, catalogue)
+    snapshot, names = store.snapshot(tuple(sorted({"", *scopes}))), store.names()
+    held = store.tenants([f"tenant-{number}" for number in range(tenants)])
+
+    class Silent:
+        def __getattr__(self, name):
+            return lambda *what: None
+
+    from basalthoist.distribution.wire import DECODE, ENCODE
+
+    tracemalloc.start()
+    node = Subscriber(Silent(), "node", 1, "z", scopes, ["127.0.0.1:7000"], TOLD, Lcg(1), 0)
+    node.on_word(1, DECODE(names.data))
+    node.on_word(1, DECODE(snapshot.data))
+    for entry in held:
+        node.here.look(1, entry.name)
+        node.here.on_tenants(1, DECODE(ENCODE(Tenants(1, [entry]))), 1)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return {"entries": len(node.held.entries), "tenants": len(node.here.held), "memory": size,
+            "snapshot": size_of(snapshot), "names": size_of(names)}  # fmt: skip
+
+
+def costs(nodes: int = 3_300, relays: int = 13, voters: int = 3, services: int = 2_000, routes: int = 11_000,
+          backends: int = 32_000, tenants: int = 200_000, fronts: int = 20,
+          seconds: int = 10) -> dict:  # fmt: skip
+    """At rest, at 7,000 changes a day, in a burst of 500 changes in 10 s; a node's memory."""
+    names = [f"n{number}" for number in range(voters)] + [f"r{number}" for number in range(relays)]
+    there = [Entry("relay", name, "", {"address": f"127.0.{at}.1:7000", "region": f"z{at % 5}"})
+             for at, name in enumerate(names)]  # fmt: skip
+    catalogue = catalogue_of(services, routes, backends, tenants, there)
+    world = Full(nodes, relays, voters, catalogue, fronts)
+    while not world.author():
+        world.run(world.at + SECOND)
+    world.run(world.at + 90 * SECOND)  # all go where they belong
+    found: dict = {"nodes": nodes, "machines": relays + voters, "fronts": fronts}
+    found["sessions"] = sorted(len(machine.relay.sessions) for machine in world.machines.values())
+    span = Span(world)
+    world.run(world.at + seconds * SECOND)
+    found["at_rest"] = span.rates()
+    span, ident = Span(world), 0
+    changed = [number * 7 % routes for number in range(520)]
+    changes = [route(f"route-{number}", f"service-{number % services}", 1_000) for number in changed]
+    gap = 86_400 * SECOND // 7_000
+    for ident in range(2):  # as often as 7,000 a day
+        world.ask("r0", ident, [changes[ident]])
+        world.run(world.at + gap)
+    found["by_day"] = span.rates() | {"lag": lags(world, 1)}
+    since, span = max(world.counted_at), Span(world)
+    for ident in range(10, 510):
+        world.ask(f"r{ident % relays}", ident, [changes[ident]])
+        world.run(world.at + SECOND // 50)
+    found["burst"] = span.rates()
+    world.run(world.at + 3 * SECOND)
+    found["burst"] |= {"versions": max(world.counted_at) - since, "lag": lags(world, since)}
+    found["answers"] = sum(text.startswith("SUCCESS") for text in world.answers.values())
+    found["acting"] = sum(node.subscriber.version == max(world.counted_at) for node in world.nodes.values())
+    delta = world.by_name["r0"].store.lacks(("",), since)
+    found["delta_of_nothing"] = size_of(delta) if delta is not None and type(delta.word) is Delta else 0
+    found["node"] = memory_of(catalogue, [f"service-{number}" for number in range(fronts)], 200)
+    return found
+
+
+if __name__ == "__main__":
+    print(json.dumps(costs(*map(int, sys.argv[1:])), indent=1))
--- a/basalthoist/emulator/distributed.py
+++ b/basalthoist/emulator/distributed.py
@@ -23,7 +23,7 @@
 from .replicas import Broken, Replicas
 
 FLEET = "simulated"
-TICK = 500  # of relays and nodes
+TICK = 500  # of machines and nodes
 USUAL = {"publisher": Publisher, "feed": Feed, "relay": Relay, "subscriber": Subscriber, "store": Store}
 
 
@@ -67,6 +67,7 @@
             end.inbox.append((self, to, word, size))
             return
         self.flight[to] -= size
+        end.bytes_in, end.words_in = end.bytes_in + size, end.words_in + (word is not None)
         if end.alive and end.life == self.lives[to] and not self.closed[to]:
             if word is None:
                 self.closed[to] = True
@@ -96,7 +97,7 @@
         self.start = world.chance.randrange(10**6, 10**9)
         self.inbox: list[tuple] = []
         self.disks: list[bytes] = []  # as written, the latest last
-        self.bytes_out, self.words_out = 0, 0
+        self.bytes_out, self.words_out, self.bytes_in, self.words_in = 0, 0, 0, 0
         world.later(world.chance.randrange(TICK), (self.tick,))
 
     def now(self) -> int:
@@ -298,7 +299,7 @@
         self.subscriber = world.make_of["subscriber"](self, *who, *told, chance, self.now(), hint)
 
     def tick(self) -> None:
-        self.world.later(int(TICK / self.rate), (self.tick,))
+        self.world.later(int(self.world.tick_nodes / self.rate), (self.tick,))
         if self.alive and not self.frozen:
             for name in self.looks:
                 self.subscriber.here.look(self.now(), name)
@@ -334,6 +335,8 @@
 class Distributed(Replicas):
     """`voters` and `relays` more machines, `count` nodes, spread over `regions`."""
 
+    tick_nodes = TICK
+
     def __init__(self, count: int, voters: int, relays: int, seed: int, told: Bounds,
                  bounds: FleetBounds, regions: int = 2, services: int = 6, make: dict | None = None,
                  check=None) -> None:  # fmt: skip
