--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -39,6 +39,8 @@
 
 def begun(seed, make=None, count=12, voters=3, relays=3, regions=3, told=SHORT, **more):
     """A fleet with an author and a catalogue that is in force everywhere."""
+    make = dict(make or {})
+    told = make.pop("told", told)
     world = Distributed(count, voters, relays, seed, told, REGISTER, regions, make=make, **more)
     for number, node in enumerate(world.nodes.values()):
         node.looks = [f"t{number % 8}", f"t{(number + 3) % 8}"]
@@ -151,21 +153,23 @@
 
 
 def killed(seed, make=None):
-    """The author and a relay end at once, without an end to their connections, just after a change counts."""
+    """The author, another voter and a relay are gone at once, without a word, just after a change counts."""
     world = begun(seed, make, voters=5)
     for number in range(5):
         top, author = max(world.truth), world.author()
         world.ask("r0", 10 + number, [route("x1", "s1", number)])
         while max(world.truth) == top:
             world.run(world.at + 1)
-        world.kill(author, silent=True)
-        world.kill("r1", silent=True)
+        second = next(name for name in world.voters if name != author)
+        for name in (author, second, "r1"):
+            world.kill(name, silent=True)
         world.freeze("r0")  # it asks again later, when somebody else has changed that again
         world.ask("r2", 50 + number, [route("x1", "s1", 100 + number)])
         world.run(world.at + 3 * LEASE)
         world.wake("r0")
         world.run(world.at + LEASE)
-        world.restart(author)
+        world.restart(author, keeps=number % 2 > 0)
+        world.restart(second)
         world.restart("r1", keeps=False)
         world.run(world.at + 2 * LEASE)
     world.run(world.at + 4 * LEASE)
@@ -357,7 +361,15 @@
         self.store.calls = calls
 
 
+class Undated(Bounds):
+    """Drift left out."""
+
+    def slower(self, age):
+        return age
+
+
 BUILDS = [
+    ({"told": Undated(*SHORT)}, lost_nodes, "said to be in force"),
     ({"publisher": WithoutLease}, cut_region, "replaced|in force"),
     ({"publisher": BeforeHead}, cut_region, "fork|does not count|follows|replaced"),
     ({"publisher": Impatient}, cut_region, "said to be in force"),
@@ -371,7 +383,7 @@
 ]
 
 
-NAMES = ["-".join(made.__name__ for made in build[0].values()) for build in BUILDS]
+NAMES = ["-".join(getattr(made, "__name__", "Undated") for made in build[0].values()) for build in BUILDS]
 
 
 @pytest.mark.parametrize("make, play, how", BUILDS, ids=NAMES)
@@ -472,6 +484,44 @@
     assert machine.relay.least(now) <= machine.store.version and machine.relay.gone  # it may still act
 
 
+def test_a_node_that_serves_on_says_how_old_its_view_is():
+    world = begun(10, told=SHORT._replace(strict=False))
+    node = world.nodes["b1"]
+    world.cut_off("b1")
+    calls(world, "r0", 10, 30, 1_000)
+    made, now = node.subscriber, node.now()
+    assert made.may_act(now) and made.version == 1 and made.age(now) > 20_000
+    assert world.answers[10].startswith("SUCCESS version 2 in force at 11 nodes in touch")
+    assert world.answers[10].endswith("others serve on by older ones")
+    fresh = subscriber.Subscriber(Recorder(), "b9", 1, "", ["a"], ["a:1"], world.told, Lcg(1), 0)
+    assert not fresh.may_act(1)  # it knows nothing yet
+    hint = Catalogue(3, [route("x", "a")])
+    host = Recorder()
+    made = subscriber.Subscriber(host, "b9", 1, "", ["a"], ["a:1"], world.told, Lcg(1), 0, hint)
+    assert made.may_act(1) and host.done[0] == ("act", hint.all(), 3)
+
+
+def test_only_so_many_calls_are_under_way_and_each_is_answered():
+    world = begun(11, told=SHORT._replace(calls=5))
+    for voter in world.voters:
+        if voter != world.author():
+            world.cut_off(voter)  # no majority: nothing comes to count
+    for ident in range(10, 18):
+        world.ask(world.author(), ident, [route("x1", "s1", ident)])
+    world.run(world.at + LEASE // 4)
+    full = [ident for ident, text in world.answers.items() if text == "FAILURE too many calls under way"]
+    assert full == [15, 16, 17]
+    world.run(world.at + 8 * LEASE)
+    assert all(world.answers[ident].startswith("FAILURE") for ident in range(10, 18))
+    assert max(world.truth) == 1
+    world.mend()
+    world.run(world.at + 5 * LEASE)
+    world.ask("r0", 20, [route("x1", "s1", 20)])
+    world.run(world.at + 5 * LEASE)
+    assert world.answers[20].startswith("SUCCESS version")
+    world.peace()
+
+
 # The parts, one by one.
 
 KINDS = ("service", "route", "backends", "limit", "tenant")
