--- a/basalthoist/distribution/relay.py
+++ b/basalthoist/distribution/relay.py
@@ -26,7 +26,7 @@
         self.scopes = tuple(sorted({"", *hello.scopes}))
         self.version = hello.version  # the latest that went out to it
         self.acts = hello.version  # as it has told
-        self.names = hello.version if hello.names else -1  # the latest version whose names it knows all of
+        self.names = hello.version if hello.names else -2  # the latest version whose names it knows all of
         self.views, self.heard_at = Views(), now
         self.large = 0  # bytes of a snapshot that may still be on their way
         self.tenants: set[str] = set()
@@ -101,8 +101,6 @@
         self.new.take(now)
         session = self.sessions[number] = self.by_name[word.name] = Session(number, word, now)
         self.host.send(number, Welcome(self.me, self.life))
-        if not word.names:
-            self.tell_names(now, session)
         if word.version == self.store.version and word.digest != self.store.digest_of(session.scopes):
             session.version = -1
         self.bring_up(now, session)
@@ -121,15 +119,17 @@
 
     def bring_up(self, now: int, session: Session) -> None:
         """What it lacks; nothing where it is ahead of what is held here."""
+        if session.version > self.store.version:
+            return
         lacks = self.store.lacks(session.scopes, session.version)
+        # Guards against a leap over tenants that came meanwhile: they would be refused.
+        if session.names < session.version or lacks is not None and type(lacks.word) is Snapshot:
+            self.tell_names(now, session)
         if lacks is None:
             return
         if session.views.given:
             self.behind.add(session.number)
         if type(lacks.word) is Snapshot:
-            # Guards against a leap over tenants that came meanwhile: they would be refused.
-            if session.names < self.store.version:
-                self.tell_names(now, session)
             self.large(now, session, lacks)
         else:
             self.send(session, lacks)
--- a/basalthoist/distribution/subscriber.py
+++ b/basalthoist/distribution/subscriber.py
@@ -164,7 +164,7 @@
             self.on_delta(now, word)
         elif kind is Snapshot:
             self.on_snapshot(now, word)
-        elif kind is Names:
+        elif kind is Names and word.version >= self.version:
             self.named = True
             self.here.on_names(word)
         elif kind is Tenants:
--- a/basalthoist/emulator/distributed.py
+++ b/basalthoist/emulator/distributed.py
@@ -23,7 +23,7 @@
 from .replicas import Broken, Replicas
 
 FLEET = "simulated"
-TICK = 500  # of machines and nodes
+TICK = 1_000  # of machines and nodes
 USUAL = {"publisher": Publisher, "feed": Feed, "relay": Relay, "subscriber": Subscriber, "store": Store}
 
 
