--- a/basalthoist/emulator/distributed.py
+++ b/basalthoist/emulator/distributed.py
@@ -23,7 +23,7 @@
 from .replicas import Broken, Replicas
 
 FLEET = "simulated"
-TICK = 500  # of relays and nodes
+TICK = 1_000  # of machines and nodes
 USUAL = {"publisher": Publisher, "feed": Feed, "relay": Relay, "subscriber": Subscriber, "store": Store}
 
 
@@ -67,6 +67,7 @@
             end.inbox.append((self, to, word, size))
             return
         self.flight[to] -= size
+        end.bytes_in, end.words_in = end.bytes_in + size, end.words_in + (word is not None)
         if end.alive and end.life == self.lives[to] and not self.closed[to]:
             if word is None:
                 self.closed[to] = True
@@ -96,7 +97,7 @@
         self.start = world.chance.randrange(10**6, 10**9)
         self.inbox: list[tuple] = []
         self.disks: list[bytes] = []  # as written, the latest last
-        self.bytes_out, self.words_out = 0, 0
+        self.bytes_out, self.words_out, self.bytes_in, self.words_in = 0, 0, 0, 0
         world.later(world.chance.randrange(TICK), (self.tick,))
 
     def now(self) -> int:
@@ -272,6 +273,8 @@
             self.disks = [*self.disks[-4:], self.store.to_bytes(FLEET)]
 
     def proposed(self) -> None:
+        change = self.store.proposed
+        self.world.proposals[change.version, change.after] = change.calls
         if self.disks and not self.store.to_be_saved():
             self.disks = [*self.disks[-4:], self.disks[-1] + self.store.step()]
         else:
@@ -296,7 +299,7 @@
         self.subscriber = world.make_of["subscriber"](self, *who, *told, chance, self.now(), hint)
 
     def tick(self) -> None:
-        self.world.later(int(TICK / self.rate), (self.tick,))
+        self.world.later(int(self.world.tick_nodes / self.rate), (self.tick,))
         if self.alive and not self.frozen:
             for name in self.looks:
                 self.subscriber.here.look(self.now(), name)
@@ -332,6 +335,8 @@
 class Distributed(Replicas):
     """`voters` and `relays` more machines, `count` nodes, spread over `regions`."""
 
+    tick_nodes = TICK
+
     def __init__(self, count: int, voters: int, relays: int, seed: int, told: Bounds,
                  bounds: FleetBounds, regions: int = 2, services: int = 6, make: dict | None = None,
                  check=None) -> None:  # fmt: skip
@@ -345,7 +350,9 @@
         self.acted_at: dict[int, dict[str, int]] = {}
         self.apart: set[frozenset[str]] = set()  # regions that lose each other
         self.alone: set[str] = set()  # lives that are cut off
-        self.idents: dict[tuple[str, int], int] = {}
+        self.pairs: set[frozenset[str]] = set()  # and pairs of them from one another
+        self.idents: dict[tuple[str, int], int] = {}  # operators' calls, and their version
+        self.proposals: dict[tuple[int, bytes], list] = {}
         super().__init__(voters, voters, seed, bounds)
         names = [*self.voters, *(f"r{i}" for i in range(relays))]
         addresses = {name: f"127.0.{number}.1:7000" for number, name in enumerate(names)}
@@ -373,9 +380,14 @@
     # Events of the register go on to its publisher.
 
     def happen(self, what: tuple) -> None:
-        super().happen(what)
-        if what[0] == "tick" and what[1] in self.by_name:
-            self.by_name[what[1]].pump()
+        if what[0] != "tick":
+            return super().happen(what)
+        fellow = self.fellows[what[1]]
+        self.later(int(TICK / fellow.rate), what)
+        if fellow.replica is not None and not fellow.frozen:
+            fellow.replica.on_tick(fellow.now())
+            self.judge()
+            self.by_name[fellow.name].pump()
 
     def deliver(self, fellow, source, lives, word) -> None:
         super().deliver(fellow, source, lives, word)
@@ -400,15 +412,17 @@
     def severed(self, one: Life, other: Life) -> bool:
         if one is other:
             return False
-        return one.name in self.alone or other.name in self.alone or (
-            frozenset((one.region, other.region)) in self.apart
+        if one.name in self.alone or other.name in self.alone:
+            return True
+        return frozenset((one.region, other.region)) in self.apart or (
+            frozenset((one.name, other.name)) in self.pairs
         )
 
     def stopped(self, link: Link) -> bool:
         return self.severed(*link.ends)
 
     def mend(self) -> None:
-        self.apart, self.alone = set(), set()
+        self.apart, self.alone, self.pairs = set(), set(), set()
         self.flush()
 
     def flush(self) -> None:
@@ -492,9 +506,9 @@
             self.truth[version] = digest, dict(store.catalogue.sums)
             self.counted_at[version] = self.at
             self.note_bodies(store.catalogue)
-            for key, first in store.calls.items():
-                if self.idents.setdefault(key, first) != first:
-                    raise Broken(f"call {key} is in version {self.idents[key]} and again in {first}")
+            for key in self.proposals.get((version, digest), ()):
+                if self.idents.setdefault(tuple(key), version) != version:
+                    raise Broken(f"call {key} is in version {self.idents[tuple(key)]} and again in {version}")
         elif self.truth[version][0] != digest:
             raise Broken(f"fork: {machine.name} holds another version {version}")
 
@@ -513,6 +527,22 @@
             raise Broken(f"{node.name} acts on version {version}, which does not count")
         self.acted_at.setdefault(version, {}).setdefault(node.name, self.at)
 
+    def peace(self) -> None:
+        """All is well: an author, and every node in touch on the latest version."""
+        top, author = max(self.truth), self.author()
+        able = [node.subscriber for node in self.nodes.values() if node.subscriber.may_act(node.now())]
+        held = {subscriber.version for subscriber in able}
+        if not author or held != {top} or len(able) < len(self.nodes):
+            odd = f"author {author!r}, {len(able)} nodes, {sorted(held)} of {top}"
+            raise Broken(f"no peace after the storm: {odd}")
+        names = next(iter(self.machines.values())).store.catalogue.tenants
+        for subscriber in able:
+            refused = [name for name in names if not subscriber.here.look(subscriber.touch_at, name)[0]]
+            if refused:
+                raise Broken(f"{subscriber.me} refuses {' '.join(refused)}")
+        if top < self.in_force:
+            raise Broken(f"version {self.in_force} was acknowledged, {top} is left")
+
     def longest(self) -> float:
         return self.told.stale / (1 - self.told.drift) + 2
 
@@ -538,6 +568,9 @@
                 ended = [end for (_, body), (end, _) in pairwise(known) if body == held.body]
                 if not ended or self.at - max(ended) > self.longest():
                     raise Broken(f"{node.name} goes by an old part of tenant {name}")
+                if max(ended) <= self.counted_at[self.in_force]:
+                    odd = f"{node.name} goes by an old part of tenant {name}"
+                    raise Broken(f"{odd}, {self.in_force} was said to be in force")
 
 
 def tenant(name: str, quota: float, on: bool = True) -> Entry:
@@ -551,16 +584,17 @@
 class Storm:
     """Faults by chance. Memory and disk are lost together by a minority of the voters at most, at once."""
 
-    def __init__(self, world: Distributed, faults: int, calls: float = 0.5) -> None:
+    def __init__(self, world: Distributed, faults: int, calls: float = 0.5, mean: float = 0.0) -> None:
         self.world, self.faults, self.chance, self.part = world, faults, world.chance, calls
         self.told: list[str] = []
+        self.mean = mean or self.chance.choice((0.7, 2.0, 5.0))  # leases between two faults
         self.last = 0
 
     def blow(self) -> None:
         """Raises Broken where a promise is not kept, also that all is well soon after the last fault."""
         world, draw = self.world, self.chance
         usual = world.delay
-        lives, gap_mean = [*world.by_name], draw.choice((0.7, 2.0, 5.0)) * world.bounds.lease
+        lives, gap_mean = [*world.by_name], self.mean * world.bounds.lease
         world.run(world.at + 4 * world.bounds.lease)
         self.call()
         kinds = ("kill", "die", "lose", "freeze", "freeze", "region", "alone", "alone", "torn", "reverted",
@@ -587,19 +621,8 @@
                 world.restart(name)
             elif life.frozen:
                 world.wake(name)
-        world.run(world.at + 12 * world.bounds.lease + 4 * world.told.stale)
-        self.peace()
-
-    def peace(self) -> None:
-        world = self.world
-        top = max(world.truth)
-        able = [node.subscriber for node in world.nodes.values() if node.subscriber.may_act(node.now())]
-        held, author = {subscriber.version for subscriber in able}, world.author()
-        if not author or held != {top} or len(able) < len(world.nodes):
-            odd = f"author {author!r}, {len(able)} nodes, {sorted(held)} of {top}"
-            raise Broken(f"no peace after the storm: {odd}")
-        if top < world.in_force:
-            raise Broken(f"version {world.in_force} was acknowledged, {top} is left")
+        world.run(world.at + 8 * world.bounds.lease + 2 * world.told.stale)
+        world.peace()
 
     def call(self) -> None:
         world, draw = self.world, self.chance
