--- a/basalthoist/experiments/distributed/play.py
+++ b/basalthoist/experiments/distributed/play.py
@@ -18,6 +18,7 @@
 
 from . import sizes
 from .processes import Machine, Processes, RunFailed, usage
+from .real import Pair, difference
 from .sizes import FLEET, Size
 
 TIMES = {"touch_s": 1.0, "fresh_s": 2.5, "silent_s": 2.0, "stale_s": 4.0, "batch_s": 0.1}
@@ -233,8 +234,16 @@
                                   for old, new, count in zip(empty, held, counts, strict=True)]  # fmt: skip
 
     async def idle(self) -> dict:
-        await asyncio.sleep(12.0)
-        return {}
+        """Nothing changes. A real node beside them, and one that is told nothing."""
+        pair = Pair(self.processes.folder / "real", self.made[0], TIMES)
+        try:
+            await pair.start()
+            await asyncio.sleep(3.0)
+            old, began = pair.read(), time.monotonic()
+            await asyncio.sleep(12.0)
+            return difference(old, pair.read(), time.monotonic() - began)
+        finally:
+            await pair.end()
 
     async def in_force(self, calls: list[dict]) -> dict:
         """From the call on, until a node acts: the median node, the 99th percentile, the last."""
--- a/basalthoist/experiments/distributed/reporting.py
+++ b/basalthoist/experiments/distributed/reporting.py
@@ -133,6 +133,11 @@
         lines += ["## A hollow node", ""]
         lines += table(["nodes", "phase", "part of a core", "B/s in and out, mean", "p99", "most", "MB",
                         "entries", "tenants"], [row for _, nodes, _ in steady for row in nodes])  # fmt: skip
+        head = ["nodes", "part of a core", "more than one that is told nothing", "MB", "more"]
+        lines += ["## A real node beside them, idle", ""]
+        found = [(run["size"]["nodes"], p) for run in runs for p in run["phases"] if "real_core" in p]
+        lines += table(head, [[str(count), f"{p['real_core']:.2%}", f"{p['real_core_more']:.2%}",
+                               str(p["real_mb"]), str(p["real_mb_more"])] for count, p in found])  # fmt: skip
     rows = [row for _, _, machines in steady for row in machines]
     rows += [row for run in runs for phase in run["phases"] if phase["name"] in FAULTS
              for row in machine_rows(run, phase, str(run["size"]["nodes"]))]  # fmt: skip
