--- a/basalthoist/net/relaying.py
+++ b/basalthoist/net/relaying.py
@@ -32,7 +32,7 @@
 from .log import Log
 from .members import family_of
 from .register import Register
-from .streams import Opening, Stream, safely
+from .streams import Opening, Stream, new_life, safely
 from .timers import SECOND, Timers, awake_or_not
 from .whole import put_behind, put_whole
 
@@ -117,12 +117,13 @@
         self.path = Path(folder) / "distribution.msgpack" if folder else None
         self.sessions: dict[int, tuple[Stream, Relay | Publisher | None]] = {}
         self.numbers: dict[Stream, int] = {}
+        self.strangers: dict[Stream, int] = {}  # who have not said who they are, since when
         self.last, self.tag, self.bytes_before = 0, told.fleet, (0, 0)  # bytes of connections that have ended
         self.callers: dict[int, Callable[[str], None]] = {}
         self.last_call = int.from_bytes(os.urandom(5), "big") << 20
         allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         self.most_open = allowed - RESERVE if allowed != resource.RLIM_INFINITY else 1 << 20
-        life, now = int.from_bytes(os.urandom(7), "big"), awake_or_not()
+        life, now = new_life(), awake_or_not()
         self.store, self.saved = Store.from_bytes(self.tag, self.read(), self.bounds.history), False
         self.relay = Relay(self, told.name, life, self.bounds, self.store, now)
         self.up = Up(self)
@@ -151,6 +152,9 @@
             self.voting.tick()
         safely(self.feed.on_tick, self.log, now)
         safely(self.relay.on_tick, self.log, now)
+        for stream in [s for s, since in self.strangers.items() if now - since > self.bounds.silent]:
+            # Guards against connections that say nothing: they would take all descriptors.
+            stream.close("said nothing", at_once=True)
 
     def stirred(self) -> None:
         if self.publisher is not None:
@@ -164,6 +168,7 @@
             return stream.close("no descriptors left", at_once=True)
         self.last += 1
         self.sessions[self.last], self.numbers[stream] = (stream, None), self.last
+        self.strangers[stream] = awake_or_not()
 
     def heard(self, stream: Stream, word: Word) -> None:
         number, now = self.numbers.get(stream), awake_or_not()
@@ -176,6 +181,7 @@
             if type(word) is not Hello or role is None:
                 return stream.close("no word of one that may come here", at_once=True)
             self.sessions[number] = stream, role
+            del self.strangers[stream]
             stream.frames.most = FROM_NODE if role is self.relay else MOST_BYTES
             safely(role.on_hello, self.log, now, number, word)
         elif type(word) is Call and role is self.relay:
@@ -185,6 +191,7 @@
 
     def ended(self, stream: Stream, why: str) -> None:
         number = self.numbers.pop(stream, None)
+        self.strangers.pop(stream, None)
         _, role = self.sessions.pop(number, (None, None))
         came, went = self.bytes_before
         self.bytes_before = came + stream.bytes_in, went + stream.bytes_out
--- a/basalthoist/net/streams.py
+++ b/basalthoist/net/streams.py
@@ -1,6 +1,8 @@
 """Connections on which the words of distribution/ go: frames over TCP, one protocol class for both ends."""
 
 import asyncio
+import os
+import time
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Protocol
@@ -127,6 +129,11 @@
         return self.bytes_in + now[0], self.bytes_out + now[1]
 
 
+def new_life() -> int:
+    """Of a process that begins: later than those before it, or another all the same where a clock was set."""
+    return time.time_ns() // 1000 << 10 | int.from_bytes(os.urandom(2), "big") & 1023
+
+
 def safely(act: Callable[..., None], log: Callable[[str], None], *what) -> None:
     """Guards against a word that breaks something here: it ends no more than itself."""
     try:
--- a/tests/test_distributed.py
+++ b/tests/test_distributed.py
@@ -292,6 +292,7 @@
     assert Speaker(relay).say(bytes(torn)).hears() == []
     assert Speaker(relay).say(hello(5, role="relay")).hears() == []  # r3 does not vote
     assert Speaker(relay).say((1 << 31).to_bytes(4, "big")).hears() == []
+    assert Speaker(relay).hears() == []  # it says nothing, and is ended
     first = Speaker(relay).say(hello(5))
     assert type(first.hears()[0]) is Welcome
     second = Speaker(relay).say(hello(7))
