--- a/tests/test_distributed.py
+++ b/tests/test_distributed.py
@@ -11,7 +11,8 @@
 from helpers import Program, call, reply, request, silent, wait_for
 
 from basalthoist.configuration import ConfigurationError, load_distribution, load_relay
-from basalthoist.distribution.wire import Away, Frames, Hello, Welcome, encode, key_of
+from basalthoist.distribution.catalogue import Entry
+from basalthoist.distribution.wire import Answer, Away, Call, Frames, Hello, Touch, Welcome, encode, key_of
 from basalthoist.experiments.loopback import own_address
 from basalthoist.net.members import address_of
 
@@ -158,6 +159,12 @@
     assert str(path) in str(wrong.value) and said in str(wrong.value)
 
 
+def test_without_a_file_that_names_it_nothing_of_it_is_loaded():
+    looks = "import sys, basalthoist.__main__, basalthoist.net.service, basalthoist.net.fleet\n"
+    looks += "sys.exit(any('distribution' in name for name in sys.modules))"
+    assert subprocess.run([sys.executable, "-c", looks]).returncode == 0
+
+
 def test_programs_refuse_a_wrong_file_by_one_line_and_exit_code_2(start, tmp_path):
     path = tmp_path / "wrong.toml"
     path.write_text('fleet = "x"\nseeds = ["nowhere"]\n')
@@ -303,6 +310,39 @@
     assert relay.process.poll() is None and control.set("service/shop").startswith("SUCCESS version 1 ")
 
 
+def test_one_that_reads_nothing_is_ended_and_the_others_are_told_all_the_same(control):
+    relay = control.relays[3]
+    assert control.set("service/shop").startswith("SUCCESS")
+    deaf = Speaker(relay).say(Hello("deaf", 5, "node", "a", ["shop"], -1, bytes(32)))
+    able = Speaker(relay).say(hello(5, "able"))
+    assert type(able.hears()[0]) is Welcome
+    for number in range(14):
+        members = [f"127.0.0.1:{1 + (i + number) % 60000}" for i in range(40_000)]
+        able.say(Call(number, [Entry("backends", "all", "shop", {"members": members})], 0))
+        answered = []
+        while not answered:
+            for speaker in (able, deaf):
+                speaker.say(Touch(0, 1 << 40, bytes(32)))  # they hold back nobody
+            answered = [word for word in able.hears() if type(word) is Answer]
+            time.sleep(0.01)
+        if "deaf" in relay.log():
+            break
+    assert "deaf reads too slowly" in relay.log()
+    deaf.sock.close()
+
+
+def test_a_machine_starts_with_a_torn_file_and_is_told_again(control):
+    assert control.set("service/shop").startswith("SUCCESS version 1 ")
+    assert control.set("tenant/zeta", quota_per_s=1.0).startswith("SUCCESS version 2 ")
+    for relay in (control.relays[3], control.relays[2]):
+        kept = relay.folder / "distribution.msgpack"
+        wait_for(kept.exists)
+        relay.kill()
+        kept.write_bytes(kept.read_bytes()[:30])
+        relay.begin()
+        wait_for(lambda r=relay: " version 2 " in r.ask("config-here"), 15)
+
+
 def test_nodes_of_a_relay_that_is_killed_go_to_another_and_nothing_is_lost(control, node):
     program = node(reply())
     for number, relay in enumerate(control.relays):
