--- a/basalthoist/experiments/distributed/play.py
+++ b/basalthoist/experiments/distributed/play.py
@@ -215,14 +215,13 @@
                      for number in range(size.nodes)]  # fmt: skip
         began = time.monotonic()
         regions = {machine.address: machine.region for machine in processes.machines}
-        steps = 10
+        steps, told = 10, self.times | {"fleet": FLEET}
         for step in range(steps):  # a tenth at a time: all at once is a phase of its own
             orders = []
             for number, worker in enumerate(processes.workers):
                 mine = self.made[number :: len(processes.workers)][step::steps]
                 folder = str(processes.folder / "nodes")
-                orders.append(worker.ask("start", nodes=mine, told=self.times | {"fleet": FLEET}, folder=folder,
-                                         regions=regions))  # fmt: skip
+                orders.append(worker.ask("start", nodes=mine, told=told, folder=folder, regions=regions))
             await asyncio.gather(*orders)
             await asyncio.sleep(0.5)
         await self.until_fresh(60)
