--- a/basalthoist/emulator/distributed.py
+++ b/basalthoist/emulator/distributed.py
@@ -614,6 +614,11 @@
             kind, lasts = draw.choice(kinds), int(draw.choice((0.3, 1.0, 3.0)) * world.bounds.lease)
             self.told.append(f"{world.at / 10_000:.2f} {kind} {name} for {lasts / 10_000:.2f}")
             self.meet(kind, name, lasts, usual)
+        self.calm(usual)
+
+    def calm(self, usual: tuple[int, int]) -> None:
+        """All faults end. Raises Broken where all is not well soon after."""
+        world = self.world
         world.delay = usual
         world.mend()
         for name, life in world.by_name.items():
