--- a/basalthoist/distribution/catalogue.py
+++ b/basalthoist/distribution/catalogue.py
@@ -172,6 +172,7 @@
         self.most, self.bytes = most, 0
         self.steps: deque[tuple[int, int, int, list[tuple[str, tuple[str, str]]]]] = deque()
         self.by_scope: dict[str, deque[tuple[int, tuple[str, str]]]] = {}
+        self.begins: set[int] = set()  # versions from which a step goes on
 
     def add(self, before: int, version: int, laid: list[tuple[Entry, Entry | None]]) -> None:
         touched, size = [], 64
@@ -185,9 +186,11 @@
         for scope, key in touched:
             self.by_scope.setdefault(scope, deque()).append((version, key))
         self.steps.append((before, version, size, touched))
+        self.begins.add(before)
         self.bytes += size
         while self.bytes > self.most and self.steps:
-            _, _, size, touched = self.steps.popleft()
+            before, _, size, touched = self.steps.popleft()
+            self.begins.discard(before)
             self.bytes -= size
             for scope, _ in touched:
                 self.by_scope[scope].popleft()
@@ -198,7 +201,8 @@
         """Keys changed after that version until `at`; None: that far back nothing is known any more."""
         if version == at:
             return {}
-        if not self.steps or version < self.steps[0][0] or version > at:
+        # Guards against a version that was leapt over here: what came and went again within is not known.
+        if version not in self.begins:
             return None
         found = {}
         for scope in list(self.by_scope) if scopes is None else {"", NAMES, *scopes}:
--- a/basalthoist/distribution/subscriber.py
+++ b/basalthoist/distribution/subscriber.py
@@ -31,7 +31,6 @@
         self.view_at = LONG_AGO  # as if the author had confirmed it just then
         self.here = Here(self, bounds)
         self.acts = self.version  # with the tenants held here as of it
-        self.proving = False  # the relay has not said yet how these are
         self.named = False  # the names that there are have come
         self.address, self.up, self.next_at = "", False, now
         self.heard_at, self.touch_at, self.asked_at, self.old_since = now, LONG_AGO, LONG_AGO, now
@@ -154,7 +153,7 @@
         self.heard_at, kind = now, type(word)
         if kind is Welcome:
             self.up, self.failures, self.old_since, self.told = True, 0, now, []
-            self.proving = self.here.on_connected()
+            self.here.ask_all()
             self.touch(now)
         elif kind is Away:
             self.on_away(now, word)
@@ -168,8 +167,9 @@
             self.named = True
             self.here.on_names(word)
         elif kind is Tenants:
-            if self.here.on_tenants(now, word, self.version) and self.proving:
-                self.proving, self.acts = False, self.version
+            proving = bool(self.here.unproven)
+            if self.here.on_tenants(now, word, self.version) and proving and not self.here.unproven:
+                self.acts = self.version
                 self.touch(now)
 
     def on_away(self, now: int, word: Away) -> None:
@@ -185,7 +185,11 @@
 
     def on_confirm(self, now: int, word: Confirm) -> None:
         if word.version == self.version and word.digest == self.digest():
-            self.view_at = max(self.view_at, word.sent - word.age)
+            if self.here.refused:
+                self.here.ask_all()
+                self.touch(now)
+            elif not self.here.unproven:
+                self.view_at = max(self.view_at, word.sent - word.age)
         elif word.version >= self.version:
             self.want(now, -1 if word.version == self.version else self.version)
 
@@ -220,7 +224,7 @@
     def lay(self, now: int, entries: list[Entry], version: int) -> None:
         self.held.lay(entries, version)
         # Guards against a version said to be acted on while a tenant's part here may still be an older one.
-        self.acts = self.acts if self.proving else version
+        self.acts = self.acts if self.here.unproven else version
         self.host.act(entries, version)
         self.touch(now)
 
--- a/basalthoist/distribution/tenants.py
+++ b/basalthoist/distribution/tenants.py
@@ -76,6 +76,8 @@
         self.wants: dict[str, int] = {}  # not answered yet, by when they were wanted
         self.fresh: list[str] = []  # of these, not asked for yet
         self.leaves: list[str] = []
+        self.unproven: set[str] = set()  # held, and the relay has not said yet how these are
+        self.refused = False  # it is behind: asked again once it is not
 
     def look(self, now: int, name: str) -> tuple[bool, dict | None]:
         """Whether there may be such a tenant, and what is held of it; None: the usual part is its."""
@@ -109,6 +111,7 @@
                 self.filter.add(name)
             if name in self.held and self.held[name].body is None:
                 del self.held[name]  # it is there again: its body has to be asked for
+                self.unproven.discard(name)
                 self.leaves.append(name)
         else:
             self.gone[name] = None
@@ -120,10 +123,10 @@
     def on_tenants(self, now: int, word: Tenants, version: int) -> bool:
         """Whether it counts: not where it is older than what is acted on here; then it is asked for again."""
         if word.version < version:
-            asked = [entry.name for entry in word.entries]
-            self.fresh += [name for name in asked if name in self.held or name in self.wants]
+            self.refused = True
             return False
         for entry in word.entries:
+            self.unproven.discard(entry.name)
             asked = self.wants.pop(entry.name, None) is not None
             if entry.kind == TENANT and (asked or entry.name in self.held):
                 self.hold(now, entry.name, entry.body if entry.on else None)
@@ -139,6 +142,7 @@
 
     def drop(self, name: str) -> None:
         del self.held[name]
+        self.unproven.discard(name)
         self.leaves.append(name)
         self.host.tenant(name, None)
 
@@ -157,9 +161,8 @@
             self.fresh, self.leaves = self.fresh[most:], []
             self.host.demand(word)
 
-    def on_connected(self) -> bool:
-        """Another relay knows nothing of what is held here. Whether it has been asked."""
-        self.fresh, self.leaves = [], []
+    def ask_all(self) -> None:
+        """Another relay knows nothing of what is held here."""
+        self.fresh, self.leaves, self.unproven, self.refused = [], [], set(self.held), False
         if self.held or self.wants:
             self.host.demand(Demand([*self.held, *self.wants], []))
-        return bool(self.held)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -14,6 +14,7 @@
 from basalthoist.distribution.store import Store, from_bytes, to_bytes
 from basalthoist.distribution.tenants import Filter, Here
 from basalthoist.distribution.wire import (
+    Confirm,
     Delta,
     Frames,
     Hello,
@@ -132,15 +133,15 @@
 
 def slow(seed, make=None):
     """The same on slow links, so that much is under way when one stands still."""
-    frozen(seed, make, (2, LEASE // 4))
+    frozen(seed, make, (2, LEASE // 4), 7)
 
 
-def frozen(seed, make=None, delay=(2, 30)):
+def frozen(seed, make=None, delay=(2, 30), nodes=2):
     """Author, relays and nodes stand still again and again, and wake to what has come meanwhile."""
     world = begun(seed, make)
     world.delay = delay
     for number in range(4):
-        names = [world.author() or "n0", "r1", *world.chance.sample(sorted(world.nodes), 2)]
+        names = [world.author() or "n0", "r1", *world.chance.sample(sorted(world.nodes), nodes)]
         for name in names:
             world.freeze(name)
         calls(world, "r0", 100 * number + 10, 20, 2_000)
@@ -375,7 +376,7 @@
     """It says that it acts on a version while its tenants are still as they were."""
 
     def lay(self, now, entries, version):
-        self.proving = False
+        self.here.unproven = set()
         super().lay(now, entries, version)
 
 
@@ -817,7 +818,36 @@
     _, made = here()
     made.look(1, "t1")
     assert not made.on_tenants(2, Tenants(3, [tenant("t1", 1)]), 4)
-    assert made.look(3, "t1") == (True, None) and "t1" in made.fresh
+    assert made.look(3, "t1") == (True, None) and made.refused
+    made.ask_all()
+    assert not made.refused and made.on_tenants(4, Tenants(4, [tenant("t1", 2)]), 4)
+    assert made.look(5, "t1") == (True, {"quota_per_s": 2})
+
+
+def test_a_confirmation_counts_only_with_the_tenants_held():
+    host = Recorder()
+    node = subscriber.Subscriber(host, "b1", 1, "", ["a"], ["a:1"], SHORT, Lcg(1), 0, Catalogue(4))
+    for name in ("t1", "t2"):
+        node.here.look(1, name)
+    node.here.on_tenants(1, Tenants(4, [tenant("t1", 1), tenant("t2", 1)]), 4)
+    node.on_connected(2)
+    node.on_word(3, relay.Welcome("r1", 1))
+    node.on_word(4, Tenants(3, [tenant("t1", 0), tenant("t2", 0)]))  # it is behind
+    node.on_word(5, Tenants(4, [tenant("t1", 2)]))  # and catches up, of which this is a part
+    node.on_word(6, Confirm(3, 4, node.digest(), 0))
+    assert not node.may_act(7) and host.done[-2][-1].wants == ["t1", "t2"]
+    node.on_word(7, Tenants(4, [tenant("t1", 2), tenant("t2", 2)]))
+    node.on_word(8, Confirm(6, 4, node.digest(), 0))
+    assert node.may_act(8) and node.age(8) == 2 and node.here.look(9, "t2") == (True, {"quota_per_s": 2})
+
+
+def test_a_version_that_was_leapt_over_is_not_built_on():
+    made, copies = filled([[tenant("t1", 1), route("x", "a")], [tenant("t1", 1, False)], [tenant("t1", 1)]])
+    other = Store(1 << 20, Catalogue(1, copies[1]))
+    other.take(made.lacks(None, 1).word)  # from 1 to 3: nothing has changed
+    assert type(other.lacks(("", "a"), 1).word) is Delta
+    assert type(other.lacks(("", "a"), 2).word) is Snapshot  # at 2 there was no t1
+    assert ("tenant", "t1") in [entry.key for entry in made.lacks(("", "a"), 2).word.entries]
 
 
 @pytest.mark.parametrize("make, proves", [(subscriber.Subscriber, True), (Unproven, False)])
