--- a/basalthoist/commands/line.py
+++ b/basalthoist/commands/line.py
@@ -8,6 +8,8 @@
 
 from basalthoist.emulator.scenario import ScenarioError
 
+from .distribute import distribute
+
 WRONG, FAILED = 2, 1
 
 
@@ -55,6 +57,28 @@
     sys.exit(serve_by(made))
 
 
+@main.command()
+@click.argument("file", type=click.Path(path_type=Path))
+def relay(file: Path) -> None:
+    """Run a machine set aside for control by FILE, TOML: a relay, and where it votes an author."""
+    import os
+
+    import uvloop
+
+    from basalthoist.configuration import ConfigurationError, load_relay
+
+    try:
+        told = load_relay(str(file))
+    except ConfigurationError as wrong:
+        fail(f"configuration: {wrong}")
+    from basalthoist.net.relaying import run
+
+    try:
+        uvloop.run(run(told, os.environ.get("TMPDIR", "")))
+    except OSError as wrong:
+        fail(wrong, FAILED)
+
+
 @main.command()
 @click.argument("configuration", type=click.Path(path_type=Path), required=False)
 @click.option("--reference", is_flag=True, help="Print the page that lists every key instead.")
@@ -327,6 +351,9 @@
         click.echo(said(found, loops))
 
 
+main.add_command(distribute)
+
+
 def say_result(result: dict) -> None:
     counts, broken = result["counts"], result["broken"]
     click.echo(f"{counts['offered']} requests: {counts['in_time']} in time, {counts['shed']} shed, "
--- /dev/null
+++ b/basalthoist/net/entries.py
@@ -0,0 +1,53 @@
+"""Entries of the catalogue from a file in `$TMPDIR`, and from what an operator writes."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from basalthoist.distribution.catalogue import Catalogue, Entry
+from basalthoist.distribution.store import from_bytes
+
+
+def read_file(path: str | None, log: Callable[[str], None]) -> bytes | None:
+    if path is None:
+        return None
+    try:
+        with open(path, "rb") as file:
+            return file.read()
+    except FileNotFoundError:
+        return None
+    except OSError as wrong:
+        # Guards against a disk that fails at the start: without its file it begins with nothing.
+        log(f"distribution: {path} not read: {wrong}")
+        return None
+
+
+def read_kept(path: str | None, tag: str, log: Callable[[str], None]) -> Catalogue | None:
+    """What a node held."""
+    data = read_file(path, log)
+    if data is None:
+        return None
+    found = from_bytes(tag, data)
+    if found is None:
+        # Guards against a torn file, or another's: it costs time, not truth.
+        log(f"distribution: {path} not used: damaged, or of another fleet or other scopes")
+    return found
+
+
+def entry_of(subject: str, text: str | None) -> Entry | str:
+    """From KIND/NAME, or KIND/SERVICE/NAME for what belongs to a service, and JSON; or what is wrong."""
+    kind, _, rest = subject.partition("/")
+    scope, slash, name = rest.partition("/")
+    if not slash:
+        scope, name = ("" if kind != "service" else rest), rest
+    body = {}
+    if text is not None:
+        try:
+            body = msgspec.json.decode(text, type=dict)
+        except (msgspec.DecodeError, msgspec.ValidationError) as wrong:
+            return f"{subject}: {wrong}"
+    try:
+        return msgspec.convert([kind, name, scope, body, text is not None], Entry)
+    except msgspec.ValidationError:
+        kinds = "service, route, tenant, backends, limit, verdict, relay"
+        return f"{subject}: expected KIND/NAME or KIND/SERVICE/NAME, KIND one of {kinds}"
