--- /dev/null
+++ b/basalthoist/experiments/scale/fleets.py
@@ -0,0 +1,185 @@
+"""Layer: a fleet on sockets. Voters and a few others are real processes, all the others hollow."""
+
+import asyncio
+import time
+from pathlib import Path
+
+from ..loopback import own_address
+from . import files
+from .bench import Bench, Real, RunFailed
+from .lateness import void_of
+from .rows import Row
+from .sizes import Ask
+
+NAME = "fleet"
+ABOUT = "a node's, a voter's and the author's share of a core, memory and words for verdicts and membership"
+VOTERS, IDLE = 5, 1  # real processes: voters, and one more to compare hollow nodes with
+EACH = 330  # hollow nodes in a process at the most
+MOST_WORKERS = 10
+SLOW_BEAT_S, BEAT_S = 1.0, 0.2
+FAST_UP_TO = 1_000  # nodes at a beat of 0.2 s; with more the machine is not enough, which a trial showed
+LIMITS = (0, 8, 32)
+JOIN_S, WINDOW_S, CHANGES = 75.0, 12.0, 6
+SETTLE_S = 2.0
+TOLD = files.Catalogue()
+MODULE = f"{__package__}.real"
+
+
+class Run:
+    def __init__(self, nodes: int, beat_s: float, limits: int, window_s: float, changes: int) -> None:
+        self.nodes, self.beat_s, self.limits, self.window_s = nodes, beat_s, limits, window_s
+        self.changes = changes
+
+    def tail(self) -> str:
+        return f", beat {self.beat_s:g} s" + (f", {self.limits} limits" if self.limits else "")
+
+    async def play(self, bench: Bench) -> list[Row]:
+        names = [f"n{number:05}" for number in range(self.nodes)]
+        addresses = {name: own_address() for name in names}
+        voters = names[:VOTERS]
+        fleet = bench.folder / "fleet.toml"
+        fleet.write_text(files.fleet_file(addresses, voters, self.beat_s, self.limits))
+        members = [files.member(number) for number in range(TOLD.backends)]
+        _, discovery = await bench.agent(members)
+
+        def made(name: str) -> dict:
+            return files.document(name, TOLD, discovery, self.nodes, int(name[1:]), members)
+
+        self.reals = [bench.real(made(name)) for name in names[: VOTERS + IDLE]]
+        hollow = names[VOTERS + IDLE :]
+        count = min(max(-(-len(hollow) // EACH), min(4, len(hollow))), MOST_WORKERS)
+        workers = await asyncio.gather(*(bench.worker() for _ in range(count)))
+        empty = [await worker.ask("begin") for worker in workers]
+        parts = [hollow[number::count] for number in range(count)]
+        orders = [[{"file": str(files.put(bench.folder, made(name))), "fleet": str(fleet)} for name in part]
+                  for part in parts]  # fmt: skip
+        await asyncio.gather(*(real.start(MODULE, fleet) for real in self.reals))
+        await self.author()
+        began = time.monotonic()
+        await asyncio.gather(*(w.ask("start", nodes=o) for w, o in zip(workers, orders, strict=True)))
+        started_s = time.monotonic() - began
+        await self.joined(bench, began)
+        joined_s = time.monotonic() - began
+        await asyncio.sleep(SETTLE_S)
+        author = await self.author()
+        return await self.measured(bench, empty, author, hollow, joined_s, started_s)
+
+    async def joined(self, bench: Bench, began: float) -> None:
+        while time.monotonic() - began < JOIN_S:
+            seen = await bench.everywhere("look")
+            if all(one["fresh"] for one in seen):
+                return
+            await asyncio.sleep(0.1)
+        raise RunFailed(f"not all in touch with the author in {JOIN_S:.0f} s")
+
+    async def author(self) -> Real:
+        until = time.monotonic() + 30 * max(self.beat_s, 0.5)
+        while time.monotonic() < until:
+            for real in self.reals[:VOTERS]:
+                words = (await real.call("fleet-status")).split()
+                if words[:2] == ["SUCCESS", "author"]:
+                    return next(one for one in self.reals if one.name == words[2])
+            await asyncio.sleep(0.2)
+        raise RunFailed("no author")
+
+    async def measured(self, bench: Bench, empty: list[dict], author: Real, hollow: list[str],
+                       joined_s: float, started_s: float) -> list[Row]:  # fmt: skip
+        before = await bench.everywhere("begin")
+        bench.lateness.begin()
+        reals = {real.name: real.read() for real in self.reals}
+        counts = {real.name: real.counted() for real in self.reals}
+        await asyncio.sleep(self.window_s)
+        after = await bench.everywhere("read", words=True)
+        reals_after = {real.name: real.read() for real in self.reals}
+        await asyncio.sleep(0.6)  # for their counts to be written once more
+        counts_after = {real.name: real.counted() for real in self.reals}
+        late = max([one["late_p99_ms"] for one in after] + [bench.lateness.p99_ms()])
+        void = void_of(late)
+        if await self.author() is not author:
+            void = void or "the author changed meanwhile"
+        rows: list[Row] = []
+
+        def row(figure: str, value: float, unit: str, counted=False, **more) -> None:
+            rows.append(Row(NAME, figure + self.tail(), self.nodes, value, "nodes", unit, counted, void,
+                            more=more))  # fmt: skip
+
+        def part(old: dict, new: dict) -> float:
+            return (new["cpu_s"] - old["cpu_s"]) / (new["at"] - old["at"])
+
+        row("the tool's lateness, 99th percentile", late, "ms")
+        row("hollow nodes all in touch after they began at once", joined_s, "s", began_in_s=started_s)
+        spent = sum(part(old, new) for old, new in zip(before, after, strict=True))
+        row("hollow node: part of a core", spent / len(hollow), "core")
+        held = sum(b["memory_mb"] - e["memory_mb"] for b, e in zip(before, empty, strict=True))
+        row("hollow node: memory beyond an empty process", held / len(hollow), "MB")
+        sides = {"out": "sent", "in": "heard"}
+        seconds = after[0]["at"] - before[0]["at"]
+        for way, key in sides.items():
+            found = [line for one in after for line in one["words"][key]]
+            row(f"hollow node: words {way}", sum(line[-2] for line in found) / len(hollow) / seconds, "1/s", True)
+            row(f"hollow node: bytes {way}", sum(line[-1] for line in found) / len(hollow) / seconds, "B/s", True)
+        kinds = {line[-3] for one in after for line in one["words"]["heard"]}
+        for kind in sorted(kinds & {"Beat", "Ping", "Ack"}):
+            mine = [line for one in after for line in one["words"]["heard"] if line[-3] == kind]
+            total = sum(line[-1] for line in mine)
+            row(f"hollow node: bytes in of {kind}", total / len(hollow) / seconds, "B/s", True)
+        row("datagrams dropped at hollow nodes' full sockets",
+            sum(a["dropped"] - b["dropped"] for a, b in zip(after, before, strict=True)), "words", True)  # fmt: skip
+        idle = self.reals[-1]
+        others = [real for real in self.reals[:VOTERS] if real is not author]
+        for role, found in (("author", [author]), ("voter", others), ("real node", [idle])):
+            parts = [part(reals[real.name], reals_after[real.name]) for real in found]
+            row(f"{role}: part of a core", sum(parts) / len(parts), "core")
+            memory = [reals_after[real.name]["memory_mb"] for real in found]
+            row(f"{role}: memory", sum(memory) / len(memory), "MB")
+            for way, key in sides.items():
+                numbers = []
+                for real in found:
+                    old, new = counts[real.name], counts_after[real.name]
+                    more = [sum(line[at] for line in new["words"][key])
+                            - sum(line[at] for line in old["words"][key]) for at in (-2, -1)]  # fmt: skip
+                    numbers.append([figure / (new["at"] - old["at"]) for figure in more])
+                row(f"{role}: words {way}", sum(n[0] for n in numbers) / len(numbers), "1/s", True)
+                row(f"{role}: bytes {way}", sum(n[1] for n in numbers) / len(numbers), "B/s", True)
+        lost = counts_after[author.name]["dropped"] - counts[author.name]["dropped"]
+        row("datagrams dropped at the author's full socket", lost, "words", True)
+        await self.change(author, row)
+        return rows
+
+    async def change(self, author: Real, row) -> None:
+        waits = []
+        for number in range(self.changes):
+            began = time.monotonic()
+            text = await author.call(f"fleet-{'off' if number % 2 else 'on'} {files.member(0)['id']}")
+            if not text.startswith("SUCCESS"):
+                row("a verdict is not in force everywhere", 1, "calls", text=text[:100])
+                continue
+            waits.append(time.monotonic() - began)
+        if waits:
+            row("a verdict in force everywhere after, median", sorted(waits)[len(waits) // 2], "s")
+            row("a verdict in force everywhere after, longest", max(waits), "s", calls=len(waits))
+
+
+def runs(ask: Ask) -> list[Run]:
+    window, changes = (2.0, 2) if ask.quick else (WINDOW_S, CHANGES)
+    found = [Run(n, BEAT_S, 0, window, changes) for n in ask.sizes if n <= FAST_UP_TO]
+    found += [Run(n, SLOW_BEAT_S, 0, window, changes) for n in ask.sizes]
+    if not ask.quick:
+        few = [n for n in ask.sizes if n <= FAST_UP_TO][:2]
+        found += [Run(n, BEAT_S, limits, window, 0) for n in few for limits in LIMITS if limits]
+    return found
+
+
+async def measure(ask: Ask, folder: Path, say) -> list[Row]:
+    rows: list[Row] = []
+    for number, run in enumerate(runs(ask)):
+        began = time.monotonic()
+        try:
+            async with Bench(folder / f"fleet-{number}") as bench:
+                found = await run.play(bench)
+        except RunFailed as wrong:
+            found = [Row(NAME, "run" + run.tail(), run.nodes, 0.0, "nodes", "", void=str(wrong))]
+        rows += found
+        void = next((row.void for row in found if row.void), "")
+        say(f"fleet of {run.nodes}{run.tail()}: {time.monotonic() - began:.0f} s" + (f", void: {void}" if void else ""))
+    return rows
