--- a/basalthoist/experiments/scale/running.py
+++ b/basalthoist/experiments/scale/running.py
@@ -22,9 +22,9 @@
 
     for layer in chosen:
         say(f"{layer.NAME}: {layer.ABOUT}")
-        with tempfile.TemporaryDirectory(prefix="scale-") as folder:
-            with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-                found = runner.run(one(layer, Path(folder)))
+        runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
+        with tempfile.TemporaryDirectory(prefix="scale-") as folder, runner:
+            found = runner.run(one(layer, Path(folder)))
         rows.keep(ask.folder, layer.NAME, found)
         void += sum(bool(row.void) for row in found)
     return void
