python -m basalthoist scale: layers, slopes with intervals, ranking, and counted slopes in the suite

Counted slopes (state, looks, words, bytes) are kept with their raw rows; the suite counts them anew at small sizes and fails beyond both intervals (a hundredth for state). Rows of a late tool are void and in no slope.

--- /dev/null
+++ b/basalthoist/experiments/scale/datapath.py
@@ -0,0 +1,155 @@
+"""Layer: one node with load on loopback, its clients and backends in processes of their own."""
+
+import asyncio
+import json
+import sys
+from pathlib import Path
+from typing import NamedTuple
+
+from . import files, sizes
+from .bench import Bench, RunFailed
+from .load import WARM_S
+from .parts import apart, summary
+from .rows import Row
+from .sizes import Ask, part_of
+
+NAME = "path"
+ABOUT = "what is added to a request, part by part, and what a node spends an exchange"
+SECONDS, WORK_MS, BACKENDS = 14.0, 12.0, 48
+TIMES = (1, 3, 6)  # the mean rate
+
+
+class Run(NamedTuple):
+    rate: float
+    share: float  # of routes and tenants in the node's file
+    probes: bool
+    traced: bool
+    backends: int = BACKENDS
+    seconds: float = SECONDS
+
+    def tail(self) -> str:
+        parts = [f"{self.share:g}% of the catalogue", "probes" if self.probes else "no probes"]
+        parts += [f"{self.backends} backends"] if self.backends != BACKENDS else []
+        return ", ".join(parts) + ("" if self.traced else ", untraced")
+
+
+async def begun(module_and_more: list[str], log: Path):
+    with log.open("wb") as file:
+        return await asyncio.create_subprocess_exec(
+            sys.executable, "-m", *module_and_more, stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE, stderr=file, limit=1 << 28,
+        )  # fmt: skip
+
+
+def sockets(pid: int) -> int:
+    found = 0
+    for link in Path(f"/proc/{pid}/fd").iterdir():
+        try:
+            found += str(link.readlink()).startswith("socket:")
+        except OSError:
+            continue
+    return found
+
+
+async def play(run: Run, bench: Bench) -> list[Row]:
+    load, helpers = f"{__package__}.load", []
+    told = files.Catalogue(part_of(sizes.ROUTES, run.share), part_of(sizes.TENANTS, run.share), run.backends)
+    try:
+        backends = await begun([load, "backends", str(run.backends), str(WORK_MS)], bench.folder / "b.log")
+        helpers.append(backends)
+        addresses = json.loads(await backends.stdout.readline())
+        members = [files.member(n, address) for n, address in enumerate(addresses)]
+        _, discovery = await bench.agent(members)
+        made = files.document("n00000", told, discovery, sizes.NODES, 0, members, probes=run.probes)
+        real, trace = bench.real(made), bench.folder / "trace.json"
+        await real.start(f"{__package__}.traced" if run.traced else "basalthoist", SCALE_TRACE=str(trace))
+        await real.ready()
+        await asyncio.sleep(1.5)
+        idle = real.read()
+        await asyncio.sleep(2.0)
+        rest = real.read()
+        still = (rest["cpu_s"] - idle["cpu_s"]) / (rest["at"] - idle["at"])
+        clients = await begun(
+            [load, "clients", made["listen"], str(run.rate), str(run.seconds), str(told.routes),
+             str(told.tenants), "1"], bench.folder / "c.log")  # fmt: skip
+        helpers.append(clients)
+        await asyncio.sleep(WARM_S)
+        before = real.read()
+        await asyncio.sleep(run.seconds - WARM_S - 1.0)
+        after, connections = real.read(), sockets(real.process.pid)
+        line = await asyncio.wait_for(clients.stdout.readline(), 30)
+        if not line:
+            raise RunFailed((bench.folder / "c.log").read_text()[-300:])
+        said = json.loads(line)
+        real.process.terminate()
+        await asyncio.wait_for(real.process.wait(), 30)
+        found = json.loads(trace.read_text()) if run.traced else None
+    except (TimeoutError, ValueError, OSError) as wrong:
+        raise RunFailed(f"{type(wrong).__name__}: {wrong}") from None
+    finally:
+        for helper in helpers:
+            if helper.returncode is None:
+                helper.kill()
+            await helper.wait()
+    return rows(run, said, still, before, after, connections, found)
+
+
+def rows(run: Run, said: dict, still: float, before: dict, after: dict, connections: int, trace) -> list[Row]:
+    made: list[Row] = []
+
+    def row(figure: str, value: float, unit: str, counted=False, **more) -> None:
+        made.append(Row(NAME, f"{figure}; {run.tail()}", run.rate, value, "exchanges a second", unit, counted,
+                        said["void"], more=more))  # fmt: skip
+
+    good = [one for one in said["found"] if one[0] == 200]
+    times = sorted((heard - sent) / 1e6 for _, sent, heard in good)
+    row("exchanges that count", len(said["found"]), "", answered=len(good))
+    row("not answered with 200", len(said["found"]) - len(good), "")
+    row("the clients' lateness, 99th percentile", said["late_ms"], "ms")
+    for name, part in (("median", 0.5), ("99th percentile", 0.99)):
+        row(f"whole time at the client, {name}", times[int(len(times) * part)] if times else 0.0, "ms")
+    span = after["at"] - before["at"]
+    spent = after["cpu_s"] - before["cpu_s"]
+    row("part of a core", spent / span, "core", still=still)
+    row("processor time an exchange, beyond a node's that nobody asks",
+        (spent - still * span) / (run.rate * span) * 1e6, "us")  # fmt: skip
+    row("memory", after["memory_mb"], "MB")
+    row("sockets open", connections, "", True)
+    if trace is not None:
+        added = apart(trace, said["found"])
+        row("exchanges taken apart", len(added), "")
+        for name, value in summary(added).items():
+            row(name, value, "ms")
+        rounds = [(end - begin) / 1e6 for begin, end in trace["rounds"]]
+        row("a once-a-second round, mean", sum(rounds) / max(len(rounds), 1), "ms")
+        row("a once-a-second round, longest", max(rounds, default=0.0), "ms")
+        for generation in (0, 1, 2):
+            mine = [(end - begin) / 1e6 for begin, end, of in trace["pauses"] if of == generation]
+            what = f"collections of generation {generation}, longest"
+            row(what, max(mine, default=0.0), "ms", times=len(mine))
+    return made
+
+
+def runs(ask: Ask) -> list[Run]:
+    mean, low, high = round(sizes.EACH_S), ask.shares[0], ask.shares[-1]
+    if ask.quick:
+        return [Run(mean / 2, low, False, True, 12, WARM_S + 3.0)]
+    found = [Run(mean * times, low, False, True) for times in TIMES]
+    found += [Run(mean * times, low, False, False) for times in TIMES[:2]]
+    found += [Run(mean, share, False, True) for share in ask.shares[1:]]
+    return [*found, Run(mean, low, True, True), Run(mean, low, False, True, 400)] if high > low else found
+
+
+async def measure(ask: Ask, folder: Path, say) -> list[Row]:
+    found: list[Row] = []
+    for number, run in enumerate(runs(ask)):
+        try:
+            async with Bench(folder / str(number)) as bench:
+                found += await play(run, bench)
+        except RunFailed as wrong:
+            found.append(Row(NAME, f"run; {run.tail()}", run.rate, 0.0, "exchanges a second", "",
+                             void=str(wrong)))  # fmt: skip
+        say(f"{run.rate:g} a second, {run.tail()}: done")
+    return found
+
+
--- a/basalthoist/experiments/scale/files.py
+++ b/basalthoist/experiments/scale/files.py
@@ -34,7 +34,7 @@
 
 
 def document(name: str, told: Catalogue, discovery: str, nodes: int, me: int = 0,
-             members: list[dict] | None = None, saved: bool = True) -> dict:  # fmt: skip
+             members: list[dict] | None = None, saved: bool = True, probes: bool = True) -> dict:  # fmt: skip
     """`saved`: the list stands in the file too, as it does where the platform starts a node."""
     listed = [member(n) for n in range(told.backends)] if members is None else members
     return {
@@ -47,7 +47,7 @@
             "zones": ["0", "1", "2"], "zone": 0, "siblings": nodes, "discovery": "pushed", "tick": 1000,
             "feedback": {"how": "inline", "fields": ["rif", "q", "busy"]},
             "prices": {"probe": 0.002, "peer": 0.01, "cross_zone": 0.0},
-            "policy_limits": {"max_upstream_tries": 3, "cancel": True, "probes": True,
+            "policy_limits": {"max_upstream_tries": 3, "cancel": True, "probes": probes,
                               "parallel_tries": False, "connect_timeout": 250_000, "keepalive": 30_000_000},
         },
     }  # fmt: skip
--- a/basalthoist/experiments/scale/layers.py
+++ b/basalthoist/experiments/scale/layers.py
@@ -11,7 +11,8 @@
 
 from .sizes import BadInput
 
-MODULES = {"catalogue": "catalogue", "discovery": "discovered", "fleet": "fleets", "path": "datapath"}
+MODULES = {"counts": "counts", "catalogue": "catalogue", "discovery": "discovered", "fleet": "fleets",
+           "path": "datapath"}  # fmt: skip
 
 
 def layers(text: str | None) -> list:
--- /dev/null
+++ b/basalthoist/experiments/scale/ranking.py
@@ -0,0 +1,117 @@
+"""Need over allowance at the size that is coming, worst first; what has no mechanism stands on top.
+
+Each need comes from a slope, at the size that it was measured at or foretold by the line; a need that the
+slopes do not give is left out and said to be.
+"""
+
+from typing import NamedTuple
+
+from basalthoist.configuration import Limits
+
+from . import sizes
+from .slopes import Slope
+
+QUICK, SLOW = "beat 0.2 s", "beat 1 s"
+MOST_LIMITS, MOST_VERDICTS = 32, 4096  # configuration.py says so
+READY_S = 10.0
+
+
+class Need(NamedTuple):
+    what: str
+    need: float
+    allowed: float
+    unit: str
+    how: str  # measured, counted, reckoned, or none: there is no mechanism
+    carried_by: str
+
+    def ratio(self) -> float:
+        return float("inf") if self.how == "no mechanism" else self.need / self.allowed
+
+
+def no_mechanism() -> list[Need]:
+    """In the program as it is there is no way to do these while it serves; `need` is what happens a day."""
+    file = "read at the start: configuration.py load, Service.reload"
+    return [
+        Need("a changed route, tenant or share comes into force while a node serves", sizes.CHANGES_DAY,
+             sizes.IN_FORCE_S, "a day, within 4 s", "no mechanism", file),
+        Need("a node holds only the routes and tenants of what it fronts", sizes.TENANTS, 0,
+             "tenants at each node", "no mechanism", "exchanges.py Exchanges: one Node with all of the file"),
+        Need("a node joins, is replaced or renamed without a new file at every other", sizes.RESTARTS_DAY, 0,
+             "restarts and replacements a day", "no mechanism", "configuration.py FleetDocument.nodes, key"),
+        Need("a node that fronts some of the services has backends of these alone", sizes.SERVICES, 1,
+             "services", "no mechanism", "policy.py Node.choose: every backend serves every route"),
+    ]  # fmt: skip
+
+
+def limits_of_the_program() -> list[Need]:
+    """Counted from the program's own bounds."""
+    return [
+        Need("quotas and bans set in service, for each tenant one", sizes.TENANTS, MOST_VERDICTS,
+             "verdicts", "counted", "configuration.py FleetDocument.most_verdicts; register.py Held"),
+        Need("limits over the fleet, for each service one", sizes.SERVICES, MOST_LIMITS,
+             "limits", "counted", "configuration.py FleetDocument.limits; shares.py Granter"),
+    ]  # fmt: skip
+
+
+def foretold(slope: Slope, x: float) -> tuple[float, str]:
+    if slope.sizes[-1] == x:
+        return slope.largest, "counted" if slope.counted else "measured"
+    return slope.at(x), "reckoned"
+
+
+def needs(slopes: dict[str, Slope], points: dict[str, float]) -> tuple[list[Need], list[str]]:
+    """`points`: figures at one size only, as of the path. Also the names of what was not measured."""
+    found, missing = [*no_mechanism(), *limits_of_the_program()], []
+
+    def add(what: str, names: list[str], x: float, allowed: float, unit: str, carried_by: str,
+            times: float = 1.0) -> None:  # fmt: skip
+        if any(name not in slopes for name in names):
+            return missing.append(what)
+        values = [foretold(slopes[name], x) for name in names]
+        how = "reckoned" if "reckoned" in {h for _, h in values} or times != 1.0 else values[0][1]
+        found.append(Need(what, sum(v for v, _ in values) * times, allowed, unit, how, carried_by))
+
+    both, core = "tenants, and routes in proportion", sizes.CORE_PART
+    memory = "configuration.py Document; exchanges.py Node.settings; clients.py Door"
+    add("memory of a node with all tenants and routes", [f"catalogue: memory of a node, by {both}"],
+        sizes.TENANTS, sizes.CONTROL_MB, "MB", memory)  # fmt: skip
+    add("memory of a node with all backends", ["catalogue: memory of a node, by backends"], sizes.BACKENDS,
+        sizes.CONTROL_MB, "MB", "upstream.py Pool; policy.py Backend; configuration.py known")  # fmt: skip
+    add("a node that nobody asks, with all tenants and routes",
+        [f"catalogue: part of a core of a node that nobody asks, by {both}"], sizes.TENANTS, core,
+        "of a core", "policy.py Node.tick: over all customers each second")  # fmt: skip
+    add("a node that nobody asks, with all backends",
+        ["catalogue: part of a core of a node that nobody asks, by backends"], sizes.BACKENDS, core,
+        "of a core", "policy.py Node.choose; upstream.py Upstream.sweep")  # fmt: skip
+    add("a node's start with all tenants and routes", [f"catalogue: start to ready, by {both}"],
+        sizes.TENANTS, READY_S, "s", "configuration.py decode, terms.py flat_map")  # fmt: skip
+    add("a node's start with all backends", ["catalogue: start to ready, by backends"], sizes.BACKENDS,
+        READY_S, "s", "discovery.py Discovery.learn")  # fmt: skip
+    add("discovery's whole list", ["counts: list of discovery"], sizes.BACKENDS, Limits().list_bytes, "B",
+        "discovery.py Watch, limits.list_bytes by default")  # fmt: skip
+    add("changes of backends at 50 a second, as in a burst of 500 in 10 s",
+        ["discovery: processor time of a change"], sizes.BACKENDS, core, "of a core",
+        "discovery.py Discovery.learn; policy.py Node.on_list sorts all and solves", 50 / 1000)  # fmt: skip
+    for beat in (QUICK, SLOW):
+        add(f"a node's words for the fleet, both ways, {beat}",
+            [f"fleet: hollow node: bytes out, {beat}", f"fleet: hollow node: bytes in, {beat}"], sizes.NODES,
+            sizes.CONTROL_BYTES_S, "B/s", "net/fleet.py; replica.py on_beat, touch; members.py")  # fmt: skip
+        add(f"a node's processor time for the fleet, {beat}", [f"fleet: hollow node: part of a core, {beat}"],
+            sizes.NODES, core, "of a core", "net/fleet.py tick; members.py on_tick over all")  # fmt: skip
+        add(f"a node's memory for the fleet, {beat}",
+            [f"fleet: hollow node: memory beyond an empty process, {beat}"], sizes.NODES, sizes.CONTROL_MB,
+            "MB", "members.py Member; net/fleet.py addresses")  # fmt: skip
+        add(f"the author's processor time, {beat}", [f"fleet: author: part of a core, {beat}"], sizes.NODES,
+            1.0, "of a core", "replica.py beat: to each node itself")  # fmt: skip
+        add(f"a verdict in force everywhere, longest, {beat}",
+            [f"fleet: a verdict in force everywhere after, longest, {beat}"], sizes.NODES, sizes.IN_FORCE_S,
+            "s", "replica.py propose, commit, touch")  # fmt: skip
+    for share in ("1", "10", "100"):
+        name = f"path: added, 99th percentile; {share}% of the catalogue, no probes"
+        if name in points:
+            what = f"added to a request, 99th percentile, {share}% of tenants and routes at the node"
+            carried = "clients.py, policy.py, upstream.py; the round: policy.py Node.tick"
+            found.append(Need(what, points[name], sizes.ADDED_P99_MS, "ms", "measured", carried))
+        else:
+            missing.append(name)
+    return sorted(found, key=lambda need: -need.ratio()), missing
--- /dev/null
+++ b/basalthoist/experiments/scale/report.py
@@ -0,0 +1,182 @@
+"""Tables, charts and the ranking, from the raw rows alone."""
+
+import json
+from pathlib import Path
+
+from ..charts import chart
+from . import ranking, sizes
+from .parts import PARTS
+from .rows import Row, rows_in
+from .slopes import Slope, mean, slopes
+
+HEAD = "| figure | by | sizes | a unit more, 95% | at nothing | at the largest | against the line |"
+
+
+def text(value: float) -> str:
+    return f"{value:.3g}" if abs(value) < 1000 else f"{value:,.0f}"
+
+
+def row_of(slope: Slope) -> str:
+    half = "" if slope.half != slope.half else f" ± {text(slope.half)}"
+    bend = "" if slope.bend is None else f"{slope.bend:.2f}" + (", **bends**" if slope.bent() else "")
+    cells = [
+        slope.figure + (" (counted)" if slope.counted else ""), slope.of,
+        ", ".join(f"{x:,.0f}" for x in slope.sizes) + f" ({slope.samples})",
+        f"{text(slope.slope)}{half} {slope.unit}", text(slope.intercept), text(slope.largest), bend,
+    ]  # fmt: skip
+    return "| " + " | ".join(cells) + " |"
+
+
+def table(head: list[str], body: list[list[str]]) -> list[str]:
+    lines = ["| " + " | ".join(head) + " |", "| " + " | ".join("---" for _ in head) + " |"]
+    return lines + ["| " + " | ".join(cells) + " |" for cells in body]
+
+
+def points_of(rows: list[Row]) -> dict[str, float]:
+    """Of the path: the mean of each figure at the mean rate."""
+    groups: dict[str, list[float]] = {}
+    for row in rows:
+        if row.layer == "path" and not row.void and row.x == round(sizes.EACH_S):
+            groups.setdefault(f"path: {row.figure}", []).append(row.value)
+    return {name: mean(values) for name, values in groups.items()}
+
+
+def path_table(rows: list[Row]) -> list[str]:
+    """One column for each run of the path, a line for each part of what was added."""
+    mine = [row for row in rows if row.layer == "path" and not row.void and "; " in row.figure]
+    runs, found = [], {}
+    for row in mine:
+        figure, _, tail = row.figure.rpartition("; ")
+        key = (tail, row.x)
+        runs += [key] if key not in runs else []
+        found.setdefault((figure, key), []).append(row.value)
+    if not runs:
+        return []
+    figures = list(dict.fromkeys(figure for figure, _ in found))
+    order = [f for f in figures if not any(f.startswith(f"{part}: ") for part in PARTS)]
+    order += [f"{part}: {how}" for how in ("mean", "99th percentile", "mean of the slowest hundredth")
+              for part in PARTS]  # fmt: skip
+    head = ["ms, where nothing else is said", *(f"{x:g}/s, {tail}" for tail, x in runs)]
+    body = []
+    for figure in order:
+        cells = [text(mean(found[figure, run])) if (figure, run) in found else "" for run in runs]
+        if any(cells):
+            body.append([figure, *cells])
+    return ["", "## path: parts of what is added", "", *table(head, body)]
+
+
+def beside(rows: list[Row]) -> list[str]:
+    """A hollow node against a real one in the same run."""
+    pairs = [("part of a core", "part of a core"), ("words in", "words in"), ("words out", "words out"),
+             ("bytes in", "bytes in"), ("bytes out", "bytes out")]  # fmt: skip
+    fleet = [row for row in rows if row.layer == "fleet" and not row.void]
+    body = []
+    for hollow, real in pairs:
+        for row in fleet:
+            if row.figure.startswith(f"hollow node: {hollow}, "):
+                name = f"real node: {real}" + row.figure.removeprefix(f"hollow node: {hollow}")
+                for other in fleet:
+                    if (other.figure, other.x, other.run) == (name, row.x, row.run) and other.value:
+                        body.append([row.figure, f"{row.x:.0f}", text(row.value), text(other.value),
+                                     f"{row.value / other.value:.2f}"])  # fmt: skip
+    if not body:
+        return []
+    return ["", "## Hollow beside real", "", *table(["figure", "nodes", "hollow", "real", "ratio"], body)]
+
+
+def rank_table(found: dict[str, Slope], points: dict[str, float]) -> list[str]:
+    needs, missing = ranking.needs(found, points)
+    body = []
+    for need in needs:
+        none = need.how == "no mechanism"
+        body.append([need.what, f"{text(need.need)} {need.unit}", "" if none else text(need.allowed),
+                     "-" if none else f"{need.ratio():.2f}", need.how, need.carried_by])  # fmt: skip
+    head = ["what", "need", "allowed", "ratio", "how known", "carried by"]
+    lines = ["# Need over allowance", "", *table(head, body)]
+    return lines + ([""] + [f"Not measured: {what}." for what in missing] if missing else [])
+
+
+def write(folder: Path) -> None:
+    """Raises BadInput."""
+    rows = rows_in(folder)
+    found, points = slopes(rows), points_of(rows)
+    made = "Made from the raw rows beside it: `python -m basalthoist scale --report FOLDER`."
+    lines = ["# Scale: slopes", "", made]
+    for layer in dict.fromkeys(row.layer for row in rows):
+        mine = [s for s in found.values() if s.layer == layer and ": mean" not in s.figure]
+        lines += ["", f"## {layer}", "", HEAD, "| --- | --- | --- | --- | --- | --- | --- |"]
+        lines += [row_of(slope) for slope in mine]
+    lines += path_table(rows) + beside(rows)
+    voids = sorted({f"{row.layer}: {row.figure} at {row.x:g}: {row.void.splitlines()[0]}"
+                    for row in rows if row.void})  # fmt: skip
+    if voids:
+        lines += ["", f"Void, and in no slope: {len(voids)} rows."] + [f"- {line}" for line in voids[:12]]
+    (folder / "table.md").write_text("\n".join(lines) + "\n")
+    (folder / "ranking.md").write_text("\n".join(rank_table(found, points)) + "\n")
+    kept = {name: {"slope": s.slope, "half": s.half, "intercept": s.intercept, "of": s.of, "unit": s.unit,
+                   "sizes": s.sizes, "samples": s.samples, "counted": s.counted, "bend": s.bend}
+            for name, s in found.items()}  # fmt: skip
+    # Not a number stands in no JSON: a slope that has no interval says so by null.
+    for one in kept.values():
+        one["half"] = None if one["half"] != one["half"] else one["half"]
+    (folder / "slopes.json").write_text(json.dumps(kept, indent=1, sort_keys=True) + "\n")
+    charts(folder, rows, found)
+
+
+def drawn(folder: Path, name: str, rows: list[Row], figures: list[str], allowed: float, unit: str,
+          of: str) -> None:  # fmt: skip
+    there = [f for f in figures if any(r.figure == f and not r.void and r.value > 0 for r in rows)]
+    if not there:
+        return
+    with chart(folder, name) as axes:
+        for figure in there:
+            mine = [r for r in rows if r.figure == figure and not r.void and r.value > 0]
+            xs = sorted({r.x for r in mine})
+            axes.plot(xs, [mean([r.value for r in mine if r.x == x]) for x in xs], marker="o", label=figure)
+        if allowed:
+            axes.axhline(allowed, color="black", linestyle="--", label="allowed")
+        axes.set_xscale("log")
+        axes.set_yscale("log")
+        axes.set_xlabel(of)
+        axes.set_ylabel(unit)
+
+
+def charts(folder: Path, rows: list[Row], found: dict[str, Slope]) -> None:
+    beats = (ranking.QUICK, ranking.SLOW)
+    fleet = [r for r in rows if r.layer == "fleet"]
+    roles = ("hollow node", "voter", "author")
+    parts = [f"{role}: part of a core, {beat}" for beat in beats for role in roles]
+    drawn(folder, "fleet-core", fleet, parts, sizes.CORE_PART, "part of a core", "nodes")
+    words = [f"{role}, {beat}" for beat in beats for role in ("hollow node: bytes in", "author: bytes out")]
+    drawn(folder, "fleet-bytes", fleet, words, sizes.CONTROL_BYTES_S, "bytes a second", "nodes")
+    kept = [r for r in rows if r.layer == "catalogue"]
+    kinds = ("tenants", "routes", "backends")
+    for name, figure, allowed, unit in (
+        ("memory", "memory of a node", sizes.CONTROL_MB, "MB"), ("start", "start to ready", 10.0, "s"),
+        ("core", "part of a core of a node that nobody asks", sizes.CORE_PART, "part of a core"),
+    ):  # fmt: skip
+        drawn(folder, f"catalogue-{name}", kept, [f"{figure}, by {kind}" for kind in kinds], allowed, unit,
+              "how many stand in the file")  # fmt: skip
+    path_chart(folder, rows)
+
+
+def path_chart(folder: Path, rows: list[Row]) -> None:
+    """The slowest hundredth, part on part."""
+    end = ": mean of the slowest hundredth; "
+    mine = [r for r in rows if r.layer == "path" and not r.void and end in r.figure]
+    runs = list(dict.fromkeys((r.figure.partition(end)[2], r.x) for r in mine))
+    if not runs:
+        return
+    with chart(folder, "path") as axes:
+        left = [0.0] * len(runs)
+        for part in PARTS:
+            values = []
+            for tail, x in runs:
+                found = [r.value for r in mine if r.figure == f"{part}{end}{tail}" and r.x == x]
+                values.append(mean(found) if found else 0.0)
+            if max(values) > 0.01:
+                axes.barh([f"{x:g}/s, {tail}" for tail, x in runs], values, left=left, label=part)
+            left = [a + b for a, b in zip(left, values, strict=True)]
+        axes.axvline(sizes.ADDED_P99_MS, color="black", linestyle="--", label="allowed")
+        axes.set_xscale("symlog", linthresh=4)
+        axes.set_xlabel("ms added, mean of the slowest hundredth")
--- a/basalthoist/experiments/scale/slopes.py
+++ b/basalthoist/experiments/scale/slopes.py
@@ -73,3 +73,23 @@
         groups.setdefault(f"{row.layer}: {row.figure}", []).append(row)
     found = {name: slope_of(mine) for name, mine in groups.items()}
     return {name: slope for name, slope in found.items() if slope is not None}
+
+
+def broken(found: dict[str, Slope], kept: dict[str, Slope]) -> list[str]:
+    """Counted slopes that lie farther from those kept than both intervals allow.
+
+    For state that is a hundredth of it at the least: another build of Python holds it a little otherwise.
+    """
+    lines = []
+    for name, slope in found.items():
+        before = kept.get(name)
+        if before is None:
+            lines.append(f"{name}: not among those kept")
+            continue
+        halves = [s.half for s in (slope, before) if s.half == s.half]
+        least = 0.01 if slope.figure.startswith("state") else 1e-6
+        allowed = max(sum(halves), abs(before.slope) * least, 1e-9)
+        if abs(slope.slope - before.slope) > allowed:
+            lines.append(f"{name}: {slope.slope:.6g} {slope.unit} a unit, {before.slope:.6g} kept, "
+                         f"{allowed:.2g} allowed")  # fmt: skip
+    return lines
