--- a/basalthoist/experiments/scale/slopes.py
+++ b/basalthoist/experiments/scale/slopes.py
@@ -3,8 +3,6 @@
 from math import log
 from typing import NamedTuple
 
-from scipy import stats
-
 from .rows import Row
 
 BEND = 0.15  # of what the line through the smaller sizes foretells for the largest
@@ -41,6 +39,8 @@
 
 def line(xs: list[float], ys: list[float]) -> tuple[float, float, float]:
     """Intercept, slope and half of its 95% interval, by least squares."""
+    from scipy import stats  # takes a second, which a faulty call need not wait for
+
     fitted = stats.linregress(xs, ys)
     free = len(xs) - 2
     half = float(stats.t.ppf(0.975, free)) * float(fitted.stderr) if free > 0 else float("nan")
