--- a/basalthoist/experiments/scale/counts.py
+++ b/basalthoist/experiments/scale/counts.py
@@ -18,6 +18,7 @@
 from basalthoist.fleet.members import Members
 from basalthoist.fleet.register import Verdict
 from basalthoist.fleet.replica import Replica
+from basalthoist.fleet.shares import Holder, Limit
 from basalthoist.fleet.wire import ENCODE, Letter, Touch
 from basalthoist.net.service import Service
 from basalthoist.net.timers import now
@@ -113,21 +114,52 @@
         return lambda *what: None
 
 
-def author_beat(nodes: int) -> tuple[int, int]:
-    """Words and bytes of the author's own code for one beat, once all have answered the one before."""
+def author_of(nodes: int, limits: int = 0) -> tuple[Replica, Weighing, int]:
+    """An author that all nodes have answered, each asking for its part of every limit; and its time."""
     names = [f"n{n:05}" for n in range(nodes)]
     host, at = Weighing(names[0]), 10_000_000
-    replica = Replica(host, names[0], names, names[:1], BOUNDS, Lcg(1), at)
+    shared = [Limit(f"t{n:06}", 100_000.0, 10.0) for n in range(limits)]
+    holder = Holder(shared, nodes, BOUNDS, at) if limits else None
+    replica = Replica(host, names[0], names, names[:1], BOUNDS, Lcg(1), at, None, holder)
     while replica.role != "leads":
         at += BOUNDS.beat // 4
         replica.on_tick(at)
+    at = replica.granter.silent_until if limits else at
+    wants = [(n, 5.0) for n in range(limits)]
     for name in names[1:]:
-        replica.on_touch(at, name, Touch(replica.own, at, replica.held.version, 0, at, False, False))
+        touch = Touch(replica.own, at, replica.held.version, 0, at, False, False, [], wants)
+        replica.on_touch(at, name, touch)
+    return replica, host, at
+
+
+def author_beat(nodes: int, limits: int = 0) -> tuple[int, int]:
+    """Words and bytes of the author's own code for one beat."""
+    replica, host, at = author_of(nodes, limits)
     host.words = host.bytes = 0
     replica.beat(at + BOUNDS.beat)
     return host.words, host.bytes
 
 
+def author_state(nodes: int, limits: int = 0) -> int:
+    """Bytes that Python holds for an author, with what it has granted in one beat."""
+    author_of(8, limits)
+    gc.collect()
+    tracemalloc.start()
+    try:
+        replica, _, at = author_of(nodes, limits)
+        replica.beat(at + BOUNDS.beat)
+        gc.collect()
+        return tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+
+
+def status_bytes(nodes: int) -> int:
+    """Of the author's answer to an operator who asks how the fleet stands."""
+    replica, _, at = author_of(nodes)
+    return len(replica.status(at))
+
+
 class Visited(dict):
     """Counts how many of its values are looked at one after the other."""
 
@@ -175,6 +207,10 @@
     "verdicts on their way": ("verdicts", "B", lambda n: verdict_bytes(n)),
     "author's words a beat": ("nodes", "words", lambda n: author_beat(n)[0]),
     "author's bytes a beat": ("nodes", "B", lambda n: author_beat(n)[1]),
+    "author's bytes a beat, 8 limits": ("nodes", "B", lambda n: author_beat(n, 8)[1]),
+    "author's state": ("nodes", "B", lambda n: author_state(n)),
+    "author's state, 8 limits": ("nodes", "B", lambda n: author_state(n, 8)),
+    "answer to fleet-status": ("nodes", "B", lambda n: status_bytes(n)),
     "members looked at in a tick": ("nodes", "looks", lambda n: membership(n)[0]),
     "words of membership a period": ("nodes", "words", lambda n: membership(n)[1]),
     "state of a node in a fleet": ("nodes", "B", lambda n: fleet_state(n)),
--- a/basalthoist/experiments/scale/fleets.py
+++ b/basalthoist/experiments/scale/fleets.py
@@ -80,10 +80,13 @@
         raise RunFailed(f"not all in touch with the author in {JOIN_S:.0f} s")
 
     async def author(self) -> Real:
+        """All are asked at once: only the author itself can answer, its answer being too long for a datagram
+        from some 135 nodes on."""
         until = time.monotonic() + 30 * max(self.beat_s, 0.5)
         while time.monotonic() < until:
-            for real in self.reals[:VOTERS]:
-                words = (await real.call("fleet-status")).split()
+            asked = [real.call("fleet-status", 1.0) for real in self.reals[:VOTERS]]
+            for text in await asyncio.gather(*asked):
+                words = text.split()
                 if words[:2] == ["SUCCESS", "author"]:
                     return next(one for one in self.reals if one.name == words[2])
             await asyncio.sleep(0.2)
--- a/basalthoist/experiments/scale/slopes.py
+++ b/basalthoist/experiments/scale/slopes.py
@@ -87,7 +87,7 @@
             lines.append(f"{name}: not among those kept")
             continue
         halves = [s.half for s in (slope, before) if s.half == s.half]
-        least = 0.01 if slope.figure.startswith("state") else 1e-6
+        least = 0.01 if "state" in slope.figure else 1e-6
         allowed = max(sum(halves), abs(before.slope) * least, 1e-9)
         if abs(slope.slope - before.slope) > allowed:
             lines.append(f"{name}: {slope.slope:.6g} {slope.unit} a unit, {before.slope:.6g} kept, "
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -33,7 +33,7 @@
 
 def test_counted_slopes_are_those_that_the_page_stands_on():
     found = counted()
-    assert len(found) == len(counts.FIGURES) == 15
+    assert len(found) == len(counts.FIGURES) == 19
     assert slopes.broken(found, kept()) == []
 
 
