--- a/basalthoist/experiments/scale/fleets.py
+++ b/basalthoist/experiments/scale/fleets.py
@@ -21,6 +21,7 @@
 LIMITS = (8, 32)
 JOIN_S, WINDOW_S, CHANGES = 75.0, 10.0, 6
 SETTLE_S = 2.0
+DOOR_UP_TO = 330  # nodes at which another door than the author's is tried too
 TOLD = files.Catalogue()
 MODULE = f"{__package__}.real"
 
@@ -152,6 +153,10 @@
         lost = counts_after[author.name]["dropped"] - counts[author.name]["dropped"]
         row("datagrams dropped at the author's full socket", lost, "words", True)
         await self.change(author, row)
+        if self.nodes <= DOOR_UP_TO and self.changes:
+            text = await idle.call("fleet-status", 9.0)
+            answered = text.startswith("SUCCESS")
+            row("fleet-status is answered at another node's door", answered, "", True, text=text[:100])
         return rows
 
     async def change(self, author: Real, row) -> None:
