--- a/basalthoist/experiments/scale/fleets.py
+++ b/basalthoist/experiments/scale/fleets.py
@@ -156,7 +156,7 @@
         if self.nodes <= DOOR_UP_TO and self.changes:
             text = await idle.call("fleet-status", 9.0)
             answered = text.startswith("SUCCESS")
-            row("fleet-status is answered at another node's door", answered, "", True, text=text[:100])
+            row("fleet-status is answered at another node's door", float(answered), "", True, text=text[:100])
         return rows
 
     async def change(self, author: Real, row) -> None:
