--- a/basalthoist/experiments/scale/counts.py
+++ b/basalthoist/experiments/scale/counts.py
@@ -50,7 +50,7 @@
     return service
 
 
-class Watched(list):
+class Watched(dict):
     """Counts how many of its items are looked at one after the other."""
 
     looks = 0
@@ -78,11 +78,11 @@
 
 
 def looks(tenants: int) -> int:
-    """At customers, within one of the decisions' rounds."""
+    """At customers, within one of the decisions' rounds, all of them active: others are not looked at."""
     loop = asyncio.new_event_loop()
     try:
         node = service_of(file_of(files.Catalogue(10, tenants, 12)), loop).exchanges.node
-        node.customers, Watched.looks = Watched(node.customers), 0
+        node.active, Watched.looks = Watched.fromkeys(node.customers.values()), 0
         node.tick(now())
         return Watched.looks
     finally:
@@ -203,7 +203,7 @@
        for of in ("tenants", "routes", "backends")},
     "list of discovery": ("backends", "B", lambda n: len(list_text(1, listed(n)))),
     "change of one backend": ("backends", "B", lambda n: len(change_text(2, listed(n)[:1]))),
-    "customers looked at in a round": ("tenants", "looks", lambda n: looks(n)),
+    "active customers looked at in a round": ("tenants", "looks", lambda n: looks(n)),
     "verdicts on their way": ("verdicts", "B", lambda n: verdict_bytes(n)),
     "author's words a beat": ("nodes", "words", lambda n: author_beat(n)[0]),
     "author's bytes a beat": ("nodes", "B", lambda n: author_beat(n)[1]),
--- a/basalthoist/experiments/scale/ranking.py
+++ b/basalthoist/experiments/scale/ranking.py
@@ -79,7 +79,7 @@
         sizes.CONTROL_MB, "MB", "upstream.py Pool; policy.py Backend; configuration.py known")  # fmt: skip
     add("a node that nobody asks, with all tenants and routes",
         [f"catalogue: part of a core of a node that nobody asks, by {both}"], sizes.TENANTS, core,
-        "of a core", "policy.py Node.tick: over all customers each second")  # fmt: skip
+        "of a core", "policy.py Node.tick; net/: what goes over all each second")  # fmt: skip
     add("a node that nobody asks, with all backends",
         ["catalogue: part of a core of a node that nobody asks, by backends"], sizes.BACKENDS, core,
         "of a core", "policy.py Node.choose; upstream.py Upstream.sweep")  # fmt: skip
--- a/basalthoist/experiments/scale/real.py
+++ b/basalthoist/experiments/scale/real.py
@@ -11,7 +11,7 @@
 from contextlib import suppress
 from pathlib import Path
 
-from basalthoist.__main__ import serve_by
+from basalthoist.start import serve_by
 
 from . import counting
 
--- a/basalthoist/experiments/scale/traced.py
+++ b/basalthoist/experiments/scale/traced.py
@@ -11,11 +11,11 @@
 import time
 from pathlib import Path
 
-from basalthoist.__main__ import serve_by
 from basalthoist.decisions.policy import Node
 from basalthoist.net.clients import Client
 from basalthoist.net.exchanges import Exchanges
 from basalthoist.net.upstream import Connection
+from basalthoist.start import serve_by
 
 from .counting import Pauses
 
