--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -8,7 +8,7 @@
 
 from basalthoist.configuration import wrong_with_entries
 from basalthoist.decisions.chance import Lcg
-from basalthoist.distribution import publisher, relay, store, subscriber
+from basalthoist.distribution import publisher, relay, subscriber
 from basalthoist.distribution.bounds import Bounds, Views
 from basalthoist.distribution.catalogue import Catalogue, Entry, as_bytes, weight_of
 from basalthoist.distribution.store import Store, from_bytes, to_bytes
@@ -26,16 +26,11 @@
     encode,
     key_of,
 )
-from basalthoist.emulator.distributed import Distributed, Storm, route, tenant
+from basalthoist.emulator.distributed import Distributed, route, tenant
 from basalthoist.emulator.replicas import Broken
-from basalthoist.fleet.bounds import Bounds as FleetBounds
+from basalthoist.emulator.storms import REGISTER, SHORT, Storm, storm
 
-REGISTER = FleetBounds(lease=10_000, beat=1_500, fresh=5_000, stale=15_000, drift=0.1, answer=30_000)
-SHORT = Bounds(touch=2_000, fresh=6_000, stale=15_000, silent=5_000, drift=0.1, answer=40_000, batch=500,
-               wait=500, wait_most=4_000, home=20_000)  # fmt: skip
 LEASE = REGISTER.lease
-WHOLE = {"publisher": publisher.Publisher, "relay": relay.Relay, "subscriber": subscriber.Subscriber,
-         "store": store.Store}  # fmt: skip
 
 
 def begun(seed, make=None, count=12, voters=3, relays=3, regions=3, told=SHORT, **more):
@@ -199,13 +194,6 @@
     world.peace()
 
 
-def storms(seed, make=None, faults=15):
-    world = Distributed(12, (3, 5)[seed % 2], 2, seed, SHORT, REGISTER, make=make)
-    for number, node in enumerate(world.nodes.values()):
-        node.looks = [f"t{number % 12}", f"t{(number + 5) % 12}"]
-    Storm(world, faults, mean=(0.7, 2.0)[seed // 2 % 2]).blow()
-
-
 class Losing(subscriber.Subscriber):
     """Not broken, but out of luck."""
 
@@ -231,7 +219,7 @@
 
 @pytest.mark.parametrize("seed", range(3))
 def test_storms(seed):
-    storms(seed)
+    storm(seed, 15, (0.7, 2.0)[seed // 2 % 2])
 
 
 FAULTS = st.tuples(
@@ -249,16 +237,16 @@
     world = Distributed(8, 3, 2, seed, SHORT, REGISTER)
     for number, node in enumerate(world.nodes.values()):
         node.looks = [f"t{number}"]
-    storm = Storm(world, 0)
+    made = Storm(world, 0)
     world.run(3 * LEASE)
-    storm.call()
+    made.call()
     for kind, name, lasts, gap, called in faults:
         world.run(world.at + gap)
         name = (world.author() or "n0") if name == "author" else name
-        storm.meet(kind, name, int(lasts * LEASE), (2, 30))
+        made.meet(kind, name, int(lasts * LEASE), (2, 30))
         if called:
-            storm.call()
-    storm.calm((2, 30))
+            made.call()
+    made.calm((2, 30))
 
 
 # Broken builds: each a way in which such a thing is got wrong.
