--- a/basalthoist/distribution/publisher.py
+++ b/basalthoist/distribution/publisher.py
@@ -231,7 +231,7 @@
 
     def room(self) -> int:
         """How many sessions each relay may have: its even part and some more."""
-        nodes = sum(known.nodes + known.away for known in self.known.values())
+        nodes = sum(known.nodes + known.out + known.away for known in self.known.values())
         return max(int(self.bounds.load * nodes / max(len(self.known), 1)) + 1, self.bounds.load_least)
 
     # Changes.
--- a/basalthoist/emulator/costs.py
+++ b/basalthoist/emulator/costs.py
@@ -154,7 +154,7 @@
     world = Full(nodes, relays, voters, catalogue, fronts)
     while not world.author():
         world.run(world.at + SECOND)
-    world.run(world.at + 90 * SECOND)  # all go where they belong
+    world.run(world.at + 75 * SECOND)  # all go where they belong
     found: dict = {"nodes": nodes, "machines": relays + voters, "fronts": fronts}
     found["sessions"] = sorted(len(machine.relay.sessions) for machine in world.machines.values())
     span = Span(world)
@@ -173,7 +173,7 @@
         world.ask(f"r{ident % relays}", ident, [changes[ident]])
         world.run(world.at + SECOND // 50)
     found["burst"] = span.rates()
-    world.run(world.at + 3 * SECOND)
+    world.run(world.at + 6 * SECOND)  # an answer waits for who has just left, as long as a view lasts
     found["burst"] |= {"versions": max(world.counted_at) - since, "lag": lags(world, since)}
     found["answers"] = sum(text.startswith("SUCCESS") for text in world.answers.values())
     found["acting"] = sum(node.subscriber.version == max(world.counted_at) for node in world.nodes.values())
