--- a/basalthoist/emulator/costs.py
+++ b/basalthoist/emulator/costs.py
@@ -86,8 +86,11 @@
         self.acted_at.setdefault(version, {}).setdefault(node.name, self.at)
 
 
-def sums(lives: list[Life]) -> list[tuple[int, int, int, int]]:
-    return [(life.bytes_out, life.words_out, life.bytes_in, life.words_in) for life in lives]
+COUNTED = "bytes_out", "words_out", "bytes_in", "words_in", "between"
+
+
+def sums(lives: list[Life]) -> list[list[int]]:
+    return [[getattr(life, name) for name in COUNTED] for life in lives]
 
 
 class Span:
@@ -104,8 +107,8 @@
         for role, lives in self.roles.items():
             pairs = zip(sums(lives), self.before[role], strict=True)
             grown = [[a - b for a, b in zip(after, before, strict=True)] for after, before in pairs]
-            most = [round(max(one[at] for one in grown) / lasted, 1) for at in range(4)]
-            found[role] = dict(zip(("bytes_out", "words_out", "bytes_in", "words_in"), most, strict=True))
+            most = [round(max(one[at] for one in grown) / lasted, 1) for at in range(len(COUNTED))]
+            found[role] = dict(zip(COUNTED, most, strict=True))
         return found
 
 
--- a/basalthoist/emulator/distributed.py
+++ b/basalthoist/emulator/distributed.py
@@ -46,7 +46,7 @@
         if not self.closed[1 - to]:
             size = size_of(word) if word is not None else 0
             self.flight[to] += size
-            self.ends[1 - to].counts(size, word)
+            self.ends[1 - to].counts(size, word, isinstance(self.ends[0], Machine))
             self.last[to] = max(self.last[to], self.world.at + self.world.chance.randint(*self.world.delay))
             self.world.later(self.last[to] - self.world.at, (self.arrive, to, word, size))
 
@@ -98,13 +98,15 @@
         self.inbox: list[tuple] = []
         self.disks: list[bytes] = []  # as written, the latest last
         self.bytes_out, self.words_out, self.bytes_in, self.words_in = 0, 0, 0, 0
+        self.between = 0  # of the bytes out, those from one machine set aside to another
         world.later(world.chance.randrange(TICK), (self.tick,))
 
     def now(self) -> int:
         return self.start + int(self.world.at * self.rate)
 
-    def counts(self, size: int, word) -> None:
+    def counts(self, size: int, word, between: bool) -> None:
         self.bytes_out += size
+        self.between += size * between
         self.words_out += word is not None
 
     def disk(self) -> Catalogue | None:
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -26,6 +26,7 @@
     encode,
     key_of,
 )
+from basalthoist.emulator import costs
 from basalthoist.emulator.distributed import Distributed, route, tenant
 from basalthoist.emulator.replicas import Broken
 from basalthoist.emulator.storms import REGISTER, SHORT, Storm, storm
@@ -891,3 +892,13 @@
     world.wake(slow_one)
     world.run(world.at + 3 * LEASE)
     world.peace()
+
+
+def test_the_authors_bytes_grow_with_relays_and_not_with_nodes():
+    size = {"services": 20, "routes": 60, "backends": 60, "tenants": 200, "fronts": 2, "seconds": 5}
+    few, many = (costs.costs(nodes, 2, 3, **size) for nodes in (20, 60))
+    for phase in ("at_rest", "burst"):
+        assert many[phase]["author"]["between"] <= 1.2 * few[phase]["author"]["between"]
+        assert many[phase]["node"]["bytes_in"] <= 1.2 * few[phase]["node"]["bytes_in"]
+    assert many["acting"] == 60 and many["answers"] == 502 and many["burst"]["lag"]["last"] < 1.0
+    assert many["burst"]["node"]["bytes_in"] <= 3_000 and many["burst"]["versions"] <= 105
