--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -685,6 +685,15 @@
     assert made.counts(2, change.after) and made.digest == change.after
 
 
+def test_what_is_equal_and_yet_not_alike_is_a_change():
+    steps = [[Entry("limit", "l", "", {"rate": rate}), tenant("t", rate)] for rate in (1, 2, 1.0)]
+    made, copies = filled(steps, most=0)
+    assert made.version == 3 and made.catalogue.change(steps[0]) is not None
+    other = Store(0, Catalogue(1, copies[1]))
+    assert type(made.lacks(None, 1).word) is Snapshot and other.take(made.lacks(None, 1).word)
+    assert other.catalogue.digest() == made.digest
+
+
 def test_views_say_which_version_may_still_be_acted_on():
     views = Views()
     assert views.oldest(0) is None
@@ -825,6 +834,8 @@
     node.on_word(5, Tenants(4, [tenant("t1", 2)]))  # and catches up, of which this is a part
     node.on_word(6, Confirm(3, 4, node.digest(), 0))
     assert not node.may_act(7) and host.done[-2][-1].wants == ["t1", "t2"]
+    node.on_word(6, Confirm(4, 4, node.digest(), 0))  # to a touch from before it asked again
+    assert not node.may_act(7)
     node.on_word(7, Tenants(4, [tenant("t1", 2), tenant("t2", 2)]))
     node.on_word(8, Confirm(6, 4, node.digest(), 0))
     assert node.may_act(8) and node.age(8) == 2 and node.here.look(9, "t2") == (True, {"quota_per_s": 2})
@@ -902,3 +913,43 @@
         assert many[phase]["node"]["bytes_in"] <= 1.2 * few[phase]["node"]["bytes_in"]
     assert many["acting"] == 60 and many["answers"] == 502 and many["burst"]["lag"]["last"] < 1.0
     assert many["burst"]["node"]["bytes_in"] <= 3_000 and many["burst"]["versions"] <= 105
+
+
+class RelayHost(Recorder):
+    def kinds(self):
+        sent = [what[1:] for what in self.done if what[0] == "send"]
+        return [(number, type(getattr(word, "word", word)).__name__) for number, word in sent]
+
+    def waiting(self, session):
+        return 0
+
+    def most(self):
+        return 0
+
+    def age(self, now):
+        return 0
+
+
+def moved(made, entries):
+    change = made.catalogue.change(entries)
+    assert made.propose(1, change)
+    return made.counts(change.version, change.after)
+
+
+def test_names_come_with_a_snapshot_and_only_when_the_relay_is_as_far_as_the_node():
+    made, _ = filled([[tenant("t1", 1), route("x", "a")], [route("x", "a", 2)]])
+    host = RelayHost()
+    there = relay.Relay(host, "r1", 1, SHORT, made, 0)
+    there.on_hello(1, 7, Hello("ahead", 1, "node", "z", ["a"], 3, b"", False))
+    there.on_hello(1, 8, Hello("behind", 1, "node", "z", ["a"], 1, b"", True))
+    assert host.kinds() == [(7, "Welcome"), (8, "Welcome"), (8, "Delta")]
+    for entries in ([tenant("t2", 1)], [tenant("t3", 1)]):
+        host.done.clear()
+        there.on_counted(2, moved(made, entries))
+        assert host.kinds() == ([(7, "Names")] if made.version == 3 else [(7, "Delta")]) + [(8, "Delta")]
+    host.done.clear()
+    there.on_hello(3, 9, Hello("old", 1, "node", "z", ["a"], 0, b"", True))
+    made.history.steps.clear()
+    made.history.begins.clear()
+    there.on_hello(3, 10, Hello("older", 1, "node", "z", ["a"], 2, b"", True))
+    assert host.kinds() == [(9, "Welcome"), (9, "Delta"), (10, "Welcome"), (10, "Names"), (10, "Snapshot")]
