--- a/basalthoist/distribution/feed.py
+++ b/basalthoist/distribution/feed.py
@@ -120,6 +120,9 @@
             if (word.version, word.digest) != store.head and word.version >= store.version:
                 self.moved(now, store.counts(word.version, word.digest), store.version)
         elif kind in (Delta, Snapshot):
+            # Guards against asking again and again for what is no news, or older than what counts here.
+            if word.version < store.version or (word.version, word.digest) == store.head:
+                return
             # Guards against holding what does not come out as it says: then all of it is asked for.
             begin_anew = kind is Snapshot or word.before == store.version
             self.moved(now, store.take(word), -1 if begin_anew else store.version)
