--- a/basalthoist/distribution/bounds.py
+++ b/basalthoist/distribution/bounds.py
@@ -1,12 +1,18 @@
 """What the distribution's file sets, in whole tenths of a millisecond and bytes, and what follows from it."""
 
 from collections import deque
+from hashlib import blake2b
 from typing import NamedTuple
 
 LONG_AGO = -(1 << 60)
 LONG = 1 << 40  # an age that no view comes to
 
 
+def rank(node: str, address: str) -> bytes:
+    """Each node has its own order of relays, which changes little as they come and go."""
+    return blake2b(f"{node}\0{address}".encode(), digest_size=8).digest()
+
+
 class Bounds(NamedTuple):
     touch: int = 10_000  # between two touches
     fresh: int = 25_000  # a relay whose view stays older is left
--- a/basalthoist/distribution/relay.py
+++ b/basalthoist/distribution/relay.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from .bounds import LONG, Bounds, Views
+from .bounds import LONG, Bounds, Views, rank
 from .catalogue import TENANT, Entry
 from .store import Store
 from .wire import Away, Confirm, Demand, Hello, Packed, Snapshot, Tenants, Touch, Want, Welcome, Word
@@ -110,12 +110,11 @@
         self.host.end(number, why)
 
     def others(self, word: Hello) -> list[str]:
-        """Those of its region first; which of them first is the node's to choose."""
+        """Those of its region first, each part in the node's own order: it may not know any of them."""
         common = self.store.catalogue.scopes.get("", {}).values()
         relays = [entry for entry in common if entry.kind == "relay" and entry.name != self.me]
-        near = [e for e in relays if e.body.get("region") == word.region]
-        far = [e for e in relays if e.body.get("region") != word.region]
-        return [str(e.body.get("address", "")) for e in near + far]
+        told = [(e.body.get("region") != word.region, str(e.body.get("address", ""))) for e in relays]
+        return [at for _, at in sorted(told, key=lambda one: (one[0], rank(word.name, one[1])))]
 
     def bring_up(self, now: int, session: Session) -> None:
         """What it lacks; nothing where it is ahead of what is held here."""
--- a/basalthoist/distribution/subscriber.py
+++ b/basalthoist/distribution/subscriber.py
@@ -1,9 +1,8 @@
 """At a node: it chooses a relay, holds the entries of its scopes, proves them, and knows its age."""
 
-from hashlib import blake2b
 from typing import Protocol
 
-from .bounds import LONG, LONG_AGO, Bounds
+from .bounds import LONG, LONG_AGO, Bounds, rank
 from .catalogue import TENANT, Catalogue, Entry, as_bytes
 from .tenants import Here
 from .wire import Away, Confirm, Delta, Demand, Hello, Names, Snapshot, Tenants, Touch, Want, Welcome, Word
@@ -70,17 +69,14 @@
                 known[entry.body["address"]] = entry.body.get("region", "")
         for seed in self.seeds:
             known.setdefault(seed, None)
-        return sorted(known, key=lambda at: (known[at] != self.region, self.rank(at)))
-
-    def rank(self, address: str) -> bytes:
-        return blake2b(f"{self.me}\0{address}".encode(), digest_size=8).digest()
+        return sorted(known, key=lambda at: (known[at] != self.region, rank(self.me, at)))
 
     def choose(self, now: int) -> str:
+        """What it was told comes first: one that knows the seeds alone has to hear of the others."""
         self.left = {address: until for address, until in self.left.items() if until > now}
         relays = self.relays()
-        open_ones = [address for address in relays if address not in self.left]
-        told = [address for address in open_ones if address in self.told]
-        return (told or open_ones or sorted(relays, key=lambda at: self.left[at]))[0]
+        open_ones = [address for address in [*self.told, *relays] if address not in self.left]
+        return (open_ones or sorted(relays, key=lambda at: self.left[at]))[0]
 
     def leave(self, now: int, why: str, after: int = 0) -> None:
         self.host.log(f"distribution: left {self.address}, {why}")
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -443,6 +443,19 @@
     assert near >= 54
 
 
+def test_nodes_that_know_the_seeds_alone_are_told_of_the_others():
+    world = begun(12, count=90, relays=6, told=SHORT._replace(load_least=10, home=10_000_000))
+    for node in world.nodes.values():
+        world.kill(node.name)
+    world.run(world.at + LEASE)
+    for node in world.nodes.values():
+        world.restart(node.name, keeps=False)
+    world.run(world.at + 3 * LEASE)
+    world.peace()
+    there = at_relays(world)
+    assert sum(there.values()) == 90 and min(there.values()) > 0 and max(there.values()) <= 2 * 90 / 9
+
+
 @pytest.mark.parametrize("silent", [False, True], ids=["ended", "dead"])
 def test_a_dead_relays_nodes_find_others_in_time(silent):
     world = begun(5, count=60)
