--- a/basalthoist/emulator/distributed.py
+++ b/basalthoist/emulator/distributed.py
@@ -46,7 +46,7 @@
         if not self.closed[1 - to]:
             size = size_of(word) if word is not None else 0
             self.flight[to] += size
-            self.ends[1 - to].counts(size, word)
+            self.ends[1 - to].counts(size, word, isinstance(self.ends[0], Machine))
             self.last[to] = max(self.last[to], self.world.at + self.world.chance.randint(*self.world.delay))
             self.world.later(self.last[to] - self.world.at, (self.arrive, to, word, size))
 
@@ -98,13 +98,15 @@
         self.inbox: list[tuple] = []
         self.disks: list[bytes] = []  # as written, the latest last
         self.bytes_out, self.words_out, self.bytes_in, self.words_in = 0, 0, 0, 0
+        self.between = 0  # of the bytes out, those from one machine set aside to another
         world.later(world.chance.randrange(TICK), (self.tick,))
 
     def now(self) -> int:
         return self.start + int(self.world.at * self.rate)
 
-    def counts(self, size: int, word) -> None:
+    def counts(self, size: int, word, between: bool) -> None:
         self.bytes_out += size
+        self.between += size * between
         self.words_out += word is not None
 
     def disk(self) -> Catalogue | None:
@@ -579,121 +581,3 @@
 
 def route(name: str, service: str, timeout: int = 1000, on: bool = True) -> Entry:
     return Entry("route", name, service, {"overall_timeout": timeout} if on else {}, on)
-
-
-class Storm:
-    """Faults by chance. Memory and disk are lost together by a minority of the voters at most, at once."""
-
-    def __init__(self, world: Distributed, faults: int, calls: float = 0.5, mean: float = 0.0) -> None:
-        self.world, self.faults, self.chance, self.part = world, faults, world.chance, calls
-        self.told: list[str] = []
-        self.mean = mean or self.chance.choice((0.7, 2.0, 5.0))  # leases between two faults
-        self.last = 0
-
-    def blow(self) -> None:
-        """Raises Broken where a promise is not kept, also that all is well soon after the last fault."""
-        world, draw = self.world, self.chance
-        usual = world.delay
-        lives, gap_mean = [*world.by_name], self.mean * world.bounds.lease
-        world.run(world.at + 4 * world.bounds.lease)
-        self.call()
-        kinds = ("kill", "die", "lose", "freeze", "freeze", "region", "alone", "alone", "torn", "reverted",
-                 "break", "slow", "zone")  # fmt: skip
-        for _ in range(self.faults):
-            gap = int(draw.expovariate(1 / gap_mean))
-            for _ in range(3):
-                world.run(world.at + gap // 3)
-                if draw.random() < self.part:
-                    self.call()
-            # Authors and relays are met more often than their number says.
-            name = draw.choice(lives)
-            if draw.random() < 0.5:
-                name = draw.choice([*world.voters, world.author() or world.voters[0]])
-            elif draw.random() < 0.5:
-                name = draw.choice([machine.name for machine in world.machines.values()])
-            kind, lasts = draw.choice(kinds), int(draw.choice((0.3, 1.0, 3.0)) * world.bounds.lease)
-            self.told.append(f"{world.at / 10_000:.2f} {kind} {name} for {lasts / 10_000:.2f}")
-            self.meet(kind, name, lasts, usual)
-        self.calm(usual)
-
-    def calm(self, usual: tuple[int, int]) -> None:
-        """All faults end. Raises Broken where all is not well soon after."""
-        world = self.world
-        world.delay = usual
-        world.mend()
-        for name, life in world.by_name.items():
-            if not life.alive:
-                world.restart(name)
-            elif life.frozen:
-                world.wake(name)
-        world.run(world.at + 8 * world.bounds.lease + 2 * world.told.stale)
-        world.peace()
-
-    def call(self) -> None:
-        world, draw = self.world, self.chance
-        self.last += 1
-        at = draw.choice([machine.name for machine in world.machines.values()])
-        if self.last == 1:
-            entries = [*world.relay_entries, *(Entry("service", name, name) for name in world.services)]
-            entries += [tenant(f"t{number}", 1.0) for number in range(12)]
-        else:
-            entries = [route(f"x{draw.randrange(20)}", draw.choice(world.services), draw.randrange(9),
-                             draw.random() < 0.7) for _ in range(draw.randint(0, 3))]  # fmt: skip
-            entries += [tenant(f"t{draw.randrange(12)}", draw.randrange(9), draw.random() < 0.7)]
-        world.ask(at, self.last, entries)
-
-    def meet(self, kind: str, name: str, lasts: int, usual: tuple[int, int]) -> None:
-        world, draw = self.world, self.chance
-        life = world.by_name[name]
-        if kind in ("kill", "die", "lose", "torn", "reverted"):
-            keeps = kind != "lose" or not self.may_lose(name)
-            if isinstance(life, Node) and life.alive:
-                life.save()
-            world.kill(name, silent=kind == "die")
-            if kind == "torn" and life.disks and self.may_lose(name):
-                at = draw.randrange(len(life.disks[-1]))
-                data = life.disks[-1]
-                life.disks[-1] = data[:at] if draw.random() < 0.5 else data[:at] + b"?" + data[at + 1 :]
-            elif kind == "reverted" and life.disks and self.may_lose(name):
-                life.disks = life.disks[: draw.randint(1, len(life.disks))]
-            world.later(lasts, (self.back, name, life.life, keeps))
-        elif kind == "freeze" and life.alive:
-            world.freeze(name)
-            world.later(lasts, (world.wake, name))
-        elif kind == "region" and len(world.regions) > 1:
-            world.apart.add(frozenset(draw.sample(world.regions, 2)))
-            world.later(lasts, (world.mend,))
-        elif kind == "alone":
-            world.cut_off(name)
-            world.later(lasts, (world.let_in, name))
-        elif kind == "break":
-            for link in list(world.links):
-                if life in link.ends:
-                    link.broken()
-        elif kind == "slow":
-            world.delay = draw.choice((usual, (2, world.bounds.lease // 4), (2, world.bounds.lease)))
-        elif kind == "zone":
-            region = draw.choice(world.regions)
-            for node in world.nodes.values():
-                if node.region == region:
-                    world.kill(node.name)
-                    world.later(lasts, (self.back, node.name, node.life, draw.random() < 0.5))
-
-    def back(self, name: str, life: int, keeps: bool) -> None:
-        if self.world.by_name[name].life == life and not self.world.by_name[name].alive:
-            self.world.restart(name, keeps)
-
-    def may_lose(self, name: str) -> bool:
-        """Whether a minority at most is left without what counts, in the register and in the stores."""
-        world = self.world
-        if name not in world.voters:
-            return True
-        gone = [other for other in world.voters if other != name and not self.holds(other)]
-        return len(gone) + 1 <= (len(world.voters) - 1) // 2
-
-    def holds(self, name: str) -> bool:
-        replica, machine = self.world.fellows[name].replica, self.world.by_name[name]
-        stores = [other.store for other in self.world.machines.values()]
-        top = max(max(self.world.truth), *(store.stored for store in stores))
-        held = max(machine.store.version, machine.store.stored)
-        return replica is not None and replica.voter.sound and machine.alive and held >= top
