--- a/basalthoist/experiments/distributed/play.py
+++ b/basalthoist/experiments/distributed/play.py
@@ -253,7 +253,7 @@
         nodes, rows, answers = self.size.nodes - len(self.stopped), [], []
         for call in calls:
             whens = sorted(w for one in told for w in one["times"].get(str(call["version"]), ()))
-            if not call["said"].startswith("SUCCESS") or len(whens) < nodes:
+            if call["version"] < 0 or len(whens) < nodes:
                 rows.append({"version": call["version"], "nodes": len(whens), "said": call["said"]})
                 continue
             after = [when - call["called"] for when in whens]
@@ -278,19 +278,25 @@
 
     # Faults. Each: until calls are answered again, and until all nodes are fresh.
 
-    async def recovered(self, began: float, seconds: float = 40.0, **more) -> dict:
-        said = {"said": ""}
-        while not said["said"].startswith("SUCCESS"):
-            if time.monotonic() - began > seconds:
-                raise RunFailed(f"no call succeeds {seconds:.0f} s after the fault: {said['said']}")
-            await asyncio.sleep(0.1)
-            try:
-                said = await self.change()
-            except RunFailed:
-                continue
-        called = time.monotonic() - began
-        _, seen = await self.until_fresh(seconds, said["version"], **more)
-        return {"call_s": round(called, 2), "fresh_s": round(time.monotonic() - began, 2)} | seen
+    async def recovered(self, began: float, seconds: float = 6.0) -> dict:
+        """Changes go on, four a second. When calls succeeded again, how late changes came into force at the
+        last node, and how long after the fault a node's view was not fresh yet."""
+        calls = asyncio.create_task(self.changes(4.0, seconds, tolerant=True))
+        watching, unfresh = asyncio.create_task(self.lookout(seconds)), 0.0
+        while not (calls.done() and watching.done()):
+            await asyncio.sleep(LOOK_S)
+            if self.looks[-1]["fresh"] < self.looks[-1]["nodes"]:
+                unfresh = time.monotonic() - began
+        found, seen = calls.result(), watching.result()
+        succeeded = [call["called"] + call["for"] - began for call in found if call["said"][:7] == "SUCCESS"]
+        if not succeeded:
+            raise RunFailed(f"no call succeeds within {seconds:.0f} s after the fault")
+        force = await self.in_force([call for call in found if call["version"] >= 0])
+        return {"changes": len(found), "succeeded": len(succeeded),
+                "first_success_s": round(min(succeeded), 2),
+                "not_everywhere": force["not_everywhere"], "in_force_p50_s": force.get("p50_s"),
+                "in_force_p99_s": force.get("p99_s"), "in_force_last_s": force.get("last_s"),
+                "not_fresh_for_s": round(unfresh, 2)} | seen  # fmt: skip
 
     async def lookout(self, seconds: float) -> dict:
         """The oldest view and the most nodes that stood by, meanwhile."""
@@ -302,10 +308,13 @@
         return {"oldest_s": round(oldest, 2), "stood_by": stood_by}
 
     async def relays_of(self) -> Machine:
-        """One that neither leads nor votes."""
-        author = await self.processes.author()
-        others = [m for m in self.processes.machines if m not in self.processes.voters and m is not author]
-        return self.chance.choice(others or [m for m in self.processes.machines if m is not author])
+        """Of those that neither lead nor vote, the one with the most nodes."""
+        author, sessions = await self.processes.author(), {}
+        for row in self.samples[-2 * self.size.machines :]:
+            sessions[row["name"]] = row.get("sessions", 0)
+        machines = [m for m in self.processes.machines if m is not author]
+        others = [m for m in machines if m not in self.processes.voters]
+        return max(others or machines, key=lambda machine: sessions.get(machine.name, 0))
 
     async def relay_killed(self) -> dict:
         machine, began = await self.relays_of(), time.monotonic()
@@ -324,20 +333,23 @@
             machine.signal(signal.SIGCONT)
         woken = time.monotonic()
         again = await self.recovered(woken)
-        return found | {"machine": machine.name, "woken_fresh_s": again["fresh_s"]}
+        woke = {key: again[key] for key in ("in_force_last_s", "not_fresh_for_s", "oldest_s", "stood_by")}
+        return found | {"machine": machine.name} | {f"woken_{key}": value for key, value in woke.items()}
 
     async def three_killed(self) -> dict:
         author = await self.processes.author()
-        voter = next(m for m in self.processes.voters if m is not author)
-        gone = [author, voter, await self.relays_of()]
+        voters, relay = self.processes.voters, await self.relays_of()
+        if len(voters) < 5:
+            raise RunFailed("without five voters no majority is left when two are killed")
+        gone = [author, next(m for m in voters if m is not author), relay]
         began = time.monotonic()
         for machine in gone:
             machine.kill()
-        found = await self.recovered(began)
+        found = await self.recovered(began, 8.0)
         new = await self.processes.author(never=tuple(gone))
         for machine in gone:
             machine.begin()
-        await self.recovered(time.monotonic())
+        await self.until_fresh(30)
         return found | {"author_before": author.name, "author_after": new.name}
 
     async def region_cut(self) -> dict:
@@ -354,7 +366,7 @@
         watching = asyncio.create_task(self.lookout(30.0))
         hour = await self.changes(292 / 25.0, 25.0)
         seen = await watching
-        outside = await self.look(version=hour[-1]["version"])
+        outside = await self.look(version=max(call["version"] for call in hour))
         back = time.monotonic()
         for machine in inside:
             machine.signal(signal.SIGUSR2)
@@ -362,8 +374,9 @@
         self.operators = kept
         found = await self.recovered(back)
         kept_s = sorted(c["for"] for c in hour if c["said"].startswith("SUCCESS"))
-        return found | {"region": region, "cut_s": round(back - began, 1), "stood_by": seen["stood_by"],
-                        "oldest_s": seen["oldest_s"], "changes": len(hour), "succeeded": len(kept_s),
+        after = {f"back_{key}": value for key, value in found.items()}
+        return after | {"region": region, "cut_s": round(back - began, 1), "stood_by": seen["stood_by"],
+                        "oldest_s": seen["oldest_s"], "hour_changes": len(hour), "succeeded": len(kept_s),
                         "success_p50_s": round(kept_s[len(kept_s) // 2], 2) if kept_s else -1.0,
                         "acting_outside": outside["at_least"], "before": first["version"]}  # fmt: skip
 
