--- a/basalthoist/experiments/distributed/play.py
+++ b/basalthoist/experiments/distributed/play.py
@@ -195,8 +195,9 @@
         size, processes, loop = self.size, self.processes, asyncio.get_running_loop()
         author = await processes.author()
         self.note("author", name=author.name)
-        seeds = [machine.address for machine in processes.machines]
-        self.operators = [Operator(loop, number, self.chance.sample(seeds, 3), self.timers)
+        seeds = {region: [m.address for m in processes.machines if m.region == region]
+                 or [m.address for m in processes.machines] for region in sizes.REGIONS}  # fmt: skip
+        self.operators = [Operator(loop, number, seeds[sizes.region_of(number)], self.timers)
                           for number in range(OPERATORS)]  # fmt: skip
         while not all(one.subscriber.up for one in self.operators):
             await asyncio.sleep(0.1)
--- a/basalthoist/experiments/distributed/sizes.py
+++ b/basalthoist/experiments/distributed/sizes.py
@@ -72,9 +72,9 @@
     return Entry("tenant", f"new{number:06}-{chance.randrange(10**6)}", "", {"quota_per_s": 5.0})
 
 
-def node(number: int, size: Size, seeds: list[str], chance: Random) -> dict:
-    """It fronts a few services; tens to hundreds of tenants come to it."""
+def node(number: int, size: Size, seeds: dict[str, list[str]], chance: Random) -> dict:
+    """It fronts a few services; tens to hundreds of tenants come to it. Its seeds are its region's relays."""
     scopes = [f"s{chance.randrange(size.services):04}" for _ in range(chance.randint(1, 6))]
     count = min(int(10 ** chance.uniform(1.3, 2.6)), size.tenants)
     return {"name": f"n{number:05}", "region": region_of(number), "scopes": sorted(set(scopes)),
-            "seeds": chance.sample(seeds, min(3, len(seeds))), "tenants": count}  # fmt: skip
+            "seeds": seeds[region_of(number)], "tenants": count}  # fmt: skip
--- a/basalthoist/net/distribution.py
+++ b/basalthoist/net/distribution.py
@@ -77,8 +77,17 @@
             self.close()
             self.subscriber.on_lost(awake_or_not())
 
+    def close(self) -> None:
+        super().close()
+        # Guards against a call whose answer would go to a connection that has ended.
+        for ident in list(self.callers):
+            self.unanswered(ident)
+
     def tick(self) -> None:
-        safely(self.subscriber.on_tick, self.log, awake_or_not())
+        now = awake_or_not()
+        if self.callers:  # it stays until these are answered
+            self.subscriber.home_at = max(self.subscriber.home_at, now + 2 * TICK)
+        safely(self.subscriber.on_tick, self.log, now)
         self.look()
 
     # Who extends this says what is done with what has come.
@@ -104,7 +113,7 @@
         self.timers.after(int((self.told.answer_s + 3.0) * SECOND), partial(self.unanswered, ident))
 
     def unanswered(self, ident: int) -> None:
-        """Guards against a relay that dies with a call in hand."""
+        """Its relay has gone, or says nothing."""
         caller = self.callers.pop(ident, None)
         if caller is not None:
             caller("FAILURE no answer, not known whether the change is kept")
