--- a/basalthoist/distribution/publisher.py
+++ b/basalthoist/distribution/publisher.py
@@ -318,7 +318,8 @@
     def tell(self, now: int) -> None:
         if not self.waiting or not self.leads(now):
             return
-        ended = [(call, text) for call in self.waiting if (text := self.verdict_on(now, call))]
+        late: dict[int, dict[str, int]] = {}  # by version: many calls wait for one
+        ended = [(call, text) for call in self.waiting if (text := self.verdict_on(now, call, late))]
         over = {call.key for call, _ in ended}
         self.waiting = [call for call in self.waiting if call.key not in over]
         for call, text in ended:
@@ -339,13 +340,15 @@
             found["the author before"] = left
         return found
 
-    def verdict_on(self, now: int, call: Waiting) -> str:
+    def verdict_on(self, now: int, call: Waiting, lates: dict[int, dict[str, int]]) -> str:
         version, counts = call.version, self.store.version
         if 0 <= version <= counts:
-            late = self.may_act_on_older(now, version)
-            nodes = sum(known.nodes for known in self.known.values())
-            out = sum(known.out for known in self.known.values())
+            if version not in lates:
+                lates[version] = self.may_act_on_older(now, version)
+            late = lates[version]
             if not late:
+                nodes = sum(known.nodes for known in self.known.values())
+                out = sum(known.out for known in self.known.values())
                 there = f"{nodes} nodes in touch by {len(self.known)} relays"
                 if not self.bounds.strict:
                     return f"SUCCESS version {version} in force at {there}; others serve on by older ones"
