--- a/basalthoist/emulator/costs.py
+++ b/basalthoist/emulator/costs.py
@@ -86,8 +86,11 @@
         self.acted_at.setdefault(version, {}).setdefault(node.name, self.at)
 
 
-def sums(lives: list[Life]) -> list[tuple[int, int, int, int]]:
-    return [(life.bytes_out, life.words_out, life.bytes_in, life.words_in) for life in lives]
+COUNTED = "bytes_out", "words_out", "bytes_in", "words_in", "between"
+
+
+def sums(lives: list[Life]) -> list[list[int]]:
+    return [[getattr(life, name) for name in COUNTED] for life in lives]
 
 
 class Span:
@@ -104,8 +107,8 @@
         for role, lives in self.roles.items():
             pairs = zip(sums(lives), self.before[role], strict=True)
             grown = [[a - b for a, b in zip(after, before, strict=True)] for after, before in pairs]
-            most = [round(max(one[at] for one in grown) / lasted, 1) for at in range(4)]
-            found[role] = dict(zip(("bytes_out", "words_out", "bytes_in", "words_in"), most, strict=True))
+            most = [round(max(one[at] for one in grown) / lasted, 1) for at in range(len(COUNTED))]
+            found[role] = dict(zip(COUNTED, most, strict=True))
         return found
 
 
@@ -154,7 +157,7 @@
     world = Full(nodes, relays, voters, catalogue, fronts)
     while not world.author():
         world.run(world.at + SECOND)
-    world.run(world.at + 90 * SECOND)  # all go where they belong
+    world.run(world.at + 75 * SECOND)  # all go where they belong
     found: dict = {"nodes": nodes, "machines": relays + voters, "fronts": fronts}
     found["sessions"] = sorted(len(machine.relay.sessions) for machine in world.machines.values())
     span = Span(world)
@@ -173,7 +176,7 @@
         world.ask(f"r{ident % relays}", ident, [changes[ident]])
         world.run(world.at + SECOND // 50)
     found["burst"] = span.rates()
-    world.run(world.at + 3 * SECOND)
+    world.run(world.at + 6 * SECOND)  # an answer waits for who has just left, as long as a view lasts
     found["burst"] |= {"versions": max(world.counted_at) - since, "lag": lags(world, since)}
     found["answers"] = sum(text.startswith("SUCCESS") for text in world.answers.values())
     found["acting"] = sum(node.subscriber.version == max(world.counted_at) for node in world.nodes.values())
