--- a/basalthoist/commands/distribute.py
+++ b/basalthoist/commands/distribute.py
@@ -38,11 +38,7 @@
         sys.exit(2)
     workers = max(1, min(12, nodes // 25))
     size = Size(nodes, machines, voters, workers).part(share)
-    try:
-        result = play.carry_out(size, part, seed, into, click.echo, limit)
-    except TimeoutError:
-        click.echo(f"basalthoist: not done in {limit:g} s", err=True)
-        sys.exit(FAILED)
+    result = play.carry_out(size, part, seed, into, click.echo, limit)
     reporting.write(into)
     void = [phase["name"] for phase in result["phases"] if phase["void"]]
     for name in void:
--- a/basalthoist/net/relaying.py
+++ b/basalthoist/net/relaying.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import errno
+import gc
 import os
 import resource
 import socket
@@ -268,6 +269,8 @@
         """Written aside, one piece of work after the other."""
         if self.path is not None and (self.store.to_be_saved() or not self.saved):
             self.saved = True
+            # Guards against the collector, which would stand still over all entries again and again.
+            gc.freeze()
             data = self.store.to_bytes(self.tag)
             self.aside(partial(put_whole, self.path, data, synced=True), self.written)
 
