--- a/basalthoist/experiments/distributed/play.py
+++ b/basalthoist/experiments/distributed/play.py
@@ -186,8 +186,8 @@
         """Of a worker's nodes, by the second: shares of a core, bytes."""
         seconds, same = new["at"] - old["at"], len(old["in"]) == len(new["in"])
         count = max(len(new["in"]), 1)
-        rates = {way: [(b - a) / seconds for a, b in zip(old[way], new[way], strict=True)] if same else []
-                 for way in ("in", "out")}  # fmt: skip
+        pairs = {way: zip(old[way], new[way], strict=True) if same else () for way in ("in", "out")}
+        rates = {way: [round((b - a) / seconds) for a, b in both] for way, both in pairs.items()}
         return {"count": count, "core": (new["cpu_s"] - old["cpu_s"]) / seconds / count, **rates,
                 "memory_kb": new["memory_kb"], "entries": new["entries"], "tenants": new["tenants"],
                 "late_most_ms": new["late_most_ms"]}  # fmt: skip
