--- a/basalthoist/experiments/distributed/play.py
+++ b/basalthoist/experiments/distributed/play.py
@@ -122,7 +122,9 @@
             entries = [sizes.change(self.number, self.size, self.chance)]
         began, answered, said = await self.operator().change(entries)
         words = said.split()
-        version = int(words[words.index("version") + 1]) if "version" in words else -1
+        # One that was proposed may count or not: it is not waited for.
+        counted = "version" in words and "proposed" not in said
+        version = int(words[words.index("version") + 1]) if counted else -1
         found = {"at": began - self.began, "for": answered - began, "said": said[:160], "version": version,
                  "called": began}  # fmt: skip
         self.calls.append(found)
