--- a/basalthoist/experiments/distributed/reporting.py
+++ b/basalthoist/experiments/distributed/reporting.py
@@ -87,7 +87,8 @@
             memory = sum(run["node_kb"]) / len(run["node_kb"]) / 1024
             nodes.append([name, phase["name"], f"{cost['core']:.3%}", f"{cost['bytes']:.0f}",
                           f"{cost['bytes_p99']:.0f}", f"{cost['bytes_most']:.0f}", f"{memory:.2f}",
-                          f"{cost['entries']:.0f}", f"{cost['tenants']:.0f}"])  # fmt: skip
+                          f"{cost['entries']:.0f}", f"{cost['tenants']:.0f}",
+                          phase["void"] or "no"])  # fmt: skip
             machines += machine_rows(run, phase, name)
     return force, nodes, machines
 
@@ -95,11 +96,11 @@
 def machine_rows(run: dict, phase: dict, name: str) -> list[list[str]]:
     costs, author = machine_costs(run, phase["began"], phase["ended"]), author_of(run, phase["began"])
     others = [cost for machine, cost in costs.items() if machine != author]
-    rows = []
+    rows, void = [], phase["void"] or "no"
     if author in costs:
-        rows.append([name, phase["name"], "author", *cells([costs[author]])])
+        rows.append([name, phase["name"], "author", *cells([costs[author]]), void])
     if others:
-        rows.append([name, phase["name"], f"{len(others)} others", *cells(others)])
+        rows.append([name, phase["name"], f"{len(others)} others", *cells(others), void])
     return rows
 
 
@@ -131,19 +132,21 @@
         lines += ["## From the call until in force, over all changes and nodes", ""]
         lines += table(head, [row for force, _, _ in steady for row in force])
         lines += ["## A hollow node", ""]
-        lines += table(["nodes", "phase", "part of a core", "B/s in and out, mean", "p99", "most", "MB",
-                        "entries", "tenants"], [row for _, nodes, _ in steady for row in nodes])  # fmt: skip
-        head = ["nodes", "part of a core", "more than one that is told nothing", "MB", "more"]
+        head = ["nodes", "phase", "part of a core", "B/s in and out, mean", "p99", "most", "MB", "entries",
+                "tenants", "void"]  # fmt: skip
+        lines += table(head, [row for _, nodes, _ in steady for row in nodes])
+        head = ["nodes", "part of a core", "more than one that is told nothing", "MB", "more", "void"]
         lines += ["## A real node beside them, idle", ""]
         found = [(run["size"]["nodes"], p) for run in runs for p in run["phases"] if "real_core" in p]
         lines += table(head, [[str(count), f"{p['real_core']:.2%}", f"{p['real_core_more']:.2%}",
-                               str(p["real_mb"]), str(p["real_mb_more"])] for count, p in found])  # fmt: skip
+                               str(p["real_mb"]), str(p["real_mb_more"]), p["void"] or "no"]
+                              for count, p in found])  # fmt: skip
     rows = [row for _, _, machines in steady for row in machines]
     rows += [row for run in runs for phase in run["phases"] if phase["name"] in FAULTS
              for row in machine_rows(run, phase, str(run["size"]["nodes"]))]  # fmt: skip
     lines += ["## Machines set aside", "", "Most: of half a second, in any of them.", ""]
     head = ["nodes", "phase", "which", "part of a core, mean", "of the busiest", "most", "kB/s out, mean",
-            "most", "MB, most", "sessions, most"]  # fmt: skip
+            "most", "MB, most", "sessions, most", "void"]  # fmt: skip
     lines += table(head, rows)
     lines += ["## Faults", ""]
     for run in runs:
