A repeat that has waited for a connection past its window is not sent

Cause: whether a repeat is still dropped was asked as the try was chosen. It is as old as waiting for connections.

Now the decisions are asked in the turn in which it is written (Node.may_begin, by the same rule as before).

--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -113,6 +113,7 @@
         for came in [0] * min(rounds - self.rounds - 1, IDLE) + [self.came]:
             self.usual += (came - self.usual) * 0.05
         self.idle, self.rounds, self.came = (self.idle + 1) * (not self.came), rounds, 0
+        self.active.pop(self if self.idle > IDLE else None, None)
         return self.usual / max(self.quota, 1e-6)
 
 
@@ -151,28 +152,32 @@
         self.talkers, self.listeners, self.news, self.audiences = defaultdict(Counter), {}, {}, {}
         self.spots = [i * 0.618034 % 1.0 for i in range(self.nodes if tells and not self.blind else 0)]
         self.probe_trip, self.heard_at, self.due_seq, self.woken_for = 10.0, -SECOND, count(), 0
-        self.backends, self.exchanges, self.usable, self.held, self.due = {}, {}, [], [], []
-        self.groups, self.fleet, self.users, self.total = [], 0, 1.0, 1.0  # groups: usable ones by location
-        self.failing, self.lossy, self.cancels = 0.0, 0.0, get("policy_limits.cancel")  # see `overtake`
+        self.backends, self.exchanges, self.usable, self.held, self.due, self.users = {}, {}, [], [], [], 1.0
+        self.groups, self.fleet, self.cancels, self.lossy = [], 0, get("policy_limits.cancel"), 0.0
         self.mean_time, self.slot, self.welcome = self.objective / 3.0, self.objective / 4.0, 1.0  # surplus
-        self.demand, self.arrivals, self.usual, self.sends = 0.0, 0, 0.0, 0  # usual: sends to a warm backend
+        self.demand, self.arrivals, self.usual, self.sends, self.failing, self.total = 0.0, 0, .0, 0, .0, 1.0
         self.sheds, self.all_sheds, self.shedding, self.list_failures, self.ask_again = 0, 0, False, 0, 0
         if get("discovery", "pushed") == "on_request":
             host.subscribe()
         host.wake(SECOND, "tick")
 
     def may_try(self, xchg: Exchange, backend: Backend, now: int) -> bool:
-        get, tries, route = self.settings.get, xchg.tries, xchg.route
+        get, tries = self.settings.get, xchg.tries
         beyond = xchg.spent and tries or xchg.spilled and backend.location >= self.others_from
-        if xchg.over or xchg.streaming or now >= xchg.deadline or beyond or not backend.usable:
-            return False
+        shut = xchg.over or xchg.streaming or now >= xchg.deadline or beyond or not backend.usable
         most, parallel = get("policy_limits.max_upstream_tries", 1), get("policy_limits.parallel_tries")
-        if tries and (len(tries) >= most or not parallel and any(t.outcome is None for t in tries)):
-            return False
-        free, by = not (ran := [t for t in tries if t.outcome not in NEVER_RAN]) or route.free, route.group
+        full = tries and (len(tries) >= most or not parallel and any(t.outcome is None for t in tries))
+        return not shut and not full and self.again(xchg, len(tries), backend, now)
+
+    def again(self, xchg: Exchange, number: int, backend: Backend, now: int) -> bool:  # after so many tries
+        ran, route = [t for t in xchg.tries[:number] if t.outcome not in NEVER_RAN], xchg.route
+        free, by = not ran or route.free, route.group
         known = not free and route.semantics == "deduped" and now + 10 < ran[0].sent_at + route.window
         return free or known and (by == "all" or getattr(backend, by, 0) == getattr(ran[0].backend, by, 1))
 
+    def may_begin(self, now: int, ident: int, try_no: int) -> bool:  # as it is written: it may have waited
+        return (x := self.exchanges.get(ident)) is None or self.again(x, try_no, x.tries[try_no].backend, now)
+
     def cold_allows(self, backend: Backend, now: int) -> bool:
         backend.tokens = min(backend.tokens + (now - backend.tokens_at) * backend.budget, 1.0)
         backend.tokens_at, fresh = now, now - backend.last_answer < self.settings.get("rules.overload_for", 0)
@@ -349,8 +354,7 @@
                 backend.forget(now, self.chance)
             backend.learn(listed, listed.state == "healthy" and listed.name not in self.banned)
             backend.warm_at = 0 if listed.started is None else listed.started + warm
-            # What crossing locations costs, as response time, so that the solve weighs it.
-            backend.cost = 2.0 * self.crossing * self.objective * (backend.location != self.location)
+            backend.cost = 2.0 * self.crossing * self.objective * (backend.location != self.location)  # time
         for name in [n for n in (self.backends if whole else named) if named.get(n, "gone") == "gone"]:
             self.backends.pop(name).usable = False
         self.keyed = {b.key: b for b in self.backends.values()}
@@ -409,10 +413,8 @@
             self.talkers[location] = Counter({peer: 0.8 * n for peer, n in talkers.items() if n > 0.1})
         # Guards against shedding at busy nodes what is in share, and bursts that raise their own part.
         self.rounds, self.arrivals, self.sends = self.rounds + 1, 0, 0
-        parts = sorted((c.reckon(self.rounds) for c in self.active), reverse=True)  # others': at most even
+        parts = sorted((c.reckon(self.rounds) for c in [*self.active]), reverse=True)  # others': at most even
         self.part = max([1 / self.nodes, *parts[(3 * len(self.customers) - 1) // 4 :][:1]])
-        for customer in [c for c in self.active if c.idle > IDLE]:
-            del self.active[customer]
         # Guards against hundreds of nodes that each forget a slow backend in seconds and try it in turn.
         fade = min(0.97 ** (self.demand / max(len(self.usable), 1)), 0.85 if self.hears else 0.95)
         for backend in self.usable:
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -172,14 +172,15 @@
         if not self.report(happened, xchg.id, route, customer, grace, again, xchg.spilled):
             self.end_failed(xchg)
 
-    def wanted(self, xchg: Exchange) -> bool:
-        """Whether its client is still there, as far as this machine knows."""
+    def wanted(self, xchg: Exchange, number: int) -> bool:
+        """Whether its client is still there, as far as this machine knows, and the try may still begin."""
         # Guards against sending on for a client that has left: its end may lie unread, as after the node
         # stood still, or while nothing is read from that client.
         if xchg.open and xchg.client.left():
             self.loop.call_soon(xchg.client.leave)
             return False
-        return xchg.open
+        # Guards against a repeat that waited for a connection until its window was over.
+        return xchg.open and self.node.may_begin(now(), xchg.id, number)
 
     def gone(self, xchg: Exchange) -> None:
         """Its client has gone away."""
@@ -327,7 +328,7 @@
         if not gone and self.may_send():
             call = self.upstream.call(backend, parts, timeout, ended, starts,
                                       streams=xchg.streams, upload=xchg.upload,
-                                      wanted=partial(self.wanted, xchg))  # fmt: skip
+                                      wanted=partial(self.wanted, xchg, number))  # fmt: skip
         if call is None:
             self.loop.call_soon(ended, Outcome.NOT_SENT, None)
         xchg.calls.append(call)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -386,6 +386,23 @@
     assert int(told.partition(b"request-timeout-ms: ")[2].split()[0]) <= most
 
 
+def test_a_repeat_that_waits_for_a_connection_past_its_window_is_not_sent(start):
+    """Backends drop repeats for 0.4 s after the first try, which may have run: later it would run twice."""
+    late, more = LateAfterOne(), patient()
+    route = {"name": "read", "semantics": "deduplicated", "group": "all", "dedup_window": 400000,
+             "latency_objective": 8000000, "overall_timeout": 9000000, "value": 1.0}  # fmt: skip
+    program, _, _ = start(late, settings_more=more | {"routes": [route]})
+    sock, _ = asks(program, request(timeout=8000, ident="twice"))
+    with sock, sock.makefile("rb") as source:
+        assert late.failed.wait(10)
+        wait_for(lambda: connecting_to(late))  # for the repeat
+        time.sleep(0.5)
+        late.come_up()
+        assert read_message(source).status != "200"
+    assert program.ask(request(timeout=8000, ident="next")).body == b"late"
+    assert late.got() == ["next"]
+
+
 @pytest.mark.parametrize("change", ["draining", "gone", "moved", "anew", "banned"])
 @pytest.mark.parametrize("route", ["read", "pay"])
 def test_a_try_that_waits_for_a_connection_to_who_drains_goes_elsewhere_at_once(start, change, route):
