--- a/basalthoist/commands/distribute.py
+++ b/basalthoist/commands/distribute.py
@@ -12,8 +12,13 @@
 @click.option("--nodes", type=click.IntRange(min=12, max=10_000), default=100, show_default=True)
 @click.option("--machines", type=click.IntRange(min=3, max=40), default=17, show_default=True)
 @click.option("--voters", type=click.IntRange(min=1, max=7), default=5, show_default=True)
-@click.option("--share", type=click.FloatRange(min=0.1, max=100), default=1.0, show_default=True,
-              help="Hundredths of 2,000 services, 11,000 routes, 32,000 backends, 200,000 tenants.")
+@click.option(
+    "--share",
+    type=click.FloatRange(min=0.1, max=100),
+    default=1.0,
+    show_default=True,
+    help="Hundredths of 2,000 services, 11,000 routes, 32,000 backends, 200,000 tenants.",
+)
 @click.option("--part", type=click.Choice(["steady", "faults", "behind"]), default="steady")
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--into", type=click.Path(path_type=Path), default=Path("distributed"), show_default=True)
--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -21,7 +21,8 @@
 STRAIN, LOSSY = 2.5, 0.8  # idle times at which who reports a whole rate is passed over; see `overtake`
 
 
-def service_time(rate, time, cores): return time / (1 + rate * time / SECOND / cores)  # fmt: skip
+def service_time(rate, time, cores):
+    return time / (1 + rate * time / SECOND / cores)  # fmt: skip
 
 
 class Backend:
@@ -87,7 +88,8 @@
 
 class Route:
     def __init__(self, settings: dict, number: int) -> None:
-        def get(name, default=0): return settings.get(f"routes.{number}.{name}", default)  # fmt: skip
+        def get(name, default=0):
+            return settings.get(f"routes.{number}.{name}", default)  # fmt: skip
 
         self.group, self.semantics, self.streams = get("group", "pod"), get("semantics", ""), get("streaming")
         self.value, self.late_value, self.usual_grace = get("value", 1.0), get("overdue_value", 0.0), 0
@@ -155,7 +157,14 @@
         self.backends, self.exchanges, self.usable, self.held, self.due, self.users = {}, {}, [], [], [], 1.0
         self.groups, self.fleet, self.cancels, self.lossy = [], 0, get("policy_limits.cancel"), 0.0
         self.mean_time, self.slot, self.welcome = self.objective / 3.0, self.objective / 4.0, 1.0  # surplus
-        self.demand, self.arrivals, self.usual, self.sends, self.failing, self.total = 0.0, 0, .0, 0, .0, 1.0
+        self.demand, self.arrivals, self.usual, self.sends, self.failing, self.total = (
+            0.0,
+            0,
+            0.0,
+            0,
+            0.0,
+            1.0,
+        )
         self.sheds, self.all_sheds, self.shedding, self.list_failures, self.ask_again = 0, 0, False, 0, 0
         if get("discovery", "pushed") == "on_request":
             host.subscribe()
@@ -191,7 +200,8 @@
         rate, before, self.usable = max(self.demand, self.arrivals), self.usable, []  # or too few exchanges
         size = max(LEAST, rate * WINDOW_MOST / SECOND / SAMPLES / 3 ** bool(self.spots)) / max(self.fleet, 1)
 
-        def worth(b: Backend) -> float: return 1 - (1 - start) * max(b.warm_at - now, 0) / warm  # fmt: skip
+        def worth(b: Backend) -> float:
+            return 1 - (1 - start) * max(b.warm_at - now, 0) / warm  # fmt: skip
 
         for group in self.groups:
             room, first = size * len(group), int(self.spots[self.me] * len(group)) if self.spots else 0
@@ -369,7 +379,8 @@
             fresh.place, fresh.called_back, fresh.started = backend.place, now, now
         self.on_list(now, [backend.listed] if backend is not None else [], False)
 
-    def on_limit(self, now, customer_no, limit): self.customers[customer_no].limit = limit  # fmt: skip
+    def on_limit(self, now, customer_no, limit):
+        self.customers[customer_no].limit = limit  # fmt: skip
 
     def on_quota(self, now: int, customer_no: int, quota: float | None) -> None:  # of all; None: gone
         self.active.pop(one := self.customers.pop(customer_no, None), None)
@@ -390,7 +401,8 @@
             (due := heappop(self.due))[2](now, due[3])
         self.arm(now)
 
-    def at(self, when, act, what): heappush(self.due, (when, next(self.due_seq), act, what))  # fmt: skip
+    def at(self, when, act, what):
+        heappush(self.due, (when, next(self.due_seq), act, what))  # fmt: skip
 
     def arm(self, now: int) -> None:
         if self.due and (not self.woken_for or self.due[0][0] < self.woken_for):
--- a/basalthoist/distribution/catalogue.py
+++ b/basalthoist/distribution/catalogue.py
@@ -41,6 +41,7 @@
 
 ENCODE = msgspec.msgpack.Encoder(order="sorted").encode
 
+
 def weight_of(entry: Entry) -> int:
     """What an entry adds to a digest (Bellare and Micciancio 1997)."""
     return int.from_bytes(blake2b(ENCODE(entry), digest_size=32).digest(), "big")
--- a/basalthoist/experiments/cluster/timeline.py
+++ b/basalthoist/experiments/cluster/timeline.py
@@ -89,7 +89,7 @@
         for number, event in enumerate(self.events):
             named = [*(w for w in event.who if w != "author"), *event.others]
             if not event.who or any(not 0 <= who < self.nodes for who in named):
-                raise ValueError(f"events[{number}].who: expected nodes 0 to {self.nodes - 1} or \"author\"")
+                raise ValueError(f'events[{number}].who: expected nodes 0 to {self.nodes - 1} or "author"')
         for number, machine in enumerate(self.machines):
             if not 0 <= machine.node < self.nodes:
                 raise ValueError(f"machines[{number}].node: expected 0 to {self.nodes - 1}")
--- a/basalthoist/experiments/scale/bench.py
+++ b/basalthoist/experiments/scale/bench.py
@@ -60,8 +60,15 @@
         self.process, self.began = None, 0.0
 
     async def start(self, module: str, fleet: Path | None = None, **more: str) -> None:
-        environment = os.environ | {"PROXY_CONFIG": str(self.folder / "node.json"),
-                                    "TMPDIR": str(self.folder), "SCALE_COUNTS": str(self.counts)} | more
+        environment = (
+            os.environ
+            | {
+                "PROXY_CONFIG": str(self.folder / "node.json"),
+                "TMPDIR": str(self.folder),
+                "SCALE_COUNTS": str(self.counts),
+            }
+            | more
+        )
         environment.pop("PROXY_FLEET", None)
         if fleet is not None:
             environment["PROXY_FLEET"] = str(fleet)
--- a/basalthoist/experiments/scale/counting.py
+++ b/basalthoist/experiments/scale/counting.py
@@ -35,6 +35,7 @@
 
 def words() -> dict:
     """For JSON: rows of who, (from whom,) kind, words, bytes."""
+
     def rows(counter: Counter) -> list:
         keys = sorted({key[:-1] for key in counter})
         return [[*key, counter[(*key, "words")], counter[(*key, "bytes")]] for key in keys]
--- a/basalthoist/experiments/scale/lateness.py
+++ b/basalthoist/experiments/scale/lateness.py
@@ -32,5 +32,3 @@
 def void_of(late_ms: float, bound_ms: float = MOST_MS) -> str:
     """Why a run does not count, or nothing."""
     return f"the tool was {late_ms:.0f} ms late at p99, {bound_ms:.0f} allowed" if late_ms > bound_ms else ""
-
-
--- a/basalthoist/experiments/scale/real.py
+++ b/basalthoist/experiments/scale/real.py
@@ -23,8 +23,12 @@
     while True:
         time.sleep(EVERY_S)
         with suppress(OSError, RuntimeError):  # a counter may grow meanwhile; the next one is whole
-            told = {"at": time.monotonic(), "words": counting.words(), "dropped": counting.dropped_here(),
-                    "thread": threading.get_native_id()}
+            told = {
+                "at": time.monotonic(),
+                "words": counting.words(),
+                "dropped": counting.dropped_here(),
+                "thread": threading.get_native_id(),
+            }
             beside.write_text(json.dumps(told))
             beside.replace(path)
 
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -297,8 +297,11 @@
         return "leaving" if self.door.leaving else " and ".join(self.reasons()) or "not ready yet"
 
     def reasons(self) -> list[str]:
-        words = {"operator": "standby", "fleet": "view of the fleet stale",
-                 "configuration": "view of the configuration stale"}
+        words = {
+            "operator": "standby",
+            "fleet": "view of the fleet stale",
+            "configuration": "view of the configuration stale",
+        }
         return [words[word] for word in sorted(self.door.parts_for, reverse=True)]
 
     def stand_by(self) -> str:
--- a/basalthoist/shadow.py
+++ b/basalthoist/shadow.py
@@ -26,16 +26,35 @@
     def note(self, act: str, ident: int, *what) -> None:
         self.acts.setdefault(ident, []).append((act, *what))
 
-    def send(self, xchg, backend, timeout): self.note("send", xchg, backend)  # fmt: skip
-    def shed(self, xchg, retry_after): self.note("shed", xchg)  # fmt: skip
-    def fail(self, xchg): self.note("fail", xchg)  # fmt: skip
-    def cancel(self, xchg, try_no): self.note("cancel", xchg, try_no)  # fmt: skip
-    def withdraw(self, xchg, try_no): return False  # fmt: skip
-    def probe(self, backend): self.asides.append(("probe", backend))  # fmt: skip
-    def tell(self, words, peers): self.asides.append(("tell", len(words)))  # fmt: skip
-    def subscribe(self): pass  # fmt: skip
-    def wake(self, after, tag): pass  # fmt: skip
-    def log(self, line): pass  # fmt: skip
+    def send(self, xchg, backend, timeout):
+        self.note("send", xchg, backend)  # fmt: skip
+
+    def shed(self, xchg, retry_after):
+        self.note("shed", xchg)  # fmt: skip
+
+    def fail(self, xchg):
+        self.note("fail", xchg)  # fmt: skip
+
+    def cancel(self, xchg, try_no):
+        self.note("cancel", xchg, try_no)  # fmt: skip
+
+    def withdraw(self, xchg, try_no):
+        return False  # fmt: skip
+
+    def probe(self, backend):
+        self.asides.append(("probe", backend))  # fmt: skip
+
+    def tell(self, words, peers):
+        self.asides.append(("tell", len(words)))  # fmt: skip
+
+    def subscribe(self):
+        pass  # fmt: skip
+
+    def wake(self, after, tag):
+        pass  # fmt: skip
+
+    def log(self, line):
+        pass  # fmt: skip
 
     def clear(self) -> None:
         self.acts.clear()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -202,9 +202,7 @@
     with closing(StandIn(gateway)) as other:
         path = tmp_path / "gateway.toml"
         quick = "beat_s = 0.1\nsilent_s = 5.0\nsteady_s = 0.1\ncalm_s = 9.0\n"
-        path.write_text(
-            f"site = 'a'\n{quick}[[sites]]\nname = 'b'\ngateways = ['{other.address}']\n"
-        )
+        path.write_text(f"site = 'a'\n{quick}[[sites]]\nname = 'b'\ngateways = ['{other.address}']\n")
         told = load_gateway({"PROXY_GATEWAY": str(path)})
 
         async def act(node, *backends):
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -104,4 +104,3 @@
     ours = [path for path in opened if path.startswith(folder)]
     assert len(ours) == len(set(ours))
     assert len(opened) <= len(loaded)
-
