--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,14 @@
     pytest_terminal_summary,
 )
 
+from basalthoist.experiments.cluster.faults import Faults
+
+
+@pytest.fixture
+def faults(tmp_path):
+    """Faults for a program that is started with `environment=faults.environment`."""
+    return Faults(tmp_path)
+
 
 @pytest.fixture
 def start(tmp_path):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -264,6 +264,13 @@
             return read_message(source)
 
 
+def route(name="read", semantics="idempotent", timeout_s=0.9, **more):
+    """A route as the settings have it."""
+    usual = {"group": "all", "latency_objective": 300_000, "value": 1.0, "streaming": False}
+    timeout = {"overall_timeout": int(timeout_s * 1e6)}
+    return usual | timeout | {"name": name, "semantics": semantics} | more
+
+
 def request(route="read", timeout=800, body=b"", ident="1", extra="", path="/x?y=1"):
     method = "POST" if route == "pay" else "GET"
     length = f"Content-Length: {len(body)}\r\n" if body else ""
