Windows, told times and refusals allow for a hold-up of 0.15 s; a request counts from its own last byte

Arrivals keeps when which byte came. Over JSON-RPC a call's time counts from there too; it counted from when the call was begun, however long it had waited for others.

--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -19,6 +19,7 @@
 AWAY, AWAY_MOST, PRESS, ROOM = 2 * SECOND, 8 * SECOND, 0.1, 0.015  # over ROOM / PRESS miss: no surplus
 WEAR, LISTENING = 3, 0.7  # service times to an end not told; part of the words whose senders are told
 STRAIN, LOSSY = 2.5, 0.8  # idle times at which who reports a whole rate is passed over; see `overtake`
+HOLD_UP = SECOND * 15 // 100  # the longest that a node may be held up between reading its clock and writing
 
 
 def service_time(rate, time, cores):
@@ -96,7 +97,6 @@
         self.window, self.timeout = get("dedup_window", 0), get("overall_timeout", 10 * SECOND)
         self.objective = get("latency_objective", 0) or int(0.8 * self.timeout)
         self.free = self.semantics == "retriable"
-        self.harmless = self.free or self.semantics == "deduped" and self.group == "all"  # to be shed
 
 
 class Customer:  # its share at this node, as a bucket that fills at the share's rate
@@ -181,9 +181,17 @@
     def again(self, xchg: Exchange, number: int, backend: Backend, now: int) -> bool:  # after so many tries
         ran, route = [t for t in xchg.tries[:number] if t.outcome not in NEVER_RAN], xchg.route
         free, by = not ran or route.free, route.group
-        known = not free and route.semantics == "deduped" and now + 10 < ran[0].sent_at + route.window
+        known = not free and self.remembered(xchg, ran, now) > 0
         return free or known and (by == "all" or getattr(backend, by, 0) == getattr(ran[0].backend, by, 1))
 
+    def remembered(self, xchg: Exchange, ran: list[UpstreamTry], now: int) -> int:
+        """For how long what is written from now on is still known as a repeat of `ran`, the tries so far.
+
+        Guards against a node that is held up before it writes: the repeat would arrive after the window.
+        """
+        window = xchg.route.window if xchg.route.semantics == "deduped" else 0
+        return ran[0].sent_at + window - HOLD_UP - now
+
     def may_begin(self, now: int, ident: int, try_no: int) -> bool:  # as it is written: it may have waited
         return (x := self.exchanges.get(ident)) is None or self.again(x, try_no, x.tries[try_no].backend, now)
 
@@ -500,12 +508,28 @@
         if xchg.over or xchg.streaming:
             return
         self.welcome -= PRESS * (not xchg.surplus)  # surplus goes before what is in share
-        never = (t.outcome in NEVER_RAN or self.host.withdraw(xchg.id, i) for i, t in enumerate(xchg.tries))
-        safe = xchg.route.harmless or all(never)
+        advice = self.harmless_after(now, xchg)
+        safe = advice is not None
         self.sheds, self.all_sheds = self.sheds + safe, self.all_sheds + (safe and not xchg.surplus)
-        self.host.shed(xchg.id, self.advice) if safe else self.host.fail(xchg.id)
+        if safe:
+            self.host.shed(xchg.id, advice)
+        else:
+            self.host.fail(xchg.id)
         self.finish(xchg)
 
+    def harmless_after(self, now: int, xchg: Exchange) -> int | None:
+        """When its client may be told to try again, 0 for no advice; None where that could do harm."""
+        ran = [upstream for upstream in xchg.tries if upstream.outcome not in NEVER_RAN]
+        if xchg.route.free or not ran:
+            return self.advice
+        remembered = self.remembered(xchg, ran, now) if xchg.route.group == "all" else 0
+        if remembered > 0:
+            # Guards against a client that is told to come back when its request is no longer known.
+            return min(self.advice, remembered)
+        tries = enumerate(xchg.tries)
+        never = (upstream.outcome in NEVER_RAN or self.host.withdraw(xchg.id, i) for i, upstream in tries)
+        return self.advice if all(never) else None
+
     def finish(self, xchg: Exchange) -> None:
         out = [number for number, upstream in enumerate(xchg.tries) if upstream.outcome is None]
         for number in out if self.cancels and not xchg.over and not xchg.streaming else ():
--- a/basalthoist/jsonrpc/front.py
+++ b/basalthoist/jsonrpc/front.py
@@ -7,6 +7,7 @@
 
 from basalthoist.net.descriptors import descriptor_of, ended, lain
 from basalthoist.net.exchanges import Exchanges
+from basalthoist.net.framing import Arrivals
 from basalthoist.net.log import Log
 from basalthoist.net.timers import SECOND, Timers, now
 
@@ -70,7 +71,7 @@
     def __init__(self, front: "Front") -> None:
         self.front, self.transport = front, None
         self.pending, self.skipping, self.since = b"", False, now()
-        self.came_at = self.since  # when what was read last came to the machine
+        self.arrivals, self.came_at = Arrivals(), self.since  # when the line that is taken came
         self.callers: dict[Caller, None] = {}
         self.idents: set[bytes] = set()
         self.full, self.paused, self.ending = False, False, False
@@ -93,7 +94,7 @@
 
     def data_received(self, data: bytes) -> None:
         self.since = now()
-        self.came_at = self.since - lain(self.transport)
+        self.arrivals.add(len(data), self.since - lain(self.transport))
         self.pending = self.pending + data if self.pending else data
         self.go_on()
 
@@ -151,6 +152,7 @@
             if end < 0:
                 break
             line, self.pending = self.pending[:end].strip(), self.pending[end + 1 :]
+            self.came_at = self.arrivals.of_last(len(self.pending))
             if line:
                 self.take(line)
         self.hold_back()
@@ -265,8 +267,10 @@
         number, route = self.methods[request.method]
         timeout = route.overall_timeout // 100 or SECOND
         ident, params = self.exchanges.new_id(), bytes(request.params)
-        exchange = caller.exchange = JsonExchange(ident, caller, request.method, params, now() + timeout)
-        exchange.came_at = caller.conversation.came_at
+        came_at = caller.conversation.came_at
+        # Guards against a call that waited behind others here: its client has waited for it since it came.
+        exchange = JsonExchange(ident, caller, request.method, params, came_at + timeout)
+        exchange.came_at, caller.exchange = came_at, exchange
         self.exchanges.begin(exchange, number, self.customer, False)
 
     def sweep(self) -> None:
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -16,6 +16,10 @@
 
 OWN_HEADERS = frozenset((b"request-timeout-ms", b"host", b"site-hops", b"site-from"))  # written anew
 KEPT_BACK = frozenset((b"server-load", b"not-started"))  # for the node, not for its clients
+TOLD_MARGIN = (
+    SECOND // 50
+)  # of the time told to a backend: what the node's clock does not see of a request's way
+TOLD_PART = 5  # at most so much of what is left, where that is little
 OVERDUE = 20  # tenths after its deadline at which an exchange is answered whatever has become of it
 
 
@@ -39,6 +43,8 @@
     def parts(self, number: int, until: int, marks: bytes = b"") -> list:
         """The request of this try towards a backend, told how long the node will wait from now on."""
         left = until - now()
+        # Guards against a node that is held up before it writes, for as long as the slack allows.
+        left -= min(TOLD_MARGIN, left // TOLD_PART)
         if self.upload is not None:
             left = min(left, self.upload.grace)  # which counts from its last byte there too
         head = self.head + marks + b"Request-Timeout-Ms: %d\r\n\r\n" % max(left // 10, 1)
--- a/basalthoist/net/framing.py
+++ b/basalthoist/net/framing.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 messages cut out of what a connection reads. Heads go through httptools; bodies stay slices."""
 
+from collections import deque
 from collections.abc import Iterable
 
 import httptools
@@ -46,6 +47,32 @@
     return b"".join([first, b"\r\n", *(b"%b: %b\r\n" % header for header in headers)])
 
 
+class Arrivals:
+    """When the bytes of a stream came, so that each message counts from its own last byte."""
+
+    __slots__ = ("received", "pieces")
+
+    MERGED = 10  # tenths of a millisecond: what comes within them counts as come with the first
+
+    def __init__(self) -> None:
+        self.received = 0
+        self.pieces: deque[tuple[int, int]] = deque()  # how much had come by then, and when
+
+    def add(self, length: int, now: int) -> None:
+        self.received += length
+        # Guards against a stream of single bytes, each of which would be kept as a piece of its own.
+        if self.pieces and now - self.pieces[-1][1] < self.MERGED:
+            now = self.pieces.pop()[1]
+        self.pieces.append((self.received, now))
+
+    def of_last(self, behind: int) -> int:
+        """When the last byte came that lies ahead of `behind` bytes which are yet to be taken."""
+        end = self.received - behind
+        while len(self.pieces) > 1 and self.pieces[0][0] < end:
+            self.pieces.popleft()
+        return self.pieces[0][1] if self.pieces else 0
+
+
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -63,7 +90,7 @@
     def __init__(self, answers: bool, head_bytes: int, body_bytes: int, long_bytes: int = 0) -> None:
         self.answers, self.head_bytes, self.body_bytes = answers, head_bytes, body_bytes
         self.long_bytes = max(long_bytes, body_bytes)  # over which a body is refused
-        self.pending, self.came_at = b"", 0
+        self.pending, self.arrivals = b"", Arrivals()
         # As `on_long`, but told of every answer, as soon as its head has come.
         self.on_head = None
         self.on_long = None
@@ -98,6 +125,10 @@
 
     # Called by connections.
 
+    def came_at(self) -> int:
+        """When the last byte of what has been taken so far came."""
+        return self.arrivals.of_last(len(self.pending))
+
     def idle(self) -> bool:
         return self.message is None and not self.pending
 
@@ -106,7 +137,9 @@
         return len(self.pending) + (len(self.body) if self.body is not None else 0)
 
     def feed(self, data: bytes, now: int) -> None:
-        self.came_at = now
+        if self.message is not None and not self.pending:
+            self.arrivals.pieces.clear()  # all that has come is of this message, which goes on
+        self.arrivals.add(len(data), now)
         if self.message is not None:
             self.add(data)
         else:
@@ -127,7 +160,7 @@
         return self.finish() if self.message is not None and self.until_end else None
 
     def finish(self) -> Message:
-        message, message.came_at = self.message, self.came_at
+        message, message.came_at = self.message, self.came_at()
         if self.body is not None:
             message.body = self.body
         self.restart()
@@ -178,7 +211,7 @@
         return self.have > 0 and self.sink is None and self.length() is None
 
     def pass_on(self, must: bool = True) -> None:
-        self.message.came_at = self.came_at
+        self.message.came_at = self.came_at()
         self.sink = self.on_long and self.on_long(self.message, self.length())
         if self.sink is None and must:
             raise BadMessage(413, "body too large")
