--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,102 @@
+"""The end of a process: SIGKILL as early as the longest deadline and 0.7 s after SIGTERM.
+
+docs/terms-audit.md.
+"""
+
+import signal
+import socket
+import threading
+import time
+
+import pytest
+from helpers import read_message, reply, request, route, silent
+
+DEADLINE_S, KILL_AFTER_S, LATE_S = 0.3, 0.7, 0.5
+
+
+class Sender(threading.Thread):
+    """A client that goes on sending until nobody takes a connection; `lost` has what got no final answer.
+
+    A node may close a connection between requests, and that may cross one it has not read: then no byte
+    has come back, the connection has been used before, and the request was sent a moment ago.
+    """
+
+    CROSSED_S = 0.02
+
+    def __init__(self, program, name):
+        super().__init__(daemon=True)
+        self.program, self.client, self.stop = program, name, False
+        self.connects_until, self.killed = float("inf"), False
+        self.lost, self.late, self.answered = [], [], 0
+
+    def run(self):
+        number = 0
+        while not self.stop and time.monotonic() < self.connects_until:
+            try:
+                sock = socket.create_connection(self.program.address, timeout=5)
+            except OSError:
+                time.sleep(0.02)
+                continue
+            with sock, sock.makefile("rb") as source:
+                used, stays = False, True
+                while stays and not self.stop:
+                    number += 1
+                    stays = self.ask(sock, source, f"{self.client}-{number}", used)
+                    used = True
+
+    def ask(self, sock, source, ident, used):
+        """Whether the connection stays."""
+        began = time.monotonic()
+        try:
+            sock.sendall(request(ident=ident, timeout=int(DEADLINE_S * 1000)))
+            answer = read_message(source)
+        except (OSError, EOFError, IndexError) as wrong:
+            took = time.monotonic() - began
+            if not used or took > self.CROSSED_S or self.killed:
+                self.lost.append((ident, began, round(took, 3), used, repr(wrong)))
+            return False
+        self.answered += 1
+        if (took := time.monotonic() - began) > DEADLINE_S + LATE_S:
+            self.late.append((ident, took))
+        return answer.headers.get("connection") != "close"
+
+
+def some_work(stand_in, sock, asked):
+    time.sleep(0.03)
+    reply()(stand_in, sock, asked)
+
+
+@pytest.mark.parametrize("connects_s", [0.4, 1.2], ids=["new connections as told", "and beyond"])
+@pytest.mark.parametrize("signals", [(), (signal.SIGTERM,), (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP)])
+def test_all_is_answered_before_the_earliest_kill_though_clients_go_on_sending(start, signals, connects_s):
+    routes = [route("read", "at_most_once", DEADLINE_S)]
+    program, _, _ = start(some_work, silent, some_work, settings_more={"routes": routes})
+    senders = [Sender(program, f"c{n}") for n in range(24)]
+    for sender in senders:
+        sender.start()
+    time.sleep(0.8)
+    told = time.monotonic()
+    for sender in senders:
+        sender.connects_until = told + connects_s
+    program.process.send_signal(signal.SIGTERM)
+    for one in signals:
+        time.sleep(0.1)
+        program.process.send_signal(one)
+    kill_at, ended_at = told + DEADLINE_S + KILL_AFTER_S, None
+    while time.monotonic() < kill_at:
+        if program.process.poll() is not None and ended_at is None:
+            ended_at = time.monotonic() - told
+        time.sleep(0.005)
+    for sender in senders:
+        sender.killed = True
+    program.process.kill()
+    time.sleep(0.2)
+    for sender in senders:
+        sender.stop = True
+    for sender in senders:
+        sender.join(5)
+    lost = [one for sender in senders for one in sender.lost]
+    assert lost == [], [(ident, round(at - told, 3), *rest) for ident, at, *rest in lost]
+    assert [late for sender in senders for late in sender.late] == []
+    assert ended_at is not None and ended_at <= DEADLINE_S + KILL_AFTER_S - 0.1, ended_at
+    assert sum(sender.answered for sender in senders) > 100
