After SIGTERM the node stops listening when its time to linger is over, and answers with a margin

Cause: Listener went on accepting until the last connection had gone (clients.py: check_drained), so that with clients that connect on and on there always was one more; and all that was owed was due at linger_s (0.55) + the longest deadline, with steps of 0.1 s behind it: some 0.04 s ahead of the earliest SIGKILL. Change: net/shutdown.py. At 0.55 s the queue is emptied and the listener closed; everything is answered by the longest deadline + kill_after_s (0.7) - kill_margin_s (0.3), both in limits, then looked at every 10 ms. What is half-way then is answered 503 instead of being cut off, what lies unread is read. Bodies that go on as they come are held to the same end. Listener is a module of its own, for every front end. Ruled out: requests on connections that stay open. Answers say Connection: close from SIGTERM on.

--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -57,6 +57,8 @@
     watch_retry_most_s: Positive = 2.0
     watch_line_s: Annotated[float, msgspec.Meta(ge=0)] = 0.008  # of discovery for a line, where calls weigh
     linger_s: Positive = 0.55  # after SIGTERM new connections are still taken for this long
+    kill_after_s: Positive = 0.7  # beyond the longest deadline, SIGKILL may come after SIGTERM
+    kill_margin_s: Positive = 0.3  # how long before that everything is answered
     bind_s: Positive = 5.0  # how long the address may still be held by a process before this one
     succession_s: Positive = 2.0  # how long a process before this one has to hand over
 
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -11,10 +11,11 @@
 from .descriptors import Descriptors, descriptor_of, ended, lain, polled
 from .exchanges import Exchange, Exchanges
 from .framing import LAST_CHUNK, BadMessage, Message, Reader, chunk_of, head_of
+from .listener import Listener
 from .log import Log
-from .members import family_of
 from .paused import Paused
 from .room import Room
+from .shutdown import Shutdown
 from .timers import SECOND, Timers, now
 from .uploads import Upload
 
@@ -237,7 +238,7 @@
         """Whether this answer is its last: the node parts with its clients and no other request has come."""
         if not self.door.parting or not self.reader.idle():
             return False
-        return not self.more_came()
+        return self.door.shutdown.over or not self.more_came()
 
     def more_came(self) -> bool:
         """Whether bytes lie in the machine's buffer that have not been read here."""
@@ -313,6 +314,27 @@
         self.ended = True
         self.transport.close()
 
+    def end_now(self, last: bool) -> None:
+        """The process ends: what is owed is answered now, and the connection ends with it.
+
+        `last`: whoever has been answered and does not close has had the time for it.
+        """
+        if self.transport.is_closing():
+            return
+        if self.exchange is not None:
+            # Guards against one whose time goes beyond that of every class: it would get no answer.
+            self.door.exchanges.end_unanswered(self.exchange)
+        elif self.transport.get_write_buffer_size():
+            pass  # an answer is being written
+        elif self.ended:
+            if last:
+                self.transport.abort()
+        elif self.unfinished():
+            # Guards against a request whose last byte comes as its connection is closed.
+            self.refuse(503, [(b"retry-after", b"1")])
+        elif self.idle():
+            self.close()  # else what has come is read in the loop's next turn, and answered
+
     def idle(self) -> bool:
         """Nothing under way, nor read in part, nor come and not yet read: closing it loses no exchange."""
         if self.exchange is not None or not self.reader.idle() or self.writing or self.ended:
@@ -406,15 +428,15 @@
         self.most_kept = int(self.limits.sockets * self.limits.client_kept_part)
         self.listener: Listener | None = None
         self.fresh = int(self.limits.client_fresh_s * SECOND)
-        self.longest = int(configuration.longest_s * SECOND)
-        self.ready, self.leaving, self.lingered = False, False, False
+        self.ready, self.leaving = False, False
         # While it parts, for a while or at the end, each answer closes its connection and idle ones go.
         self.parting, self.parts_from = False, 0
         self.parts_for: set[str] = set()  # whose word it is: an operator's, or that of a view gone stale
         self.may_send: Callable[[], bool] = lambda: True
         self.shut: set[bytes] = set()  # customers that the fleet has shut out
         self.customer_no = lambda name: self.customers.get(name) if self.customers else 0
-        self.drained: asyncio.Future = loop.create_future()
+        self.shutdown = Shutdown(self, int(configuration.longest_s * SECOND))
+        self.drained, self.check_drained = self.shutdown.drained, self.shutdown.check
         descriptors.makers_of_room.append(self.close_idlest)
         timers.every(SWEEP, self.sweep)
 
@@ -545,125 +567,30 @@
         self.shut = {name.encode() for name in names}
 
     def leave(self) -> None:
-        """The end of the node: connections are taken until `linger_over`, then it is drained."""
+        """The end of the node."""
         self.stand_by()
         self.leaving = True
-        linger = int(self.limits.linger_s * SECOND)
-        self.exchanges.ends_at = now() + linger + self.longest
-        self.timers.after(linger, self.linger_over)
-
-    def linger_over(self) -> None:
-        self.lingered = True
-        self.close_idle(-1)
-        self.check_drained()
-        # Guards against clients that never end a request or read an answer: nothing taken is open by then.
-        self.timers.after(self.longest, self.end_all)
-
-    def check_drained(self) -> None:
-        if not self.lingered or self.clients or self.drained.done():
-            return
-        if self.listener is not None:
-            # Guards against closing on connections that the machine has accepted and the node has not seen.
-            if not self.listener.pausing and not self.listener.accept():
-                self.timers.after(SECOND // 100, self.check_drained)
-                return
-            if self.listener.tasks:
-                return
-            # Guards against one who comes between this look and the close, to be reset, and against taking
-            # one more in on the way out, whom another process could have served.
-            self.listener.close()
-        self.drained.set_result(None)
-
-    def end_all(self) -> None:
-        for client in list(self.clients):
-            if client.exchange is not None:
-                # Guards against one whose time goes beyond that of every class: it would get no answer.
-                self.exchanges.end_unanswered(client.exchange)
-            elif not client.transport.get_write_buffer_size():
-                client.transport.abort()
-        self.check_drained()
-        self.timers.after(SECOND // 10, self.end_all)
-
-
-class Listener:
-    """Takes connections in itself, so that where descriptors run out they wait instead of being dropped."""
-
-    def __init__(self, door: Door, address: tuple[str, int], given: socket.socket | None = None,
-                 shared: bool = False) -> None:  # fmt: skip
-        """`given`: what a process before this one listens on, and both take from; `shared`: SO_REUSEPORT."""
-        self.door, self.loop, self.listening, self.pausing = door, door.loop, True, False
-        self.sock = given or socket.create_server(
-            address, family=family_of(address), backlog=door.limits.backlog, reuse_port=shared
-        )
-        self.sock.setblocking(False)
-        self.tasks: set[asyncio.Task] = set()
-        door.listener = self
-        self.loop.add_reader(self.sock, self.accept)
-
-    def accept(self) -> bool:
-        """Whether nobody waits any more."""
-        descriptors = self.door.descriptors
-        for _ in range(64):
-            if descriptors.brimful():
-                descriptors.make_room(self.door.close_idlest)
-                self.rest()
-                return False
-            try:
-                sock, _ = self.sock.accept()
-            except BlockingIOError:
-                return True
-            except (InterruptedError, ConnectionAbortedError):
-                continue
-            except OSError as wrong:
-                # Guards against EMFILE all the same: those that wait are taken in when there is room again.
-                self.door.log(f"no connection taken: {wrong}")
-                self.rest()
-                return False
-            for_upstream = int(descriptors.most * self.door.limits.upstream_part)
-            welcome = descriptors.take(self.door.close_idlest, for_upstream)
-            if not welcome:
-                descriptors.take_anyway()
-            sock.setblocking(False)
-            # A task for a connection, not for an exchange: the loop has no other form of this.
-            task = self.loop.create_task(self.take_over(sock, welcome))
-            self.tasks.add(task)
-            task.add_done_callback(self.taken)
-        return False
-
-    def taken(self, task: asyncio.Task) -> None:
-        self.tasks.discard(task)
-        # Guards against one that could not be taken over, as the last that the end waits for.
-        self.door.check_drained()
+        self.shutdown.begin()
 
-    async def take_over(self, sock: socket.socket, welcome: bool) -> None:
-        try:
-            await self.loop.connect_accepted_socket(lambda: Client(self.door, welcome), sock)
-        except OSError as wrong:
-            self.door.log(f"connection not taken over: {wrong}")
-            self.door.descriptors.give_back()
-            sock.close()
-
-    def rest(self) -> None:
-        self.loop.remove_reader(self.sock)
-        self.door.timers.after(SECOND // 100, self.go_on)
-
-    def go_on(self) -> None:
-        if self.listening and not self.pausing:
-            self.loop.add_reader(self.sock, self.accept)
-
-    def pause(self) -> None:
-        """Another process takes in who comes."""
-        self.pausing = True
-        self.loop.remove_reader(self.sock)
-
-    def resume(self) -> None:
-        """That one has gone."""
-        if self.pausing:
-            self.pausing = False
-            self.go_on()
+    # Connections that come.
 
-    def close(self) -> None:
-        if self.listening:
-            self.listening = False
-            self.loop.remove_reader(self.sock)
-            self.sock.close()
+    def listen(self, sock: socket.socket) -> Listener:
+        self.listener = Listener(self.loop, self.timers, self.log, sock, self.admit, self.dropped, self.full)
+        self.listener.on_taken = self.check_drained
+        return self.listener
+
+    def full(self) -> bool:
+        if not self.descriptors.brimful():
+            return False
+        self.descriptors.make_room(self.close_idlest)
+        return True
+
+    def admit(self) -> Client:
+        for_upstream = int(self.descriptors.most * self.limits.upstream_part)
+        welcome = self.descriptors.take(self.close_idlest, for_upstream)
+        if not welcome:
+            self.descriptors.take_anyway()
+        return Client(self, welcome)
+
+    def dropped(self) -> None:
+        self.descriptors.give_back()
--- a/basalthoist/net/exchanges.py
+++ b/basalthoist/net/exchanges.py
@@ -118,9 +118,7 @@
         # Guards against a second copy of one that is open, or of which a try may still run, under its id.
         if name in self.named:
             raise BadMessage(409, "an open request has this Request-Id")
-        deadline = message.came_at + timeout_ms * 10 - self.transit
-        if self.ends_at is not None:
-            deadline = min(deadline, self.ends_at)
+        deadline = self.before_end(message.came_at + timeout_ms * 10 - self.transit)
         headers = [(b"Host", message.get(b"host") or b""), *message.end_to_end(OWN_HEADERS)]
         if upload is not None and upload.length is None:
             headers.append((b"Transfer-Encoding", b"chunked"))
@@ -155,15 +153,20 @@
             self.loop.call_soon(tell)
 
         def ended() -> None:
-            xchg.deadline = now() + upload.grace
+            xchg.deadline = self.before_end(now() + upload.grace)
             if xchg.open:
                 xchg.timer.stop()
-                xchg.timer = self.timers.after(upload.grace + OVERDUE, partial(self.overdue, xchg))
+                left = max(xchg.deadline - now(), 1)
+                xchg.timer = self.timers.after(left + OVERDUE, partial(self.overdue, xchg))
             if upload.spent:
                 self.loop.call_soon(tell)
 
         upload.begun, upload.ended = begun, ended
 
+    def before_end(self, deadline: int) -> int:
+        """No later than the process has to have answered all that it takes."""
+        return deadline if self.ends_at is None else min(deadline, self.ends_at)
+
     def new_id(self) -> int:
         self.last_id += 1
         return self.last_id
--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -10,10 +10,11 @@
 
 from .bans import Bans
 from .beside import Beside
-from .clients import Door, Listener
+from .clients import Door
 from .descriptors import Descriptors
 from .discovery import Discovery
 from .exchanges import Exchanges
+from .listener import Listener, listening_socket
 from .log import Log
 from .members import family_of
 from .timers import SECOND, Timers, now
@@ -257,7 +258,11 @@
             self.log(f"no talk with peers: {wrong}")
 
     async def listener(self, given: socket.socket | None) -> Listener:
-        return Listener(self.door, self.configuration.listen, given, self.succession is not None)
+        """`given`: what a process before this one listens on, and both take from."""
+        if given is None:
+            shared = self.succession is not None
+            given = listening_socket(self.configuration.listen, self.limits.backlog, shared)
+        return self.door.listen(given)
 
     def share(self) -> None:
         """Another process of this node has come, has got ready or has gone: both have one machine's room."""
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -14,10 +14,11 @@
 from basalthoist.configuration import ConfigurationError, decode
 from basalthoist.decisions.host import Load, Outcome
 from basalthoist.net import members
-from basalthoist.net.clients import Door, Listener
+from basalthoist.net.clients import Door
 from basalthoist.net.descriptors import Descriptors
 from basalthoist.net.exchanges import Exchanges
 from basalthoist.net.framing import Message, Reader
+from basalthoist.net.listener import listening_socket
 from basalthoist.net.log import Log
 from basalthoist.net.timers import Timers, now
 from basalthoist.net.upstream import Upstream, load_of, outcome_of
@@ -340,10 +341,10 @@
         log = Log("n0", 20)
         for shared in (True, False):
             door = Door(told, loop, Timers(loop, log), None, Descriptors(100), log)
-            listener = Listener(door, told.listen)
+            listener = door.listen(listening_socket(told.listen, 8))
             others = listener.sock.dup() if shared else None  # another process takes from the same queue
             door.stand_by()
-            door.linger_over()
+            door.shutdown.stop_listening()
             assert door.drained.done()
             if shared:
                 with socket.create_connection(told.listen):
@@ -368,16 +369,16 @@
         told = decode(json.dumps(document("127.0.0.1:9")).encode(), {})
         log = Log("n0", 20)
         door = Door(told, loop, Timers(loop, log), None, Descriptors(100), log)
-        listener = Listener(door, told.listen)
+        listener = door.listen(listening_socket(told.listen, 8))
 
-        async def breaks(sock, welcome):
+        async def breaks(sock, client):
             door.descriptors.give_back()
             sock.close()
 
         listener.take_over = breaks
         with socket.create_connection(told.listen):
             door.stand_by()
-            door.linger_over()
+            door.shutdown.stop_listening()
             assert not door.drained.done()
             await asyncio.wait_for(door.drained, 0.4)  # not only once the longest time is over
         return door.descriptors.used
