--- a/basalthoist/experiments/cluster/faults.c
+++ b/basalthoist/experiments/cluster/faults.c
@@ -21,6 +21,7 @@
 /* In the order of faults.py: FIELDS. */
 struct control {
     int64_t accept_errno, connect_errno, socket_errno; /* 0: the call goes through */
+    int64_t accept_left; /* accepts that fail before they go through again; 0: all */
     int64_t sync_errno, write_errno;                   /* of regular files */
     int64_t torn_bytes;  /* a write that fails leaves so many bytes behind */
     int64_t wall_ms;     /* the wall clock is ahead by this */
@@ -66,9 +67,14 @@
 int accept4(int descriptor, struct sockaddr *address, socklen_t *length, int flags)
 {
     REAL(accept4);
-    if (page != NULL && page->accept_errno != 0)
+    if (page != NULL && page->accept_errno != 0) {
+        int64_t failing = page->accept_errno;
         page->accepts++;
-    FAIL_BY(accept_errno);
+        if (page->accept_left > 0 && --page->accept_left == 0)
+            page->accept_errno = 0;
+        errno = (int)failing;
+        return -1;
+    }
     return real(descriptor, address, length, flags);
 }
 
--- /dev/null
+++ b/tests/test_failing_calls.py
@@ -0,0 +1,123 @@
+"""System calls of the node that fail in the ways that their manual pages document. docs/terms-audit.md."""
+
+import errno
+import os
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import pytest
+from helpers import call, own_address, reply, request, wait_for
+
+from basalthoist.net.members import address_of
+
+
+def cpu_s(program):
+    """Processor time of the program so far."""
+    with open(f"/proc/{program.process.pid}/stat") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+# Sockets.
+
+AT_ACCEPT = ("EINTR", "ECONNABORTED", "ENFILE", "EMFILE", "ENOBUFS", "ENOMEM", "EPERM", "EPROTO", "ENETDOWN",
+             "ENOPROTOOPT", "EHOSTDOWN", "ENONET", "EHOSTUNREACH", "EOPNOTSUPP", "ENETUNREACH")  # fmt: skip
+
+
+@pytest.mark.parametrize("door", ["clients", "operators"])
+@pytest.mark.parametrize("name", AT_ACCEPT)
+def test_while_accept_fails_no_core_is_spent_and_who_waited_is_answered(start, faults, door, name):
+    admin = own_address()
+    program, _, _ = start(reply(), environment=faults.environment, admin=admin)
+    wait_for(lambda: call(admin, "status") == "SUCCESS status\n")
+    # A call that does not wait is interrupted now and then, never for good.
+    faults.set(accept_errno=getattr(errno, name), accept_left=1000 if name == "EINTR" else 0)
+    before = cpu_s(program)
+    address = program.address if door == "clients" else address_of(admin)
+    with socket.create_connection(address, timeout=10) as sock, sock.makefile("rb") as source:
+        sock.sendall(request() if door == "clients" else b"status\n")
+        time.sleep(0.7)
+        spent = cpu_s(program) - before
+        assert faults.get("accepts") > 0
+        faults.clear()
+        began = time.monotonic()
+        first = source.readline()
+        assert first.startswith(b"HTTP/1.1 200" if door == "clients" else b"SUCCESS"), first
+        assert time.monotonic() - began < 1.0
+    assert spent < 0.25
+
+
+def closes(stand_in, sock, asked):
+    reply(Connection="close")(stand_in, sock, asked)
+    raise EOFError
+
+
+def ask_for(program, seconds, key):
+    until, statuses = time.monotonic() + seconds, []
+    while time.monotonic() < until:
+        statuses.append(program.ask(request(ident=f"{key}-{len(statuses)}")).status)
+        time.sleep(0.005)
+    return statuses
+
+
+@pytest.mark.parametrize("call_name", ["connect", "socket"])
+@pytest.mark.parametrize("name", ["ENETUNREACH", "ENETDOWN", "EADDRNOTAVAIL", "ENFILE", "EACCES", "EPERM"])
+def test_no_backend_is_blamed_where_this_machine_cannot_connect(start, faults, call_name, name):
+    program, backends, _ = start(*[closes] * 4, environment=faults.environment)
+    ask_for(program, 0.3, "before")
+    faults.set(**{f"{call_name}_errno": getattr(errno, name)})
+    found = []
+    clients = [threading.Thread(target=lambda n=n: found.extend(ask_for(program, 0.6, n))) for n in range(8)]
+    for client in clients:
+        client.start()
+    for client in clients:
+        client.join()
+    faults.clear()
+    assert set(found) <= {"200", "503"}
+    assert "out s-" not in program.log()
+    seen = [len(backend.seen) for backend in backends]
+    assert set(ask_for(program, 1.0, "after")[20:]) == {"200"}
+    assert all(len(backend.seen) > before + 5 for backend, before in zip(backends, seen, strict=True))
+
+
+def test_short_reads_and_writes_change_nothing(start, faults):
+    body = b"x" * 5000
+
+    def echoes(stand_in, sock, asked):
+        reply(200, asked.body)(stand_in, sock, asked)
+
+    program, _, _ = start(echoes, environment=faults.environment)
+    faults.set(short_bytes=7)
+    assert program.ask(request("pay", body=body, timeout=5000)).body == body
+
+
+# Files.
+
+APPENDS = """
+import errno, sys
+from pathlib import Path
+from basalthoist.experiments.cluster.faults import Faults
+from basalthoist.net.whole import put_behind
+
+path, faults = sys.argv[1], Faults.attached()
+print(repr(put_behind(path, b"first;")))
+faults.set(torn_bytes=3, write_errno=errno.ENOSPC)
+print(repr(put_behind(path, b"second;")))
+faults.clear()
+faults.set(sync_errno=errno.EIO)
+print(repr(put_behind(path, b"third;")))
+faults.clear()
+print(repr(put_behind(path, b"fourth;")))
+"""
+
+
+def test_what_stands_behind_an_append_that_failed_can_be_read(tmp_path, faults):
+    path = tmp_path / "kept"
+    command = [sys.executable, "-c", APPENDS, str(path)]
+    done = subprocess.run(command, env=os.environ | faults.environment, capture_output=True, text=True)
+    assert done.returncode == 0, done.stderr
+    assert [text == "''" for text in done.stdout.splitlines()] == [True, False, False, True]
+    assert path.read_bytes() == b"first;fourth;"
