Failing calls: one listener for every door, own errors are no backend's, no append behind a torn one

EHOSTUNREACH, ETIMEDOUT and ECONNREFUSED stay the backend's: they may be either's. - whole.py: an append that fails is taken back, and nothing is added behind a missing piece until the file has been written whole (GrowingFile). What a killed process left half-written is removed at the next write.

--- a/basalthoist/experiments/cluster/faults.py
+++ b/basalthoist/experiments/cluster/faults.py
@@ -13,8 +13,8 @@
 
 SOURCE = Path(__file__).with_name("faults.c")
 FIELDS = (
-    "accept_errno", "connect_errno", "socket_errno", "accept_left", "sync_errno", "write_errno", "torn_bytes", "wall_ms",
-    "hold_ms", "hold_every", "short_bytes", "accepts", "held", "writes",
+    "accept_errno", "connect_errno", "socket_errno", "accept_left", "sync_errno", "write_errno", "torn_bytes",
+    "wall_ms", "hold_ms", "hold_every", "short_bytes", "accepts", "held", "writes",
 )  # fmt: skip
 FIELD = struct.Struct("q")
 
--- a/basalthoist/net/admin.py
+++ b/basalthoist/net/admin.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections.abc import Callable
 
+from .listener import Listener, listening_socket
 from .log import Log
 from .timers import SECOND, Timers
 
 MOST_LINE = 512
+BACKLOG = 100
 MOST_CALLERS = 8  # at once, within the descriptors that `reserve` keeps back
 
 Call = Callable[[], str]
@@ -71,14 +73,15 @@
         self.calls_with: dict[str, CallWith] = {}
         self.patience = int(line_s * SECOND)
         self.callers: dict[Caller, None] = {}  # in the order in which they came
-        self.server: asyncio.Server | None = None
+        self.listener: Listener | None = None
 
     async def listen(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int]) -> None:
-        self.server = await loop.create_server(lambda: Caller(self), *address)
+        sock = listening_socket(address, BACKLOG)
+        self.listener = Listener(loop, self.timers, self.log, sock, lambda: Caller(self))
 
     def close(self) -> None:
-        if self.server is not None:
-            self.server.close()
+        if self.listener is not None:
+            self.listener.close()
         for caller in list(self.callers):
             caller.transport.close()
 
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -428,6 +428,7 @@
         self.most_kept = int(self.limits.sockets * self.limits.client_kept_part)
         self.listener: Listener | None = None
         self.fresh = int(self.limits.client_fresh_s * SECOND)
+        self.longest = int(configuration.longest_s * SECOND)  # deadline of any route
         self.ready, self.leaving = False, False
         # While it parts, for a while or at the end, each answer closes its connection and idle ones go.
         self.parting, self.parts_from = False, 0
@@ -435,7 +436,7 @@
         self.may_send: Callable[[], bool] = lambda: True
         self.shut: set[bytes] = set()  # customers that the fleet has shut out
         self.customer_no = lambda name: self.customers.get(name) if self.customers else 0
-        self.shutdown = Shutdown(self, int(configuration.longest_s * SECOND))
+        self.shutdown = Shutdown(self)
         self.drained, self.check_drained = self.shutdown.drained, self.shutdown.check
         descriptors.makers_of_room.append(self.close_idlest)
         timers.every(SWEEP, self.sweep)
--- a/basalthoist/net/relaying.py
+++ b/basalthoist/net/relaying.py
@@ -29,17 +29,19 @@
 from .admin import Admin
 from .beside import Beside
 from .entries import entry_of, read_file
+from .listener import Listener, listening_socket
 from .log import Log
 from .members import family_of
 from .register import Register
 from .streams import Opening, Stream, new_life, safely
 from .timers import SECOND, Timers, awake_or_not
-from .whole import put_behind, put_whole
+from .whole import GrowingFile
 
 TICK = SECOND // 20
 FROM_NODE = 4 * 1024 * 1024  # bytes of a frame: what it demands, or an operator's call
 RESERVE = 48  # descriptors
 LINE_S = 5.0  # a caller at the operators' door has to end its line
+BACKLOG = 1024
 BIND_S = 5.0  # how long an address may still be held by a process before this one
 
 
@@ -115,6 +117,7 @@
         self.log = Log(told.name, 50)
         self.timers, self.aside = Timers(loop, self.log), Beside(loop)
         self.path = os.path.join(folder, "distribution.msgpack") if folder else None
+        self.file = GrowingFile(self.path)
         self.sessions: dict[int, tuple[Stream, Relay | Publisher | None]] = {}
         self.numbers: dict[Stream, int] = {}
         self.strangers: dict[Stream, int] = {}  # who have not said who they are, since when
@@ -131,7 +134,7 @@
         chance, addresses = Lcg(int.from_bytes(os.urandom(7), "big")), list(voters.values())
         who = told.name, life, told.region
         self.feed = Feed(self.up, *who, addresses, self.bounds, self.store, chance, now)
-        self.voting, self.publisher, self.server, self.admin = None, None, None, None
+        self.voting, self.publisher, self.listener, self.admin = None, None, None, None
         if told.name in voters:
             self.voting = Voting(told, folder, self.timers, self.log, self.aside, self.stirred)
             self.publisher = Publisher(self, RegisterHead(self.voting.replica), told.name, life, voters,
@@ -260,7 +263,7 @@
             return
         step = self.store.step()
         if self.saved and not self.store.to_be_saved():
-            self.aside(partial(put_behind, self.path, step), self.written)
+            self.aside(partial(self.file.append, step), self.written)
         else:
             self.keep()
 
@@ -271,7 +274,7 @@
             # Guards against the collector, which would stand still over all entries again and again.
             gc.freeze()
             data = self.store.to_bytes(self.tag)
-            self.aside(partial(put_whole, self.path, data, synced=True), self.written)
+            self.aside(partial(self.file.replace, data), self.written)
 
     def written(self, wrong: str) -> None:
         if wrong:
@@ -287,14 +290,15 @@
     async def serve(self, until: asyncio.Future) -> None:
         host, port = address_of(self.told.listen)
         made = partial(Stream, self.loop, self.key, self)
-        self.server = await patient(lambda: self.loop.create_server(made, host, port, backlog=1024))
+        sock = await patient(partial(self.listening, (host, port)))
+        self.listener = Listener(self.loop, self.timers, self.log, sock, made)
         if self.voting is not None:
             await patient(lambda: self.datagrams(self.voting.addresses[self.told.name]))
         if self.admin is not None:
             await patient(lambda: self.admin.listen(self.loop, address_of(self.told.admin)))
         self.log(f"distribution: relay on {host}:{port}, version {self.store.version}")
         await until
-        self.server.close()
+        self.listener.close()
         self.up.close()
         for stream, _ in list(self.sessions.values()):
             stream.close("the relay ends")
@@ -305,6 +309,9 @@
         self.keep()
         await self.aside.settle(2.0)
 
+    async def listening(self, address: tuple[str, int]) -> socket.socket:
+        return listening_socket(address, BACKLOG)
+
     async def datagrams(self, own: tuple[str, int]) -> None:
         sock = socket.socket(family_of(own), socket.SOCK_DGRAM)
         try:
--- a/basalthoist/net/shutdown.py
+++ b/basalthoist/net/shutdown.py
@@ -29,17 +29,17 @@
 class Shutdown:
     """Of the HTTP front end. `drained` is done once nothing is owed there any more."""
 
-    def __init__(self, door: "Door", longest: int) -> None:
+    def __init__(self, door: "Door") -> None:
         self.door, self.timers = door, door.timers
-        self.linger, self.left = times_of(door.limits, longest)
         self.lingered, self.over, self.over_at = False, False, 0
         self.drained: asyncio.Future = door.loop.create_future()
 
     def begin(self) -> None:
-        self.door.exchanges.ends_at = now() + self.left
-        self.timers.after(self.linger, self.stop_listening)
+        linger, left = times_of(self.door.limits, self.door.longest)
+        self.door.exchanges.ends_at = now() + left
+        self.timers.after(linger, self.stop_listening)
         # Guards against clients that never end a request or read an answer: nothing taken is open by then.
-        self.timers.after(self.left, self.answer_all)
+        self.timers.after(left, self.answer_all)
 
     def stop_listening(self) -> None:
         """From here on whoever connects is refused at once and goes to another node."""
--- a/basalthoist/net/upstream.py
+++ b/basalthoist/net/upstream.py
@@ -19,7 +19,11 @@
 from .timers import SECOND, Timers, now
 from .uploads import Upload
 
-NO_MORE_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+# Of socket and connect, where it is this machine that cannot connect: no backend has a part in it.
+OWN_ERRORS = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EAGAIN,
+     errno.ENETUNREACH, errno.ENETDOWN, errno.EACCES, errno.EPERM)
+)  # fmt: skip
 
 
 def load_of(text: bytes | None) -> Load | None:
@@ -325,12 +329,12 @@
                 return self.freed(connection)
         else:
             self.upstream.descriptors.give_back()
-        scarce = isinstance(wrong, OSError) and wrong.errno in NO_MORE_DESCRIPTORS
-        if scarce:
+        own = isinstance(wrong, OSError) and wrong.errno in OWN_ERRORS
+        if own:
             self.upstream.log(f"no connection to {self.name}: {wrong}")
         self.serve_soon()
         while len(self.waiting) > len(self.opening) + len(self.idle):
-            self.waiting.popleft().finish(Outcome.NOT_SENT if scarce else Outcome.CONNECT_FAILED)
+            self.waiting.popleft().finish(Outcome.NOT_SENT if own else Outcome.CONNECT_FAILED)
 
     def freed(self, connection: Connection) -> None:
         self.upstream.streaming.discard(connection)
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -12,6 +12,7 @@
 from helpers import call, own_address, reply, request, wait_for
 
 from basalthoist.net.members import address_of
+from basalthoist.net.whole import put_whole
 
 
 def cpu_s(program):
@@ -100,17 +101,26 @@
 import errno, sys
 from pathlib import Path
 from basalthoist.experiments.cluster.faults import Faults
-from basalthoist.net.whole import put_behind
+from basalthoist.net.whole import GrowingFile
 
-path, faults = sys.argv[1], Faults.attached()
-print(repr(put_behind(path, b"first;")))
+file, faults = GrowingFile(sys.argv[1]), Faults.attached()
+
+def note(wrong):
+    print(repr(wrong))
+    print(Path(file.path).read_bytes().decode())
+
+note(file.replace(b"first;"))
 faults.set(torn_bytes=3, write_errno=errno.ENOSPC)
-print(repr(put_behind(path, b"second;")))
+note(file.append(b"second;"))
 faults.clear()
+note(file.append(b"third;"))
+note(file.replace(b"first;second;third;"))
 faults.set(sync_errno=errno.EIO)
-print(repr(put_behind(path, b"third;")))
+note(file.append(b"fourth;"))
+note(file.replace(b"all;"))
 faults.clear()
-print(repr(put_behind(path, b"fourth;")))
+note(file.replace(b"first;second;third;fourth;"))
+note(file.append(b"fifth;"))
 """
 
 
@@ -119,5 +129,20 @@
     command = [sys.executable, "-c", APPENDS, str(path)]
     done = subprocess.run(command, env=os.environ | faults.environment, capture_output=True, text=True)
     assert done.returncode == 0, done.stderr
-    assert [text == "''" for text in done.stdout.splitlines()] == [True, False, False, True]
-    assert path.read_bytes() == b"first;fourth;"
+    lines = done.stdout.splitlines()
+    kept = [text == "''" for text in lines[::2]]
+    assert kept == [True, False, False, True, False, False, True, True]
+    three, four = "first;second;third;", "first;second;third;fourth;"
+    assert lines[1::2] == ["first;"] * 3 + [three] * 3 + [four, four + "fifth;"]
+
+
+def test_what_a_process_left_that_was_killed_as_it_wrote_is_removed(tmp_path):
+    done = subprocess.Popen(["true"])
+    done.wait()
+    left, ours = tmp_path / f"kept.{done.pid}", tmp_path / f"kept.{os.getpid()}"
+    left.write_bytes(b"half")
+    ours.write_bytes(b"another thread's")
+    other = tmp_path / "other.7"
+    other.write_bytes(b"another file's")
+    assert put_whole(str(tmp_path / "kept.json"), b"whole", synced=True) == ""
+    assert sorted(path.name for path in tmp_path.iterdir()) == ["kept.json", "other.7"]
