A test of the fleet waits for the node's first answer before its datagrams

Cause of the one failure of test_odd_datagrams_are_dropped_and_named, read: the fixture went on once a connection was there, which the machine's backlog gives as soon as the node listens; its datagram socket is bound in the event loop's next turn, and a datagram to a port that nobody holds is lost. Each is sent once. An answer over HTTP comes after that turn. The checks are as they were.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -135,6 +135,8 @@
     own = {"PROXY_FLEET": told, "PROXY_ADMIN": own_address()}
     program, _, _ = start(reply(), wait=False, environment=own)
     wait_for(program.up)
+    # A connection is there before the event loop first turns; an answer comes after it has joined its fleet.
+    program.ask(b"GET /ready HTTP/1.1\r\n\r\n")
     return program, nodes, lambda line: call(own["PROXY_ADMIN"], line).strip()
 
 
