Starts of backends are placed so that a stepped wall clock makes no cold one warm

Cause: timers.since_unix read the wall clock whenever a start was told (members.py: start_of). An hour ahead, a start of now lay an hour back: warm, pushed over; behind, it lay in the future: cold until the clock had caught up. The least offset between the two clocks that was ever read is gone by, no start lies in the future, and one that was not there when discovery last confirmed what was known is no older than that (Discovery.confirmed_at: the last whole line, or the beginning of the call for a list). A start that would be more than 30 s older than that shows a clock that was ahead before the node began, and corrects it.

--- a/basalthoist/net/discovery.py
+++ b/basalthoist/net/discovery.py
@@ -155,6 +155,7 @@
         self.watch: Watch | None = None  # the call that goes on
         self.opening: asyncio.Task | None = None
         self.timer: Timer | None = None
+        self.confirmed_at: int | None = None  # when what is known was last told to be so
         self.on_first = lambda: None
         self.on_names: Callable[[list[str]], None] = lambda names: None  # of each list and change
 
@@ -210,12 +211,16 @@
 
     def learn_whole(self, said: MemberList) -> None:
         """A list that was asked for has come."""
+        began_at = self.following.heard_at  # of the call: the list is no older
         self.learn(said)
         self.following.on_list(said.revision)
+        self.confirmed_at = began_at
         self.on_first()
 
     def heard(self) -> None:
+        """A heartbeat or a change, whole."""
         self.following.on_line(now())
+        self.confirmed_at = self.following.heard_at
         self.on_first()
 
     def learn(self, said: MemberList) -> None:
@@ -223,7 +228,7 @@
         self.on_names([member.id for member in said.members])
         entries, present, left = [], set(), set()
         for member in said.members:
-            listed = self.translator.listed(member)
+            listed = self.translator.listed(member, self.confirmed_at)
             if listed.state == "gone":
                 left.add(member.id)
             else:
--- a/basalthoist/net/members.py
+++ b/basalthoist/net/members.py
@@ -6,7 +6,7 @@
 
 from basalthoist.decisions.host import Listed
 
-from .timers import since_unix
+from .wall_clock import WallClock
 
 STATES = {"ready": "healthy", "draining": "draining", "gone": "gone"}
 
@@ -44,9 +44,11 @@
 
     def __init__(self, locations: list[str], kinds: list[str]) -> None:
         self.locations, self.kinds = locations, kinds
+        self.clock = WallClock()
         self.started: dict[str, tuple[int, int]] = {}
 
-    def listed(self, member: Member) -> Listed:
+    def listed(self, member: Member, confirmed_at: int | None = None) -> Listed:
+        """`confirmed_at`: when what was known before was last confirmed, on the monotonic clock."""
         return Listed(
             member.id,
             number_in(self.locations, member.locality),
@@ -54,16 +56,19 @@
             member.cell,
             STATES.get(member.phase, "draining"),  # a state unknown here: nothing new is sent there
             member.size,
-            self.start_of(member),
+            self.start_of(member, confirmed_at),
         )
 
-    def start_of(self, member: Member) -> int | None:
+    def start_of(self, member: Member, confirmed_at: int | None) -> int | None:
         # Guards against a Unix clock that is set: the same start must not look like another one.
         if member.up_since_ms <= 0:
             return None
         known = self.started.get(member.id)
         if known is None or known[0] != member.up_since_ms:
-            known = self.started[member.id] = (member.up_since_ms, since_unix(member.up_since_ms))
+            known = self.started[member.id] = (
+                member.up_since_ms,
+                self.clock.place(member.up_since_ms, confirmed_at),
+            )
         return known[1]
 
     def forget(self, name: str) -> None:
--- a/basalthoist/net/timers.py
+++ b/basalthoist/net/timers.py
@@ -18,11 +18,6 @@
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 100_000
 
 
-def since_unix(unix_ms: int) -> int:
-    """A point of the Unix clock on the monotonic one. The only place where the two meet."""
-    return (unix_ms * 1_000_000 - time.time_ns() + time.monotonic_ns()) // 100_000
-
-
 class Timer:
     __slots__ = ("act",)
 
