A process's incarnation goes by the time since the machine began, not by the wall clock

The name new_life goes with it. Test: fails with the wall clock stepped back an hour before. Left: after a restart of the machine the counter begins anew; a session of before is then open for 2 x silent_s at most.

--- a/basalthoist/net/distribution.py
+++ b/basalthoist/net/distribution.py
@@ -21,7 +21,7 @@
 from .bans import Bans
 from .entries import entry_of, read_kept
 from .log import Log
-from .streams import Opening, Stream, new_life, safely
+from .streams import Opening, Stream, new_incarnation, safely
 from .timers import SECOND, Timers, awake_or_not
 from .whole import put_whole
 
@@ -43,7 +43,7 @@
         self.keeping, self.to_keep, self.kept = False, False, -1
         self.callers: dict[int, Callable[[str], None]] = {}
         self.last_call = 0
-        life, now = new_life(), awake_or_not()
+        life, now = new_incarnation(), awake_or_not()
         chance = Lcg(int.from_bytes(os.urandom(7), "big"))
         hint = read_kept(self.path, self.tag, log)
         who = name, life, told.region, told.scopes, told.seeds
--- a/basalthoist/net/relaying.py
+++ b/basalthoist/net/relaying.py
@@ -33,7 +33,7 @@
 from .log import Log
 from .members import family_of
 from .register import Register
-from .streams import Opening, Stream, new_life, safely
+from .streams import Opening, Stream, new_incarnation, safely
 from .timers import SECOND, Timers, awake_or_not
 from .whole import GrowingFile
 
@@ -126,7 +126,7 @@
         self.last_call = int.from_bytes(os.urandom(5), "big") << 20
         allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         self.most_open = allowed - RESERVE if allowed != resource.RLIM_INFINITY else 1 << 20
-        life, now = new_life(), awake_or_not()
+        life, now = new_incarnation(), awake_or_not()
         self.store, self.saved = Store.from_bytes(self.tag, self.read(), self.bounds.history), False
         self.relay = Relay(self, told.name, life, self.bounds, self.store, now)
         self.up = Up(self)
--- a/basalthoist/net/streams.py
+++ b/basalthoist/net/streams.py
@@ -129,9 +129,15 @@
         return self.bytes_in + now[0], self.bytes_out + now[1]
 
 
-def new_life() -> int:
-    """Of a process that begins: later than those before it, or another all the same where a clock was set."""
-    return time.time_ns() // 1000 << 10 | int.from_bytes(os.urandom(2), "big") & 1023
+def new_incarnation() -> int:
+    """Of a process that begins: greater than those of this machine before it, also where its clock was set.
+
+    By the time since the machine began, which no step of the wall clock moves. After a restart of the machine
+    it begins anew: then the process counts as earlier for as long as a session of the one before is open.
+    """
+    return (
+        time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000 << 10 | int.from_bytes(os.urandom(2), "big") & 1023
+    )
 
 
 def safely(act: Callable[..., None], log: Callable[[str], None], *what) -> None:
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -5,6 +5,8 @@
 import pytest
 from helpers import member, read_message, reply, request, wait_for
 
+from basalthoist.net.streams import new_incarnation
+
 HOUR_MS = 3_600_000
 COLD = {"rules": {"warm_within": 20_000_000, "cold_from": 0.1, "fall_multiple": 2.0,
                   "overload_for": 1_000_000, "drain_grace": 1_000_000}}  # fmt: skip
@@ -38,3 +40,11 @@
 @pytest.mark.parametrize("wall_ms", [0, -HOUR_MS, HOUR_MS, -6000, 6000, 15_000])
 def test_a_backend_that_has_just_started_is_cold_whatever_the_wall_clock_says(start, faults, wall_ms, before):
     assert 1 <= part_of_a_cold_one(start, faults, wall_ms, before) <= 40
+
+
+def test_a_process_that_begins_later_counts_as_later_though_the_wall_clock_was_stepped_back(monkeypatch):
+    earlier = new_incarnation()
+    right = time.time_ns
+    monkeypatch.setattr("time.time_ns", lambda: right() - HOUR_MS * 1_000_000)
+    later = new_incarnation()
+    assert later > earlier
