Failing tests: SIGTERM on the JSON-RPC front, by the terms that hold over HTTP

Found by the audit: at SIGTERM the front stopped listening at once, closed conversations that rested over calls that had come (reset), and began none of the calls that waited behind others.

--- a/tests/test_jsonrpc.py
+++ b/tests/test_jsonrpc.py
@@ -8,7 +8,17 @@
 import time
 
 import pytest
-from helpers import DiscoveryStandIn, Program, StandIn, document, ended, member, own_address, wait_for
+from helpers import (
+    DiscoveryStandIn,
+    Program,
+    StandIn,
+    document,
+    ended,
+    member,
+    own_address,
+    route,
+    wait_for,
+)
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -399,3 +409,71 @@
 def test_no_bytes_but_the_answer_asked_for_are_one(line):
     with pytest.raises(ValueError):
         answer_of(line, "never asked")
+
+
+# The end of the process: the same terms as over HTTP.
+
+
+def told_to_leave(program):
+    program.process.terminate()
+    wait_for(lambda: "told to leave" in program.log())
+
+
+def test_calls_that_cross_the_signal_are_answered(front):
+    """On a conversation that rests, on one whose calls are under way, and behind as many as may be open."""
+
+    def works(box, said):
+        time.sleep(0.1)
+        return echo(box, said)
+
+    program, _ = front(works, works, works, more="most_open = 2\n")
+    resting, busy = Talk(program), Talk(program)
+    resting.say(call(ident="before"))
+    assert resting.hear()["id"] == "before"
+    busy.say(*[call(ident=n) for n in range(5)])
+    time.sleep(0.05)
+    program.process.terminate()
+    resting.say(call(ident="crosses"))
+    busy.say(call(ident=5))
+    assert resting.hear()["id"] == "crosses"
+    assert {busy.hear()["id"] for _ in range(6)} == set(range(6))
+    assert program.process.wait(5) == 0
+
+
+def test_new_connections_are_taken_for_a_while_after_the_signal(front):
+    program, _ = front(echo)
+    told_to_leave(program)
+    time.sleep(0.3)
+    assert Talk(program).say(call(ident=1)).hear()["id"] == 1
+    assert program.process.wait(5) == 0
+
+
+def test_a_client_that_goes_on_calling_gets_all_its_answers_before_the_earliest_kill(front):
+    routes = [route(name, "idempotent", 0.3) for name in ("read", "pay", "feed")]
+    program, _ = front(echo, settings={"routes": routes})
+    talk, asked, heard = Talk(program), [], []
+
+    def asks_on():
+        with contextlib.suppress(OSError):
+            while True:
+                talk.say(call(ident=len(asked)))
+                asked.append(len(asked))
+                time.sleep(0.005)
+
+    def hears_on():
+        with contextlib.suppress(OSError):
+            while said := talk.hear():
+                heard.append(said["id"])
+
+    threads = [threading.Thread(target=act, daemon=True) for act in (asks_on, hears_on)]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.2)
+    began = time.monotonic()
+    program.process.terminate()
+    assert program.process.wait(5) == 0
+    assert time.monotonic() - began < 0.3 + 0.7
+    for thread in threads:
+        thread.join(2)
+    # Those sent in the moment of the close cross it.
+    assert len(asked) - len(heard) <= 3 and len(heard) > 60
