JSON-RPC at the end of the process as over HTTP; a conversation with as many calls as may be is read again

SIGTERM: front.py listens for linger_s more by Listener, begins what has come, answers all by the same time as over HTTP, and ends a conversation by its end of sending, so that no reset overtakes the last answers. Found on the way, by a test that fails on (time out): once a client had exactly most_open calls open and none behind them, reading was paused and, as nothing waited, never taken up again; its next calls hung for good. Cause: front.py, Conversation.ended looked at what waits and not at whether reading is paused. In the new test the client stops at the conversation's end, as one that reads its answers does; before that change it counted what it sent behind that end.

--- a/basalthoist/jsonrpc/front.py
+++ b/basalthoist/jsonrpc/front.py
@@ -5,10 +5,12 @@
 import select
 from functools import partial
 
-from basalthoist.net.descriptors import descriptor_of, ended, lain
+from basalthoist.net.descriptors import descriptor_of, ended, lain, polled
 from basalthoist.net.exchanges import Exchanges
 from basalthoist.net.framing import Arrivals
+from basalthoist.net.listener import Listener, listening_socket
 from basalthoist.net.log import Log
+from basalthoist.net.shutdown import CLOSING, STEP, times_of
 from basalthoist.net.timers import SECOND, Timers, now
 
 from .messages import (
@@ -75,6 +77,7 @@
         self.callers: dict[Caller, None] = {}
         self.idents: set[bytes] = set()
         self.full, self.paused, self.ending = False, False, False
+        self.ended_here = False  # all is answered and its end written: what still comes is dropped
 
     # Called by the event loop.
 
@@ -93,6 +96,8 @@
         self.front.check_drained()
 
     def data_received(self, data: bytes) -> None:
+        if self.ended_here:
+            return
         self.since = now()
         self.arrivals.add(len(data), self.since - lain(self.transport))
         self.pending = self.pending + data if self.pending else data
@@ -142,7 +147,7 @@
         if self.paused and self.broken():
             # Guards against calls that are begun for a client whose end was not read meanwhile.
             return self.transport.abort()
-        while not self.full and not self.front.leaving and len(self.callers) < self.front.most_open:
+        while not self.full and len(self.callers) < self.front.most_open:
             end = self.pending.find(b"\n")
             if (end if end >= 0 else len(self.pending)) > self.front.limits.body_bytes:
                 # Guards against a line without end: what is kept of it is bounded, and it is answered once.
@@ -211,7 +216,7 @@
             self.say(answer)
         self.end_if_done()
         # Not from within a decision: what waits is looked at in the loop's next turn.
-        if self.pending and len(self.callers) < self.front.most_open:
+        if (self.pending or self.paused) and len(self.callers) < self.front.most_open:
             self.front.loop.call_soon(self.go_on)
 
     def say(self, text: bytes) -> None:
@@ -219,8 +224,33 @@
             self.transport.write(text + b"\n")
 
     def end_if_done(self) -> None:
-        if (self.ending or self.front.leaving) and not self.callers and not self.transport.is_closing():
+        if self.callers or b"\n" in self.pending or self.transport.is_closing():
+            return
+        if self.ending:
             self.transport.close()
+        elif self.front.lingered and (self.front.over or self.rests()):
+            self.end_here()
+
+    def rests(self) -> bool:
+        """Nothing has begun to come, nor lies unread."""
+        return not self.pending and not polled(descriptor_of(self.transport), select.POLLIN)
+
+    def end_here(self) -> None:
+        """Guards against a reset that overtakes the last answers, as closing with bytes unread would send."""
+        if not self.ended_here:
+            self.ended_here = True
+            self.transport.resume_reading()
+            self.transport.write_eof()
+
+    def end_now(self, last: bool) -> None:
+        """The process ends: every call that has come is answered. `last`: the client had time to close."""
+        for caller in list(self.callers):
+            if caller.exchange is not None:
+                self.front.exchanges.end_unanswered(caller.exchange)
+        self.go_on()
+        self.end_if_done()
+        if last and self.ended_here and not self.transport.get_write_buffer_size():
+            self.transport.abort()
 
     def check_time(self, at: int) -> None:
         limits = self.front.limits
@@ -247,14 +277,20 @@
         self.customer = customers.index(told.customer) if told.customer in customers else 0
         self.most_open, self.most_batch = told.most_open, told.most_batch
         self.conversations: dict[Conversation, None] = {}
-        self.notifications, self.leaving, self.server = 0, False, None
+        self.notifications, self.listener = 0, None
+        self.leaving = self.lingered = self.over = False
+        self.over_at = 0
+        self.longest = int(configuration.longest_s * SECOND)
         self.drained: asyncio.Future = loop.create_future()
         exchanges.upstream.connection = JsonConnection
         exchanges.probe_parts = partial(Line, "probe", told.load_method, b"")
         timers.every(SECOND // 4, self.sweep)
 
     async def listen(self, address: tuple[str, int]) -> None:
-        self.server = await self.loop.create_server(self.open, *address, backlog=self.limits.backlog)
+        sock = listening_socket(address, self.limits.backlog)
+        gives_back = self.descriptors.give_back
+        self.listener = Listener(self.loop, self.timers, self.log, sock, self.open, gives_back)
+        self.listener.on_taken = self.check_drained
         self.log(f"listening for JSON-RPC on {address[0]}:{address[1]}")
 
     def open(self) -> asyncio.Protocol:
@@ -269,7 +305,8 @@
         ident, params = self.exchanges.new_id(), bytes(request.params)
         came_at = caller.conversation.came_at
         # Guards against a call that waited behind others here: its client has waited for it since it came.
-        exchange = JsonExchange(ident, caller, request.method, params, came_at + timeout)
+        deadline = self.exchanges.before_end(came_at + timeout)
+        exchange = JsonExchange(ident, caller, request.method, params, deadline)
         exchange.came_at, caller.exchange = came_at, exchange
         self.exchanges.begin(exchange, number, self.customer, False)
 
@@ -279,16 +316,34 @@
             conversation.check_time(at)
 
     def leave(self) -> None:
-        """No new connection and no new call; what is under way is answered."""
+        """As over HTTP: who comes for a while is taken in, and all is answered before the end."""
         self.leaving = True
-        if self.server is not None:
-            self.server.close()
+        linger, left = times_of(self.limits, self.longest)
+        self.timers.after(linger, self.stop_listening)
+        self.timers.after(left, self.answer_all)
+
+    def stop_listening(self) -> None:
+        self.lingered = True
+        if self.listener is not None:
+            self.listener.close_when_empty(self.check_drained)
         for conversation in list(self.conversations):
             conversation.end_if_done()
         self.check_drained()
 
+    def answer_all(self) -> None:
+        if not self.over:
+            self.over, self.over_at = True, now()
+        last = now() >= self.over_at + CLOSING
+        for conversation in list(self.conversations):
+            conversation.end_now(last)
+        self.check_drained()
+        if not self.drained.done():
+            self.timers.after(STEP, self.answer_all)
+
     def check_drained(self) -> None:
-        if self.leaving and not self.conversations and not self.drained.done():
+        if not self.lingered or self.conversations or self.drained.done():
+            return
+        if self.listener is None or not (self.listener.listening or self.listener.tasks):
             self.drained.set_result(None)
 
 
