--- a/basalthoist/experiments/cluster/faults.c
+++ b/basalthoist/experiments/cluster/faults.c
@@ -27,6 +27,7 @@
     int64_t wall_ms;     /* the wall clock is ahead by this */
     int64_t hold_ms;     /* before a request's first bytes are written */
     int64_t hold_every;  /* one such write in so many; 0: none */
+    int64_t read_errno, read_left; /* so many reads of sockets fail, then they go through again */
     int64_t short_bytes; /* the most that one read or write of a socket carries; 0: all */
     int64_t accepts, held, writes; /* counted: failed accepts, writes held up, requests written */
 };
@@ -164,7 +165,15 @@
 ssize_t read(int descriptor, void *data, size_t length)
 {
     REAL(read);
-    return real(descriptor, data, is_kind(descriptor, S_IFSOCK) ? least(length) : length);
+    if (!is_kind(descriptor, S_IFSOCK))
+        return real(descriptor, data, length);
+    ssize_t got = real(descriptor, data, least(length));
+    if (got >= 0 && page->read_errno != 0 && page->read_left > 0) {
+        page->read_left--;
+        errno = (int)page->read_errno;
+        return -1;
+    }
+    return got;
 }
 
 int clock_gettime(clockid_t clock, struct timespec *at)
--- a/basalthoist/experiments/cluster/faults.py
+++ b/basalthoist/experiments/cluster/faults.py
@@ -14,7 +14,7 @@
 SOURCE = Path(__file__).with_name("faults.c")
 FIELDS = (
     "accept_errno", "connect_errno", "socket_errno", "accept_left", "sync_errno", "write_errno", "torn_bytes",
-    "wall_ms", "hold_ms", "hold_every", "short_bytes", "accepts", "held", "writes",
+    "wall_ms", "hold_ms", "hold_every", "read_errno", "read_left", "short_bytes", "accepts", "held", "writes",
 )  # fmt: skip
 FIELD = struct.Struct("q")
 
