--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -100,3 +100,14 @@
     assert [late for sender in senders for late in sender.late] == []
     assert ended_at is not None and ended_at <= DEADLINE_S + KILL_AFTER_S - 0.1, ended_at
     assert sum(sender.answered for sender in senders) > 100
+
+
+@pytest.mark.parametrize("also", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+def test_signals_up_to_the_last_moment_change_nothing(start, also):
+    program, _, _ = start(reply(), limits={"linger_s": 0.1})
+    program.process.send_signal(signal.SIGTERM)
+    until = time.monotonic() + 5
+    while program.process.poll() is None and time.monotonic() < until:
+        program.process.send_signal(also)
+        time.sleep(0.0005)
+    assert program.process.poll() == 0
