--- a/basalthoist/commands/line.py
+++ b/basalthoist/commands/line.py
@@ -9,6 +9,7 @@
 from basalthoist.emulator.scenario import ScenarioError
 
 from .distribute import distribute
+from .soak import soak
 
 WRONG, FAILED = 2, 1
 
@@ -352,6 +353,7 @@
 
 
 main.add_command(distribute)
+main.add_command(soak)
 
 
 def say_result(result: dict) -> None:
--- /dev/null
+++ b/basalthoist/experiments/soak/backends.py
@@ -0,0 +1,154 @@
+"""Backends and discovery of a play, as stand-ins on sockets. They write down what reaches them."""
+
+import asyncio
+import json
+import select
+import time
+from collections.abc import Callable
+
+from ..loopback import DiscoveryAgent
+from .judge import CAPACITY_PER_S
+from .record import NEVER_RAN, Attempt, ColdStart, Drain, Record
+
+WORK_S = 4 / CAPACITY_PER_S  # of a request, with four at a time
+BODY = b"served"
+
+
+class Exchange(asyncio.Protocol):
+    """A connection from the node."""
+
+    def __init__(self, backend: "Backend") -> None:
+        self.backend, self.transport, self.buffer = backend, None, b""
+        self.first_byte_at, self.attempt = 0.0, None
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+        self.backend.connections.add(self)
+
+    def connection_lost(self, wrong) -> None:
+        self.backend.connections.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        if not self.buffer:
+            self.first_byte_at = time.monotonic()
+        self.buffer += data
+        while b"\r\n\r\n" in self.buffer:
+            head, _, self.buffer = self.buffer.partition(b"\r\n\r\n")
+            lines = head.decode().split("\r\n")[1:]
+            self.backend.take(self, {k.lower(): v for k, v in (line.split(": ", 1) for line in lines)})
+
+    def out(self) -> bool:
+        """Whether the node still waits here for an answer, as far as this machine knows."""
+        if self.attempt is None or self.transport.is_closing():
+            return False
+        poller = select.poll()
+        poller.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return not poller.poll(0)
+
+    def answer(self, status: bytes, more: bytes = b"", body: bytes = BODY) -> None:
+        self.attempt = None
+        if not self.transport.is_closing():
+            head = b"HTTP/1.1 %b\r\n%bContent-Length: %d\r\n\r\n" % (status, more, len(body))
+            self.transport.write(head + body)
+
+
+class Backend:
+    """`trouble` is the kind of event that it is in, or none."""
+
+    def __init__(self, world: "World", number: int) -> None:
+        self.world, self.number, self.incarnation = world, number, 0
+        self.trouble, self.value, self.phase, self.started_ms = "", 0, "ready", 0
+        self.connections: set[Exchange] = set()
+        self.server, self.address = None, ""
+
+    async def listen(self) -> None:
+        loop = asyncio.get_running_loop()
+        host, _, port = self.address.rpartition(":")
+        self.server = await loop.create_server(lambda: Exchange(self), host or "127.0.0.1", int(port or 0))
+        self.address = "{}:{}".format(*self.server.sockets[0].getsockname())
+
+    def member(self) -> dict:
+        return {"id": f"s-{self.number}", "host_port": self.address, "locality": "0", "flavor": "std",
+                "cell": 0, "phase": self.phase, "size": 1.0, "up_since_ms": self.started_ms}  # fmt: skip
+
+    def take(self, exchange: Exchange, headers: dict[str, str]) -> None:
+        request = self.world.record.requests.get(headers.get("request-id", ""))
+        if request is None:
+            self.world.record.unknown += 1
+            return exchange.answer(b"400 Unknown")
+        told_s = int(headers["request-timeout-ms"]) / 1000
+        parallel = any(e.out() for e in self.world.exchanges_of(request.ident) if e is not exchange)
+        late_s = self.world.late_s()
+        attempt = Attempt(
+            self.number, self.incarnation, exchange.first_byte_at, time.monotonic(), told_s, parallel, late_s
+        )
+        request.attempts.append(attempt)
+        exchange.attempt = request.ident
+        loop = asyncio.get_running_loop()
+        if self.trouble == "hang":
+            return
+        if self.trouble == "turn_away" or self.phase != "ready":
+            attempt.outcome = NEVER_RAN
+            exchange.answer(b"503 Full", b"Not-Started: 1\r\n")
+        elif self.trouble == "reset":
+            loop.call_later(self.value / 1000, exchange.transport.abort)
+        elif self.trouble == "error":
+            exchange.answer(b"500 Broken")
+        else:
+            loop.call_later(WORK_S, exchange.answer, b"200 OK")
+
+    async def restart(self, for_s: float) -> None:
+        """Its process dies; another comes up cold at the same address, and is told of."""
+        self.server.close()
+        for exchange in list(self.connections):
+            exchange.transport.abort()
+        await asyncio.sleep(for_s)
+        self.incarnation += 1
+        started_at = time.monotonic()
+        self.started_ms = int(time.time() * 1000)
+        await self.listen()
+        await asyncio.sleep(0.05)
+        told_at = self.world.tell(self)
+        self.world.record.cold_starts.append(ColdStart(self.number, self.incarnation, started_at, told_at))
+
+    async def drain(self, for_s: float) -> None:
+        self.phase = "draining"
+        drain = Drain(self.number, self.world.tell(self))
+        self.world.record.drains.append(drain)
+        await asyncio.sleep(for_s)
+        self.phase, drain.back_at = "ready", time.monotonic()
+        self.world.tell(self)
+
+
+class World:
+    """All that is around the node. `late_s` says how late the harness may be just now."""
+
+    def __init__(self, backends: int, late_s: Callable[[], float]) -> None:
+        self.record, self.late_s = Record(), late_s
+        self.backends = [Backend(self, number) for number in range(backends)]
+        self.members: list[dict] = []  # as the agent of discovery lists them
+        self.watches: list[asyncio.Transport] = []
+        self.revision = 1
+        self.discovery = ""
+
+    async def open(self) -> None:
+        for backend in self.backends:
+            await backend.listen()
+        self.members += [backend.member() for backend in self.backends]
+        loop = asyncio.get_running_loop()
+        agent = await loop.create_server(lambda: DiscoveryAgent(self.members, self.watches), "127.0.0.1", 0)
+        self.discovery = "{}:{}".format(*agent.sockets[0].getsockname())
+
+    def exchanges_of(self, ident: str) -> list[Exchange]:
+        return [e for backend in self.backends for e in backend.connections if e.attempt == ident]
+
+    def tell(self, backend: Backend) -> float:
+        """Down every watch; returns when."""
+        self.revision += 1
+        self.members[backend.number] = backend.member()
+        said = {"revision": self.revision, "complete": False, "members": [backend.member()]}
+        line = json.dumps(said).encode() + b"\n"
+        for transport in self.watches:
+            if not transport.is_closing():
+                transport.write(b"%x\r\n%b\r\n" % (len(line), line))
+        return time.monotonic()
--- /dev/null
+++ b/basalthoist/experiments/soak/broken.py
@@ -0,0 +1,158 @@
+"""`python -m basalthoist.experiments.soak.broken NAME`: the program with one rule broken on purpose.
+
+The soak has to find each of them: that shows that it looks.
+"""
+
+import sys
+from collections.abc import Callable
+
+
+def forgets_requests() -> None:
+    """One request in forty is read and never begun."""
+    from basalthoist.net.clients import Door
+
+    take, count = Door.take, [0]
+
+    def forgetful(self, client, message) -> None:
+        count[0] += 1
+        if count[0] % 40 or message.target == b"/ready":
+            take(self, client, message)
+
+    Door.take = forgetful
+
+
+def closes_unread() -> None:
+    """At SIGTERM every connection is closed, whatever has come on it."""
+    from basalthoist.net.clients import Door
+
+    leave = Door.leave
+
+    def abrupt(self) -> None:
+        leave(self)
+        for client in list(self.clients):
+            client.transport.abort()
+
+    Door.leave = abrupt
+
+
+def keeps_connections() -> None:
+    """Connections stay in use up to the kill, and nothing is answered ahead of it."""
+    from basalthoist.net.clients import Client
+    from basalthoist.net.shutdown import Shutdown
+
+    Client.parts = lambda self: False
+    Client.idle = lambda self: False
+    Shutdown.stop_listening = Shutdown.answer_all = lambda self: None
+
+
+def repeats() -> None:
+    """What may have run is sent again, whatever its route allows."""
+    from basalthoist.decisions.policy import Node
+
+    Node.again = lambda self, xchg, number, backend, now: True
+
+
+def repeats_late() -> None:
+    """A deduplicated request is sent again until its time is over, whatever the window."""
+    from basalthoist.decisions.policy import Node
+
+    Node.remembered = lambda self, xchg, ran, now: int(xchg.route.semantics == "deduped")
+
+
+def refuses_what_ran() -> None:
+    """Whatever is given up is called harmless to try again."""
+    from basalthoist.decisions.policy import Node
+
+    Node.harmless_after = lambda self, now, xchg: 0
+
+
+def forgets_drains() -> None:
+    """A backend that drains is used as before."""
+    from basalthoist.net import members
+
+    members.STATES["draining"] = "healthy"
+
+
+def knows_no_cold() -> None:
+    """Whoever has started last is taken for warm, and gets what comes first."""
+    from basalthoist.decisions.policy import Node
+
+    turns, on_list = Node.turns, Node.on_list
+
+    def all_warm(self, now, entries, whole):
+        on_list(self, now, entries, whole)
+        for backend in self.backends.values():
+            backend.warm_at = 0
+
+    Node.on_list = all_warm
+    Node.turns = lambda self, now, xchg: sorted(turns(self, now, xchg), key=lambda b: -(b.started or 0))
+
+
+def tells_too_much() -> None:
+    """Backends are told of 0.3 s more than the client has."""
+    from basalthoist.net.exchanges import Exchange
+
+    parts = Exchange.parts
+    Exchange.parts = lambda self, number, until, marks=b"": parts(self, number, until + 3000, marks)
+
+
+def sends_for_who_left() -> None:
+    """A client's leaving is not looked at."""
+    from basalthoist.net.exchanges import Exchanges
+
+    Exchanges.gone = lambda self, xchg: None
+    Exchanges.wanted = lambda self, xchg, number: True
+
+
+def answers_late() -> None:
+    """Given up 0.8 s after the client's time."""
+    from basalthoist.net.exchanges import Exchanges
+
+    before_end = Exchanges.before_end
+    Exchanges.before_end = lambda self, deadline: before_end(self, deadline) + 8000
+
+
+def sends_twice_at_once() -> None:
+    """Each attempt is made twice, at the same backend."""
+    from basalthoist.net.exchanges import Exchanges
+
+    send = Exchanges.send
+
+    def twice(self, ident, backend, timeout):
+        send(self, ident, backend, timeout)
+        exchange = self.open_one(ident)
+        if exchange is not None:
+            until = exchange.deadline
+            self.upstream.call(
+                backend, lambda: exchange.parts(1, until), timeout, lambda outcome, answer: None
+            )
+
+    Exchanges.send = twice
+
+
+# Each with the rule that it breaks.
+VARIANTS: dict[str, tuple[str, Callable[[], None]]] = {
+    "forgets_requests": ("lost", forgets_requests),
+    "closes_unread": ("lost", closes_unread),
+    "keeps_connections": ("lost", keeps_connections),
+    "answers_late": ("lost", answers_late),
+    "sends_for_who_left": ("lost", sends_for_who_left),
+    "repeats": ("duplicate", repeats),
+    "repeats_late": ("duplicate", repeats_late),
+    "refuses_what_ran": ("duplicate", refuses_what_ran),
+    "sends_twice_at_once": ("parallel", sends_twice_at_once),
+    "forgets_drains": ("drain", forgets_drains),
+    "knows_no_cold": ("failback", knows_no_cold),
+    "tells_too_much": ("told", tells_too_much),
+}
+
+
+def main() -> int:
+    from basalthoist.start import serve_by
+
+    VARIANTS[sys.argv[1]][1]()
+    return serve_by()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/basalthoist/experiments/soak/plan.py
@@ -0,0 +1,102 @@
+"""What happens in one play, drawn from its seed. Times are seconds since the clients began."""
+
+import errno
+from random import Random
+from typing import Literal
+
+import msgspec
+
+BACKEND_TROUBLES = ("hang", "reset", "error", "turn_away", "drain", "restart")
+NODE_TROUBLES = ("wall_clock", "accept", "connect", "socket", "short_io", "hold_up")
+SIGNALS = ("TERM", "HUP", "BAD_HUP")
+ERRORS = {
+    "accept": (errno.ECONNABORTED, errno.ENFILE, errno.ENOBUFS, errno.EPROTO, errno.ENETDOWN),
+    "connect": (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.EHOSTUNREACH, errno.ETIMEDOUT),
+    "socket": (errno.ENFILE, errno.ENOBUFS, errno.ENOMEM),
+}
+KILL_AFTER_S = 0.7  # beyond the longest deadline: the protocol page
+NEW_CONNECTIONS_S = 0.4  # for which they go on coming after SIGTERM: the protocol page
+
+Kind = Literal["hang", "reset", "error", "turn_away", "drain", "restart", "wall_clock", "accept", "connect",
+               "socket", "short_io", "hold_up"]  # fmt: skip
+
+
+class Event(msgspec.Struct, frozen=True):
+    """`backend` is met from `at_s` for `for_s`; -1 for what meets the node. `value`: errno, bytes, or ms."""
+
+    kind: Kind
+    at_s: float
+    for_s: float
+    backend: int = -1
+    value: int = 0
+
+
+class Plan(msgspec.Struct, frozen=True):
+    seed: int
+    deadline_s: float  # the longest
+    window_s: float  # for which repeats of a deduplicated request are known
+    grace_s: float  # of drains
+    backends: int
+    clients: int
+    crowd: int  # clients that connect and say nothing
+    leaving: float  # the part of requests whose client leaves early
+    load_s: float  # from the clients' beginning to SIGTERM
+    events: tuple[Event, ...]
+    signals: tuple[tuple[float, str], ...]  # further ones, after the first SIGTERM
+
+    @property
+    def kill_s(self) -> float:
+        return self.load_s + self.deadline_s + KILL_AFTER_S
+
+    @property
+    def connects_s(self) -> float:
+        return self.load_s + NEW_CONNECTIONS_S
+
+
+def drawn(seed: int) -> Plan:
+    chance = Random(seed)
+    deadline_s = chance.choice((0.3, 0.5, 0.9, 0.9, 1.5, 3.0))
+    load_s = round(chance.uniform(1.5, 3.0), 2)
+    backends = chance.randint(3, 6)
+    events = [backend_trouble(chance, load_s, backends) for _ in range(chance.randint(2, 5))]
+    events += [node_trouble(chance, load_s) for _ in range(chance.randint(0, 3))]
+    # A backend that hangs through the whole of a shutdown.
+    if chance.random() < 0.7:
+        events.append(Event("hang", load_s - 0.1, deadline_s + 2.0, chance.randrange(backends)))
+    signals = [
+        (round(chance.uniform(0.0, 0.6), 3), chance.choice(SIGNALS)) for _ in range(chance.randint(0, 4))
+    ]
+    return Plan(
+        seed=seed,
+        deadline_s=deadline_s,
+        window_s=chance.choice((0.4, 0.4, 1.0, 5.0)),
+        grace_s=chance.choice((0.25, 0.5, 2.0)),
+        backends=backends,
+        clients=chance.choice((6, 12, 24)),
+        crowd=chance.choice((0, 0, 0, 150)),
+        leaving=chance.choice((0.0, 0.1, 0.3)),
+        load_s=load_s,
+        events=tuple(sorted(events, key=lambda event: event.at_s)),
+        signals=tuple(sorted(signals)),
+    )
+
+
+def backend_trouble(chance: Random, load_s: float, backends: int) -> Event:
+    kind = chance.choice(BACKEND_TROUBLES)
+    lasts = round(chance.uniform(0.2, 1.5), 2)
+    value = chance.randint(5, 400)  # of a reset: how long after the request, in milliseconds
+    return Event(kind, round(chance.uniform(0.1, load_s), 2), lasts, chance.randrange(backends), value)
+
+
+def node_trouble(chance: Random, load_s: float) -> Event:
+    kind = chance.choice(NODE_TROUBLES)
+    at_s, lasts = round(chance.uniform(0.1, load_s), 2), round(chance.uniform(0.1, 0.6), 2)
+    if kind in ERRORS:
+        value = chance.choice(ERRORS[kind])
+    elif kind == "wall_clock":
+        value = chance.choice((-1, 1)) * chance.choice((3_000, 15_000, 3_600_000))
+    elif kind == "short_io":
+        value = chance.choice((1, 7, 100))
+    else:
+        value = chance.randint(50, 140)
+    return Event(kind, at_s, lasts, value=value)
--- a/basalthoist/start.py
+++ b/basalthoist/start.py
@@ -4,6 +4,8 @@
 import signal
 import sys
 
+ENDS = (signal.SIGTERM, signal.SIGINT)  # each tells the node to leave
+
 
 async def run(configuration, others, form, hangups) -> None:
     import asyncio
@@ -17,12 +19,14 @@
     gc.enable()
     if form is not None:
         form.bind(service.log)
-    for name in (signal.SIGTERM, signal.SIGINT):
+    for name in ENDS:
         loop.add_signal_handler(name, service.leave)
     loop.add_signal_handler(signal.SIGHUP, service.reload)
     if hangups:
         service.reload()
     await service.serve()
+    # Guards against a signal during the exit: as it closes, the loop gives each its usual effect back.
+    signal.pthread_sigmask(signal.SIG_BLOCK, ENDS + (signal.SIGHUP,))
 
 
 def serve_by(form=None) -> int:
