--- a/tests/test_extremes.py
+++ b/tests/test_extremes.py
@@ -298,3 +298,35 @@
             assert read_message(source).status in statuses
     paid = [a for b in backends for a in b.seen if a.headers["request-id"] == "pay"]
     assert len(paid) == 1
+
+
+class AgentInTrouble(DiscoveryStandIn):
+    """Discovery that hangs on, refuses or resets so many calls, and answers those behind them."""
+
+    def __init__(self, members, trouble, calls):
+        self.trouble, self.left = trouble, calls
+        super().__init__(members)
+
+    def answer(self, sock, asked):
+        if self.left <= 0:
+            return super().answer(sock, asked)
+        self.left -= 1
+        if self.trouble == "refuses":
+            return sock.sendall(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+        if self.trouble == "resets":
+            raise EOFError
+
+
+@pytest.mark.parametrize(
+    ("trouble", "calls"),
+    [("hangs", 1), ("hangs", 2), ("refuses", 1), ("refuses", 5), ("resets", 5)],
+)
+def test_what_discovery_has_is_known_4_s_after_a_hangup_though_its_first_calls_fail(start, trouble, calls):
+    program, (one, two), _ = start(reply(200, b"one"), reply(200, b"two"))
+    agent = AgentInTrouble([member("s-1", two)], trouble, calls)
+    program.reload(json.dumps(program.made | {"discovery": agent.address}))
+    began = time.monotonic()
+    time.sleep(3.9)
+    seen = len(one.seen)
+    assert bodies(program, 20) == {b"two"} and len(one.seen) == seen, time.monotonic() - began
+    agent.close()
