After a move of discovery calls are in a hurry until what it has counts as told

Cause: following.py gave a call that says nothing 4.2 s at any time, and let waits between failed calls double up to 2 s; after SIGHUP what the new address has counts as told 4 s later (LATER), and the earlier time holds. For three quarters of that a call on which nothing comes is given up after 1 s, and waits stay within 0.5 s; a call that answers, however slowly, has its time as before. watch_moved_s, 4 s, is in limits.

--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -53,6 +53,7 @@
     stream_silent_s: Positive = 15.0  # an answer that was begun and of which nothing more comes
     watch_silent_s: Positive = 4.2  # of two of its heartbeats none has come, or a call has not come so far
     watch_told_s: Positive = 6.0  # what a watch has missed for as long counts as known, however it was missed
+    watch_moved_s: Positive = 4.0  # what a new address of discovery has counts as known so long after SIGHUP
     watch_retry_s: Positive = 0.4  # before discovery is tried again; it doubles, spread by half either way
     watch_retry_most_s: Positive = 2.0
     watch_line_s: Annotated[float, msgspec.Meta(ge=0)] = 0.008  # of discovery for a line, where calls weigh
--- a/basalthoist/net/discovery.py
+++ b/basalthoist/net/discovery.py
@@ -149,7 +149,7 @@
         limits = self.limits
         tenths = [int(seconds * SECOND) for seconds in (
             limits.watch_silent_s, limits.watch_told_s, limits.watch_retry_s, limits.watch_retry_most_s,
-            configuration.turns_s)]  # fmt: skip
+            configuration.turns_s, limits.watch_moved_s)]  # fmt: skip
         # Guards against a whole tier that comes back to discovery in step.
         self.following = Following(self, Lcg(configuration.seed).uniform, *tenths)
         self.watch: Watch | None = None  # the call that goes on
--- a/basalthoist/net/following.py
+++ b/basalthoist/net/following.py
@@ -14,6 +14,7 @@
 SECOND = 10_000
 GAP = 0.75  # of `told`, from the beginning of a call, or the last line of its watch, to the next call
 SOON = SECOND * 15 // 100  # the longest wait where the time for it is up
+MOVED_PART = 4  # of the time after a move: how long a call may say nothing; waits are up to half of that
 AT_ONCE = SECOND * 3 // 10  # what comes in pieces within this time counts as come in one
 
 
@@ -32,8 +33,11 @@
     """One call at a time; `listed` and `revision` tell what the next is to ask for."""
 
     def __init__(self, host: FollowingHost, chance: Callable[[], float], silent: int, told: int, retry: int,
-                 retry_most: int, turns: int) -> None:  # fmt: skip
-        """`retry` doubles with each failure up to `retry_most`; `turns`: what a tier takes one by one."""
+                 retry_most: int, turns: int, moved: int = 4 * SECOND) -> None:  # fmt: skip
+        """`retry` doubles with each failure up to `retry_most`; `turns`: what a tier takes one by one.
+
+        `moved`: what a new address has to tell counts as known so long after the move.
+        """
         self.host, self.chance, self.silent, self.gap = host, chance, silent, int(GAP * told)
         # Guards against a large tier that asks faster than discovery, which does not grow with it, answers.
         self.least, self.most, self.turns = max(retry, turns // 2), max(retry_most, turns), turns
@@ -43,6 +47,8 @@
         self.heard_at = 0  # of the call that goes on: when it began, or its last line came
         self.from_revision = False  # it began with the watch
         self.next_at = self.due = self.due_before = 0  # due: when the next call is to begin at the latest
+        self.moved, self.moved_until = moved, 0  # until then calls at a new address are in a hurry
+        self.answering = False  # something has come on the call that goes on
         self.since: int | None = None  # when the first piece came of what is not whole yet
 
     # What the node wants.
@@ -60,13 +66,14 @@
     def on_move(self, now: int) -> None:
         """Another agent, as planned: no failure. The whole list first, as its revisions may be others."""
         self.listed, self.revision, self.failures = False, 0, 0
+        self.moved_until = now + int(GAP * self.moved)
         self.begin(now)
 
     def on_wake(self, now: int) -> None:
         if not self.calling:
             return self.begin(now) if now >= self.next_at else self.host.wake_at(self.next_at)
-        if now < self.heard_at + self.silent:
-            return self.host.wake_at(self.heard_at + self.silent)
+        if now < self.heard_at + self.patience():
+            return self.host.wake_at(self.heard_at + self.patience())
         # Guards against a call that was cut off, hangs in connecting or never comes to an end of its answer:
         # nothing else ends it.
         self.host.give_up()
@@ -78,6 +85,7 @@
 
     def on_read(self, now: int) -> None:
         """A piece has come and is about to be read."""
+        self.answering = True
         if self.since is None:
             self.since = now
 
@@ -108,16 +116,25 @@
         longer = min(self.least * 2**self.failures, self.most) * (0.5 + self.chance())
         self.failures = min(self.failures + 1, 20)
         left = max(self.due - now, SOON) * (0.7 + 0.3 * self.chance())
+        if now < self.moved_until:
+            # Guards against waits beyond the time at which what the new address has counts as known.
+            left = min(left, SOON * 2**self.failures / 2, self.moved / MOVED_PART / 2)
         self.wait(now, int(min(longer, left)))
 
     # Steps.
 
     def begin(self, now: int) -> None:
         self.calling, self.up, self.from_revision = True, False, self.listed
-        self.heard_at, self.since = now, None
+        self.heard_at, self.since, self.answering = now, None, False
         self.due_before, self.due = self.due, now + self.gap
         self.host.call()
-        self.host.wake_at(now + self.silent)
+        self.host.wake_at(now + self.patience())
+
+    def patience(self) -> int:
+        """How long nothing whole may come on the call that goes on."""
+        # Guards against a first call at a new address that hangs until what is there counts as known.
+        hurried = self.heard_at < self.moved_until and not self.listed and not self.answering
+        return min(self.silent, self.moved // MOVED_PART) if hurried else self.silent
 
     def wait(self, now: int, time: int) -> None:
         self.next_at = now + time
