--- a/basalthoist/commands/soak.py
+++ b/basalthoist/commands/soak.py
@@ -34,7 +34,8 @@
                 click.echo(f"  {one.rule} {one.ident}: {one.what}")
             for ident, way in result.paths.items():
                 click.echo(f"  {ident}\n    " + "\n    ".join(way))
-            if result.breaks and log:
+            crashed = any(one.rule == "crash" for one in result.breaks)
+            if crashed or result.breaks and log:
                 click.echo(result.log)
     click.echo(f"{seeds} seeds from {first}: {seeds - failed} kept every rule, {failed} did not")
     sys.exit(FAILED if failed else 0)
--- a/basalthoist/start.py
+++ b/basalthoist/start.py
@@ -24,9 +24,11 @@
     loop.add_signal_handler(signal.SIGHUP, service.reload)
     if hangups:
         service.reload()
-    await service.serve()
-    # Guards against a signal during the exit: as it closes, the loop gives each its usual effect back.
-    signal.pthread_sigmask(signal.SIG_BLOCK, ENDS + (signal.SIGHUP,))
+    try:
+        await service.serve()
+    finally:
+        # Guards against a signal during the exit: as it closes, the loop gives each its usual effect back.
+        signal.pthread_sigmask(signal.SIG_BLOCK, ENDS + (signal.SIGHUP,))
 
 
 def serve_by(form=None) -> int:
