--- a/basalthoist/net/beside.py
+++ b/basalthoist/net/beside.py
@@ -1,7 +1,6 @@
 """Work that may take long, such as writing to a disk, beside the event loop."""
 
 import asyncio
-import signal
 from collections.abc import Callable
 from contextlib import suppress
 from queue import SimpleQueue
@@ -24,8 +23,6 @@
         self.work.put((work, done))
 
     def run(self) -> None:
-        # Guards against a signal that is delivered here once the event loop has let go of it.
-        signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())
         while True:
             work, done = self.work.get()
             try:
--- a/basalthoist/start.py
+++ b/basalthoist/start.py
@@ -19,16 +19,22 @@
     gc.enable()
     if form is not None:
         form.bind(service.log)
-    for name in ENDS:
-        loop.add_signal_handler(name, service.leave)
-    loop.add_signal_handler(signal.SIGHUP, service.reload)
+    # Not by the loop: as it closes, it gives each signal its usual effect back.
+    handle(ENDS, lambda: loop.call_soon_threadsafe(service.leave))
+    handle((signal.SIGHUP,), lambda: loop.call_soon_threadsafe(service.reload))
     if hangups:
         service.reload()
     try:
         await service.serve()
     finally:
-        # Guards against a signal during the exit: as it closes, the loop gives each its usual effect back.
-        signal.pthread_sigmask(signal.SIG_BLOCK, ENDS + (signal.SIGHUP,))
+        # Guards against a signal that would end the exit in another way, whichever thread it is delivered to.
+        for number in (*ENDS, signal.SIGHUP):
+            signal.signal(number, signal.SIG_IGN)
+
+
+def handle(numbers: tuple[int, ...], act) -> None:
+    for number in numbers:
+        signal.signal(number, lambda *_: act())
 
 
 def serve_by(form=None) -> int:
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -42,8 +42,9 @@
     "basalthoist.hearsay", "basalthoist.decisions", "basalthoist.decisions.chance",
     "basalthoist.decisions.host", "basalthoist.decisions.policy", "basalthoist.net",
 } | {f"basalthoist.net.{name}" for name in (
-    "bans", "beside", "clients", "descriptors", "discovery", "exchanges", "following", "framing", "log",
-    "members", "paused", "peers", "room", "service", "timers", "uploads", "upstream",
+    "bans", "beside", "clients", "descriptors", "discovery", "exchanges", "following", "framing",
+    "listener", "log", "members", "paused", "peers", "room", "service", "shutdown", "timers", "uploads",
+    "upstream", "wall_clock",
 )}  # fmt: skip
 # Of the standard library, besides what the libraries need: runpy by `-m`, limits, decisions.
 STANDARD = {"runpy", "importlib.util", "importlib._abc", "resource", "bisect", "_bisect", "zlib", "atexit"}
