Failing test: the time told to a backend where its request is written byte by byte

Ruled out: a hold-up of the node (none in the plan, and the kernel's count of its waiting is allowed for); the arrival time (reads of one byte alone keep it to some milliseconds). Reproduced: with bodies of 40,000 and 60,000 bytes, written byte by byte, a backend is told 0.239 and 0.305 s more than is left when the last byte has come (0.15 s allowed); with 20,000 bytes 0.097 s. Cause: the told time is reckoned as the first byte is written (Connection.carry), and nothing bounds the time until the last one.

--- a/tests/test_hold_up.py
+++ b/tests/test_hold_up.py
@@ -82,3 +82,25 @@
     assert at + told / 1000 <= began + 0.8 + 0.15
     at, told = came["third"]
     assert at + told / 1000 >= began + 0.3 + 0.7  # its own time, not that of the one before
+
+
+@pytest.mark.parametrize("body_bytes", [500, 20_000, 40_000, 60_000])
+def test_the_time_told_to_a_backend_holds_though_its_request_is_written_byte_by_byte(
+    start, faults, body_bytes
+):
+    """An attempt counts from its last byte, however long it takes to write."""
+    came = []
+
+    def notes(stand_in, sock, asked):
+        came.append((time.monotonic(), told_ms(asked)))
+        reply()(stand_in, sock, asked)
+
+    program, _, _ = start(notes, environment=faults.environment)
+    with program.connect() as sock, sock.makefile("rb") as source:
+        faults.set(short_bytes=1)
+        began = time.monotonic()
+        sock.sendall(request("pay", timeout=2000, body=b"x" * body_bytes))
+        assert read_message(source).status in ("200", "503")
+        assert time.monotonic() - began < 2.0 + 0.5
+    print([round(at + told / 1000 - began - 2.0, 3) for at, told in came])
+    assert all(at + told / 1000 <= began + 2.0 + 0.15 for at, told in came)
