--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -11,6 +11,7 @@
 from test_succession import QUICK, at
 
 TIME = 5.5
+ASKS = 30  # answers at the least: of two or three, one refusal would be too many
 
 
 class Down(Played):
@@ -82,22 +83,23 @@
 
 
 def heard_and_served(program, agent, number):
-    """From the return of discovery to the drain, by a fresh connection each time."""
+    """From the return of discovery to the drain, by a fresh connection each time; then on to ASKS answers."""
     agent.come_back()
-    answers, ask = [], 0
-    while time.monotonic() - agent.reachable < 12:
+    answers, ask, heard_after = [], 0, None
+    while time.monotonic() - agent.reachable < 12 and (heard_after is None or len(answers) < ASKS):
         ask += 1
         with contextlib.suppress(OSError, EOFError):
             got = program.ask(request(ident=f"{number}-{ask}"))
             answers.append(got.status)
-            if got.body == b"2":
-                break
+            if got.body == b"2" and heard_after is None:
+                heard_after = time.monotonic() - agent.reachable
         time.sleep(0.02)
-    return time.monotonic() - agent.reachable, answers
+    return heard_after or time.monotonic() - agent.reachable, answers
 
 
 def answered(statuses):
     """Each of them was: at the limit and in a burst of others as new a refusal counts, not as the rule."""
+    assert len(statuses) >= ASKS
     return set(statuses) <= {"200", "503"} and statuses.count("200") >= 0.9 * len(statuses)
 
 
