Failing tests: a disk that hangs while SIGHUP reads its file holds up every request and the end

Played with a pipe in the file's place: opening it waits. Both fail on: a request gets no answer within 10 s, and SIGTERM is not acted on. Cause: Service.reload calls configuration.load in the event loop.

--- a/tests/test_extremes.py
+++ b/tests/test_extremes.py
@@ -5,6 +5,7 @@
 
 import errno
 import json
+import os
 import signal
 import socket
 import threading
@@ -330,3 +331,42 @@
     seen = len(one.seen)
     assert bodies(program, 20) == {b"two"} and len(one.seen) == seen, time.monotonic() - began
     agent.close()
+
+
+# A disk that hangs.
+
+
+def test_requests_go_on_while_the_file_of_a_new_configuration_cannot_be_read(start):
+    """A pipe stands for a file on a disk that hangs: opening it waits. A further hangup comes meanwhile."""
+    program, _, _ = start(reply(200, b"old"))
+    new = StandIn(reply(200, b"new"))
+    agent = agent_of(new)
+    text = json.dumps(program.made | {"discovery": agent.address})
+    program.path.unlink()
+    os.mkfifo(program.path)
+    program.process.send_signal(signal.SIGHUP)
+    for number in range(20):
+        began = time.monotonic()
+        assert program.ask(request(ident=f"r{number}")).body == b"old"
+        assert time.monotonic() - began < 0.3
+        if number == 10:
+            program.process.send_signal(signal.SIGHUP)
+    pipe = os.open(program.path, os.O_WRONLY)  # once the program has opened it
+    program.path.unlink()
+    program.path.write_text(text)  # what the further hangup has to find
+    os.write(pipe, b"{")
+    os.close(pipe)
+    wait_for(lambda: bodies(program) == {b"new"}, 4)
+    agent.close()
+    new.close()
+
+
+def test_a_node_ends_in_time_while_the_file_of_a_new_configuration_cannot_be_read(start):
+    program, _, _ = start(reply())
+    program.path.unlink()
+    os.mkfifo(program.path)
+    program.process.send_signal(signal.SIGHUP)
+    time.sleep(0.1)
+    program.process.send_signal(signal.SIGTERM)
+    assert program.ask(request()).status == "200"
+    assert program.process.wait(0.9 + 0.7) == 0
