SIGHUP reads its file beside the event loop; one that comes meanwhile has it read again

Cause: Service.reload called configuration.load in the event loop, so that a disk that hangs held up every request, drain and signal. Mended: a thread of its own reads and checks the file (the one for bans is another, and no end waits for either); what it found is taken up in the loop. One read at a time, and a hangup that comes during it has the file read once more, so that the last configuration counts.

--- a/basalthoist/net/service.py
+++ b/basalthoist/net/service.py
@@ -41,7 +41,8 @@
         self.door = Door(configuration, loop, self.timers, self.exchanges, descriptors, self.log)
         self.discovery = Discovery(configuration, loop, self.timers, self.exchanges, self.upstream, self.log)
         self.maintenance, self.admin, self.succession = None, None, None
-        self.aside = Beside(loop)
+        self.aside, self.reader = Beside(loop), Beside(loop)  # the reader is for the configuration alone
+        self.reloading, self.reload_again = False, False
         self.peers_wait, self.joining = False, None
         self.first_ready: asyncio.Future = loop.create_future()
         self.bans, self.fleet, self.distribution = Bans(self.exchanges.on_maintenance), None, None
@@ -329,11 +330,34 @@
 
     def reload(self) -> None:
         """The file is read again. A new address of discovery counts at once; the rest waits for a restart."""
-        try:
-            read = load(before=self.configuration)
-        except ConfigurationError as wrong:
+        self.reload_again = self.reloading
+        if self.reloading:
+            return  # what is being read may be the file from before
+        self.reloading = True
+        before, found = self.configuration, []
+
+        def read() -> str:
+            try:
+                found.append(load(before=before))
+            except ConfigurationError as wrong:
+                return str(wrong)
+            return ""
+
+        # Guards against a disk that hangs, which no request and no end may wait for.
+        self.reader(read, partial(self.reloaded, found))
+
+    def reloaded(self, found: list[Configuration], wrong: str) -> None:
+        """The file has been read: into `found`, or it is faulty, as `wrong` says."""
+        self.reloading = False
+        if found:
+            self.take_up(found[0])
+        else:
             # Guards against a faulty file that would take a serving node along.
-            return self.log(f"configuration not taken: {wrong}")
+            self.log(f"configuration not taken: {wrong}")
+        if self.reload_again:
+            self.reload()
+
+    def take_up(self, read: Configuration) -> None:
         waits = read.waits_for_restart(self.configuration)
         self.configuration = read
         self.log("configuration read again" + (f", at the next start: {', '.join(waits)}" if waits else ""))
