Failing tests: what discovery has 6 s after a start whose first five calls are refused or reset; calls that fail here

Where lists are pushed five refusals in a row take 6.8 s in the mean (0.4, 0.8, 1.6, 2.0, 2.0 s, spread by half). Holds: a first call that hangs (known after some 4.5 s), and calls that cannot be made: connect and socket failing with ENETUNREACH, EHOSTUNREACH, ETIMEDOUT, ECONNREFUSED, ENFILE, EMFILE for 3 s, 12 plays.

--- a/tests/test_extremes.py
+++ b/tests/test_extremes.py
@@ -333,6 +333,17 @@
     agent.close()
 
 
+@pytest.mark.parametrize(("trouble", "calls"), [("hangs", 1), ("refuses", 5), ("resets", 5)])
+def test_what_discovery_has_is_known_6_s_after_a_start_though_its_first_calls_fail(start, trouble, calls):
+    one, two = StandIn(reply(200, b"one")), StandIn(reply(200, b"two"))
+    agent = AgentInTrouble([member("s-1", two)], trouble, calls)
+    began = time.monotonic()
+    program, _, _ = start(one, two, agent=agent, known=[member("s-0", one), member("s-1", two)])
+    time.sleep(max(began + 5.5 - time.monotonic(), 0))
+    seen = len(one.seen)
+    assert bodies(program, 20) == {b"two"} and len(one.seen) == seen
+
+
 # A disk that hangs.
 
 
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -1,6 +1,7 @@
 """System calls of the node that fail in the ways that their manual pages document. docs/terms-audit.md."""
 
 import errno
+import json
 import os
 import socket
 import subprocess
@@ -9,7 +10,7 @@
 import time
 
 import pytest
-from helpers import call, own_address, reply, request, wait_for
+from helpers import DiscoveryStandIn, StandIn, call, chunk, member, own_address, reply, request, wait_for
 
 from basalthoist.net.members import address_of
 from basalthoist.net.whole import put_whole
@@ -84,6 +85,39 @@
     assert all(len(backend.seen) > before + 5 for backend, before in zip(backends, seen, strict=True))
 
 
+class WholeListFirst(DiscoveryStandIn):
+    """A watch here begins with the whole list, whatever revision it was asked from."""
+
+    def answer(self, sock, asked):
+        super().answer(sock, asked)
+        if "stream=1" in asked.path:
+            self.revision = getattr(self, "revision", 1) + 1
+            said = {"revision": self.revision, "complete": True, "members": self.members}
+            sock.sendall(chunk(json.dumps(said).encode() + b"\n"))
+
+
+@pytest.mark.parametrize("call_name", ["connect", "socket"])
+@pytest.mark.parametrize(
+    "name", ["ENETUNREACH", "EHOSTUNREACH", "ETIMEDOUT", "ECONNREFUSED", "ENFILE", "EMFILE"]
+)
+def test_a_change_is_known_in_time_after_discovery_could_not_be_called(start, faults, call_name, name):
+    one, two = StandIn(reply(200, b"one")), StandIn(reply(200, b"two"))
+    discovery = WholeListFirst([member("s-0", one), member("s-1", two)])
+    program, _, _ = start(one, two, agent=discovery, environment=faults.environment)
+    wait_for(lambda: discovery.watches)
+    faults.set(**{f"{call_name}_errno": getattr(errno, name)})
+    discovery.members = [member("s-1", two)]  # s-0 has gone
+    for sock in discovery.watches:
+        sock.shutdown(socket.SHUT_RDWR)
+    time.sleep(3.0)
+    assert program.process.poll() is None and "discovery" in program.log()
+    faults.clear()
+    time.sleep(5.5)
+    seen = len(one.seen)
+    assert {program.ask(request(ident=f"b{n}")).body for n in range(20)} == {b"two"}
+    assert len(one.seen) == seen
+
+
 def test_short_reads_and_writes_change_nothing(start, faults):
     body = b"x" * 5000
 
