Where lists are pushed, refused and reset calls are made again after half a second at most

Cause: waits between calls that fail double up to 2 s, which is meant for a discovery on which calls weigh. The agent is on the node's own machine and answers at no cost, so a quarter of it is enough there (0.5 s, spread by half): five refusals in a row take 2.4 s in the mean, 3.6 s at most. Deployments that ask are as before.

--- a/basalthoist/net/following.py
+++ b/basalthoist/net/following.py
@@ -15,6 +15,7 @@
 GAP = 0.75  # of `told`, from the beginning of a call, or the last line of its watch, to the next call
 SOON = SECOND * 15 // 100  # the longest wait where the time for it is up
 MOVED_PART = 4  # of the time after a move: how long a call may say nothing; waits are up to half of that
+PUSHED_PART = 4  # of the longest wait where lists are pushed: a call to the agent weighs on nobody
 AT_ONCE = SECOND * 3 // 10  # what comes in pieces within this time counts as come in one
 
 
@@ -40,7 +41,8 @@
         """
         self.host, self.chance, self.silent, self.gap = host, chance, silent, int(GAP * told)
         # Guards against a large tier that asks faster than discovery, which does not grow with it, answers.
-        self.least, self.most, self.turns = max(retry, turns // 2), max(retry_most, turns), turns
+        self.least, self.turns = max(retry, turns // 2), turns
+        self.most = max(retry_most, turns) if turns else max(retry, retry_most // PUSHED_PART)
         self.in_turns = turns > retry_most
         self.listed, self.revision, self.failures = False, 0, 0
         self.calling, self.up = False, False  # up: a whole line has come on the watch
