--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -17,8 +17,11 @@
     read_message,
     reply,
     request,
+    route,
+    silent,
     wait_for,
 )  # fmt: skip
+from test_shutdown import DEADLINE_S, loses_nobody_at_the_end, some_work
 
 QUICK = "beat_s = 0.1\nsilent_s = 0.5\nsteady_s = 0.1\ncalm_s = 0.4\n"
 
@@ -224,3 +227,16 @@
     program = Program(tmp_path, document("127.0.0.1:1"), PROXY_GATEWAY=str(path))
     line = program.ends_at_once()
     assert named in line and str(path) in line
+
+
+@pytest.mark.parametrize("signals", [(), (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP)])
+def test_requests_from_another_site_are_answered_before_the_earliest_kill(tmp_path, signals):
+    routes = [route("read", "at_most_once", DEADLINE_S)]
+    here, there = Site(tmp_path, "a", [some_work, silent, some_work]), Site(tmp_path, "b", [reply()])
+    here.start(there, settings={"routes": routes})
+    try:
+        wait_for(lambda: here.discovery.watches and not here.says()["hot"])
+        loses_nobody_at_the_end(here.program, signals, 0.4, "Site-Hops: 1\r\nSite-From: b\r\n")
+    finally:
+        here.close()
+        there.close()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -26,9 +26,9 @@
 
     CROSSED_S = 0.02
 
-    def __init__(self, program, name):
+    def __init__(self, program, name, extra=""):
         super().__init__(daemon=True)
-        self.program, self.client, self.stop = program, name, False
+        self.program, self.client, self.extra, self.stop = program, name, extra, False
         self.connects_until, self.killed = float("inf"), False
         self.lost, self.late, self.answered = [], [], 0
 
@@ -49,7 +49,7 @@
 
     def ask(self, sock, source, ident, used):
         """Whether the connection stays."""
-        began, data = time.monotonic(), request(ident=ident, timeout=int(DEADLINE_S * 1000))
+        began, data = time.monotonic(), request(ident=ident, timeout=int(DEADLINE_S * 1000), extra=self.extra)
         try:
             sock.sendall(data)
             answer = read_message(source)
@@ -80,7 +80,12 @@
 def test_all_is_answered_before_the_earliest_kill_though_clients_go_on_sending(start, signals, connects_s):
     routes = [route("read", "at_most_once", DEADLINE_S)]
     program, _, _ = start(some_work, silent, some_work, settings_more={"routes": routes})
-    senders = [Sender(program, f"c{n}") for n in range(24)]
+    loses_nobody_at_the_end(program, signals, connects_s)
+
+
+def loses_nobody_at_the_end(program, signals, connects_s, extra=""):
+    """SIGTERM, further signals, and SIGKILL at the earliest, while 24 clients go on sending."""
+    senders = [Sender(program, f"c{n}", extra) for n in range(24)]
     for sender in senders:
         sender.start()
     time.sleep(0.8)
