The soak has outages of discovery, with drains and restarts in them, and a quiet time before the load

What was missing: every play's discovery told each change at once. Discovery is a module of its own.

--- a/basalthoist/experiments/soak/backends.py
+++ b/basalthoist/experiments/soak/backends.py
@@ -1,12 +1,11 @@
-"""Backends and discovery of a play, as stand-ins on sockets. They write down what reaches them."""
+"""Backends of a play, as stand-ins on sockets. They write down what reaches them."""
 
 import asyncio
-import json
 import select
 import time
 from collections.abc import Callable
 
-from ..loopback import DiscoveryAgent
+from .discovery import Discovery, Notice
 from .judge import CAPACITY_PER_S
 from .record import NEVER_RAN, Attempt, ColdStart, Drain, Record, Request
 
@@ -108,13 +107,16 @@
         self.started_ms = int(time.time() * 1000)
         await self.listen()
         await asyncio.sleep(0.05)
-        told_at = self.world.tell(self)
-        self.world.record.cold_starts.append(ColdStart(self.number, self.incarnation, started_at, told_at))
+        cold = ColdStart(self.number, self.incarnation, started_at)
+        self.world.record.cold_starts.append(cold)
+        self.world.tell(self, cold)
 
     async def drain(self, for_s: float) -> None:
-        self.phase = "draining"
-        drain = Drain(self.number, self.world.tell(self))
+        if self.phase == "draining":
+            return  # it drains already, and that drain says when it is back
+        self.phase, drain = "draining", Drain(self.number)
         self.world.record.drains.append(drain)
+        self.world.tell(self, drain)
         await asyncio.sleep(for_s)
         self.phase, drain.back_at = "ready", time.monotonic()
         self.world.tell(self)
@@ -126,18 +128,13 @@
     def __init__(self, backends: int, lateness: Callable[[], float]) -> None:
         self.record, self.lateness, self.node_pid = Record(), lateness, 0
         self.backends = [Backend(self, number) for number in range(backends)]
-        self.members: list[dict] = []  # as the agent of discovery lists them
-        self.watches: list[asyncio.Transport] = []
-        self.revision = 1
-        self.discovery = ""
+        self.discovery = Discovery(lambda: [backend.member() for backend in self.backends])
+        self.discovery_address = ""
 
     async def open(self) -> None:
         for backend in self.backends:
             await backend.listen()
-        self.members += [backend.member() for backend in self.backends]
-        loop = asyncio.get_running_loop()
-        agent = await loop.create_server(lambda: DiscoveryAgent(self.members, self.watches), "127.0.0.1", 0)
-        self.discovery = "{}:{}".format(*agent.sockets[0].getsockname())
+        self.discovery_address = await self.discovery.listen()
 
     def starved_s(self) -> float:
         """For how long the node has been ready to run and had no processor, as the kernel counts it."""
@@ -157,13 +154,5 @@
     def exchanges_of(self, ident: str) -> list[Exchange]:
         return [e for backend in self.backends for e in backend.connections if e.attempt == ident]
 
-    def tell(self, backend: Backend) -> float:
-        """Down every watch; returns when."""
-        self.revision += 1
-        self.members[backend.number] = backend.member()
-        said = {"revision": self.revision, "complete": False, "members": [backend.member()]}
-        line = json.dumps(said).encode() + b"\n"
-        for transport in self.watches:
-            if not transport.is_closing():
-                transport.write(b"%x\r\n%b\r\n" % (len(line), line))
-        return time.monotonic()
+    def tell(self, backend: Backend, notice: Notice | None = None) -> None:
+        self.discovery.tell(backend.member(), notice)
--- a/basalthoist/experiments/soak/broken.py
+++ b/basalthoist/experiments/soak/broken.py
@@ -73,6 +73,22 @@
     members.STATES["draining"] = "healthy"
 
 
+def gives_discovery_up() -> None:
+    """A watch with one heartbeat late is given up, and discovery called again much later."""
+    from basalthoist.net.following import SECOND, Following
+
+    patience = 24 * SECOND // 10
+    on_line, wait = Following.on_line, Following.wait
+
+    def impatient(self, now):
+        on_line(self, now)
+        self.host.wake_at(now + patience)
+
+    Following.on_line = impatient
+    Following.patience = lambda self: patience if self.up else self.silent
+    Following.wait = lambda self, now, time: wait(self, now, 10 * SECOND)
+
+
 def knows_no_cold() -> None:
     """Whoever has started last is taken for warm, and gets what comes first."""
     from basalthoist.decisions.policy import Node
@@ -142,6 +158,7 @@
     "refuses_what_ran": ("duplicate", refuses_what_ran),
     "sends_twice_at_once": ("parallel", sends_twice_at_once),
     "forgets_drains": ("drain", forgets_drains),
+    "gives_discovery_up": ("drain", gives_discovery_up),
     "knows_no_cold": ("failback", knows_no_cold),
     "tells_too_much": ("told", tells_too_much),
 }
--- a/basalthoist/experiments/soak/plan.py
+++ b/basalthoist/experiments/soak/plan.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from .discovery import OUTAGES
+
 BACKEND_TROUBLES = ("hang", "reset", "error", "turn_away", "drain", "restart")
 NODE_TROUBLES = ("wall_clock", "accept", "connect", "socket", "short_io", "hold_up")
 SIGNALS = ("TERM", "HUP", "BAD_HUP")
@@ -14,15 +16,20 @@
     "connect": (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.EHOSTUNREACH, errno.ETIMEDOUT),
     "socket": (errno.ENFILE, errno.ENOBUFS, errno.ENOMEM),
 }
+OUTAGE_PART = 1 / 3  # of the plays have an outage of discovery
+AFTER_OUTAGE_S = 1.0  # for which they go on beyond it, at the least
 KILL_AFTER_S = 0.7  # beyond the longest deadline: the protocol page
 NEW_CONNECTIONS_S = 0.4  # for which they go on coming after SIGTERM: the protocol page
 
 Kind = Literal["hang", "reset", "error", "turn_away", "drain", "restart", "wall_clock", "accept", "connect",
-               "socket", "short_io", "hold_up"]  # fmt: skip
+               "socket", "short_io", "hold_up", "outage"]  # fmt: skip
 
 
 class Event(msgspec.Struct, frozen=True):
-    """`backend` is met from `at_s` for `for_s`; -1 for what meets the node. `value`: errno, bytes, or ms."""
+    """`backend` is met from `at_s` for `for_s`; -1 for what meets the node or, as an outage, discovery.
+
+    `value`: errno, bytes, milliseconds, or which of OUTAGES.
+    """
 
     kind: Kind
     at_s: float
@@ -43,6 +50,7 @@
     load_s: float  # from the clients' beginning to SIGTERM
     events: tuple[Event, ...]
     signals: tuple[tuple[float, str], ...]  # further ones, after the first SIGTERM
+    quiet_s: float = 0.0  # without a request, between some of the first and the load
 
     @property
     def kill_s(self) -> float:
@@ -58,8 +66,13 @@
     deadline_s = chance.choice((0.3, 0.5, 0.9, 0.9, 1.5, 3.0))
     load_s = round(chance.uniform(1.5, 3.0), 2)
     backends = chance.randint(3, 6)
+    # From a source of its own: what else a seed draws stays as it was before there were outages.
+    outage = outage_with_changes(Random(f"{seed} outage"), backends)
+    if outage:
+        load_s = round(load_s + outage[0].at_s + outage[0].for_s + AFTER_OUTAGE_S, 2)
     events = [backend_trouble(chance, load_s, backends) for _ in range(chance.randint(2, 5))]
     events += [node_trouble(chance, load_s) for _ in range(chance.randint(0, 3))]
+    events += outage
     # A backend that hangs through the whole of a shutdown.
     if chance.random() < 0.7:
         events.append(Event("hang", load_s - 0.1, deadline_s + 2.0, chance.randrange(backends)))
@@ -81,6 +94,23 @@
     )
 
 
+def outage_with_changes(chance: Random, backends: int) -> list[Event]:
+    """In a third of the plays discovery fails, and backends drain or restart meanwhile or soon after."""
+    if chance.random() >= OUTAGE_PART:
+        return []
+    at_s, lasts = round(chance.uniform(0.3, 1.0), 2), round(chance.uniform(0.5, 3.0), 2)
+    events = [Event("outage", at_s, lasts, value=chance.randrange(len(OUTAGES)))]
+    for _ in range(chance.randint(1, 2)):
+        kind, change_at = (
+            chance.choice(("drain", "restart")),
+            round(at_s + chance.uniform(0.0, lasts + 1.0), 2),
+        )
+        # A drain is seen to its end; a backend's restart takes a moment.
+        for_s = 5.0 if kind == "drain" else round(chance.uniform(0.1, 0.5), 2)
+        events.append(Event(kind, change_at, for_s, chance.randrange(backends)))
+    return events
+
+
 def backend_trouble(chance: Random, load_s: float, backends: int) -> Event:
     kind = chance.choice(BACKEND_TROUBLES)
     lasts = round(chance.uniform(0.2, 1.5), 2)
--- a/basalthoist/experiments/soak/playing.py
+++ b/basalthoist/experiments/soak/playing.py
@@ -17,12 +17,14 @@
 from ..loopback import own_address, ready
 from .backends import World
 from .clients import Client
+from .discovery import OUTAGES
 from .judge import COLD_FROM, MULTIPLE, OVERLOAD_S, WARM_S, Break, judge, path_of
 from .plan import ERRORS, Event, Plan
 from .record import Record
 
 LOOK_S = 0.005  # between two looks at how late the harness is
 READY_S = 10.0  # for the node to open its watch
+BEFORE_QUIET_S = 1.0  # for which clients ask ahead of a quiet time
 MEMORY_S = 0.5  # for how long such a lateness counts
 
 
@@ -88,9 +90,9 @@
         "discovery": "pushed", "tick": 1000,
     }  # fmt: skip
     return {
-        "name": "n0", "seed": f"{plan.seed:x}", "listen": listen, "discovery": world.discovery,
-        "known": {"revision": 1, "complete": True, "members": world.members}, "settings": settings,
-        "limits": {"sockets": 256},
+        "name": "n0", "seed": f"{plan.seed:x}", "listen": listen, "discovery": world.discovery_address,
+        "known": {"revision": 1, "complete": True, "members": world.discovery.members()},
+        "settings": settings, "limits": {"sockets": 256},
     }  # fmt: skip
 
 
@@ -125,6 +127,8 @@
         try:
             await ready((host, int(port)), self.node, self.log)
             await asyncio.wait_for(self.watched(), READY_S)
+            if self.plan.quiet_s:
+                await self.be_quiet((host, int(port)))
             self.began = time.monotonic()
             numbers = range(self.plan.clients)
             clients = [Client(self.plan, n, self.world, (host, int(port)), self.began) for n in numbers]
@@ -143,8 +147,16 @@
         self.world.record.log = self.log.read_text(errors="replace")
         return self.world.record
 
+    async def be_quiet(self, address: tuple[str, int]) -> None:
+        """Some requests, so that there are connections and profiles, and then none."""
+        plan = msgspec.structs.replace(self.plan, load_s=BEFORE_QUIET_S, leaving=0.0)
+        began, numbers = time.monotonic(), range(plan.clients, 2 * plan.clients)
+        clients = [Client(plan, number, self.world, address, began) for number in numbers]
+        await asyncio.gather(*(client.run() for client in clients))
+        await asyncio.sleep(plan.quiet_s)
+
     async def watched(self) -> None:
-        while not self.world.watches:
+        while not self.world.discovery.watches:
             await asyncio.sleep(0.01)
 
     async def at(self, seconds: float) -> None:
@@ -182,6 +194,8 @@
 
     async def meet(self, event: Event) -> None:
         await self.at(event.at_s)
+        if event.kind == "outage":
+            return await self.world.discovery.fail(OUTAGES[event.value], event.for_s)
         if event.kind == "drain":
             return await self.world.backends[event.backend].drain(event.for_s)
         if event.kind == "restart":
--- a/basalthoist/experiments/soak/record.py
+++ b/basalthoist/experiments/soak/record.py
@@ -42,7 +42,7 @@
     """Nothing new to that backend from `told_at` and the grace on, until `back_at`."""
 
     backend: int
-    told_at: float
+    told_at: float = float("inf")
     back_at: float = float("inf")
 
 
@@ -51,7 +51,7 @@
     backend: int
     incarnation: int
     started_at: float
-    told_at: float
+    told_at: float = float("inf")
 
 
 @dataclass
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 
 from basalthoist.commands.line import main
 from basalthoist.experiments.soak.broken import VARIANTS
+from basalthoist.experiments.soak.discovery import OUTAGES, SILENT
 from basalthoist.experiments.soak.judge import allowed, judge
 from basalthoist.experiments.soak.plan import Plan, drawn
 from basalthoist.experiments.soak.playing import play
@@ -29,6 +30,11 @@
             e.kind == "drain" and e.at_s < plan.load_s - 1 and e.for_s > plan.grace_s + 0.2
             for e in plan.events
         )
+    if name == "gives_discovery_up":
+        silent = [e for e in plan.events if e.kind == "outage" and OUTAGES[e.value] == SILENT]
+        drains = [e.at_s for e in plan.events if e.kind == "drain"]
+        missed = any(e.for_s > 2.5 and e.at_s < at_s < e.at_s + e.for_s for e in silent for at_s in drains)
+        return missed and plan.grace_s <= 0.5 and plan.clients >= 12
     if name == "knows_no_cold":
         cold = [e for e in plan.events if e.kind == "restart" and e.at_s + e.for_s + 1.2 < plan.load_s]
         return bool(cold) and plan.clients == 24 and not any(e.backend == -1 for e in plan.events)
