A change of the list is taken in place: usable backends stay sorted by location

Cause: Node.on_list sorted and grouped all backends and made the map of their keys anew for each change. Now decisions/available.py holds both, one entry at a time, and choose() walks along a group instead of copying it. The same backends in the same order (ties of a place, of which there are none where places are drawn, go by name): 20 drawn series of 400 changes against a sort.

--- /dev/null
+++ b/basalthoist/decisions/available.py
@@ -0,0 +1,86 @@
+"""The backends that something new may go to, kept in order as the list changes, one entry at a time.
+
+A change costs hardly more in a long list than in a short one.
+"""
+
+from bisect import bisect_left, insort
+from typing import Protocol
+
+
+class Placed(Protocol):
+    """A backend, as far as its place among the others goes."""
+
+    name: str
+    location: int
+    place: float  # among those of its location
+    key: int  # by which peers name it; two backends may share one
+    usable: bool  # whether something new may go there
+    available_in: int | None  # the location under which `AvailableBackends` holds it
+
+
+def order_of(backend: Placed) -> tuple[float, str]:
+    return backend.place, backend.name
+
+
+class AvailableBackends:
+    """Usable backends by location, in the order of their places."""
+
+    def __init__(self) -> None:
+        self.by_location: dict[int, list[Placed]] = {}
+        self.count = 0
+
+    def __len__(self) -> int:
+        return self.count
+
+    def groups(self) -> list[list[Placed]]:
+        """One list for each location that has any, in the order of the locations."""
+        return [self.by_location[location] for location in sorted(self.by_location)]
+
+    def update(self, backend: Placed) -> None:
+        """To be called after what is listed of it has changed. Its place and name never do."""
+        if backend.usable and backend.available_in == backend.location:
+            return
+        self.discard(backend)
+        if backend.usable:
+            backend.available_in = backend.location
+            self.count += 1
+            insort(self.by_location.setdefault(backend.location, []), backend, key=order_of)
+
+    def discard(self, backend: Placed) -> None:
+        location = backend.available_in
+        if location is None:
+            return
+        backend.available_in = None
+        self.count -= 1
+        group = self.by_location[location]
+        del group[bisect_left(group, order_of(backend), key=order_of)]
+        if not group:
+            del self.by_location[location]
+
+
+class BackendsByKey:
+    """All listed backends by the keys that peers use; of those that share one, the last added counts."""
+
+    def __init__(self) -> None:
+        self.last: dict[int, Placed] = {}
+        self.others: dict[int, list[Placed]] = {}  # added before the last one, where several share a key
+
+    def get(self, key: int) -> Placed | None:
+        return self.last.get(key)
+
+    def add(self, backend: Placed) -> None:
+        before = self.last.get(backend.key)
+        if before is not None:
+            self.others.setdefault(backend.key, []).append(before)
+        self.last[backend.key] = backend
+
+    def discard(self, backend: Placed) -> None:
+        others = self.others.get(backend.key, [])
+        if self.last[backend.key] is not backend:
+            others.remove(backend)
+        elif others:
+            self.last[backend.key] = others.pop()
+        else:
+            del self.last[backend.key]
+        if not others:
+            self.others.pop(backend.key, None)
--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -3,10 +3,11 @@
 from bisect import insort
 from collections import Counter, defaultdict
 from heapq import heappop, heappush
-from itertools import count, groupby
+from itertools import count
 from math import inf, log
 from zlib import crc32
 
+from .available import AvailableBackends, BackendsByKey
 from .chance import Lcg
 from .host import NEVER_RAN, Host, Listed, Load, Outcome, Word
 
@@ -31,6 +32,7 @@
         self.name, self.out, self.away, self.called_back = listed.name, [], AWAY, 0  # when a ban on it ended
         self.key, self.rumours = crc32(listed.name.encode()) & 0xFFFF, {}  # for peers; who says it is sick
         self.place, self.credit, self.share, self.cost = chance.uniform(), 0.0, 0.0, 0.0  # place: in `choose`
+        self.available_in: int | None = None  # see `AvailableBackends`
         self.forget(now, chance)
 
     def learn(self, listed: Listed, usable: bool) -> None:
@@ -149,13 +151,13 @@
         useful = get("policy_limits.probes", False) and "inflight" in get("feedback.fields", ())
         self.asks = min(int(0.01 / max(get("prices.probe", 0.0), 1e-6)), 4) if useful else 0  # where it pays
         tells = not self.asks and get("policy_limits.peers", False) and self.nodes > 1  # and hears
-        self.telling, self.hears, self.keyed = float(tells), bool(self.asks or tells), {}
+        self.telling, self.hears, self.keyed = float(tells), bool(self.asks or tells), BackendsByKey()
         self.blind = tells and "inflight" not in get("feedback.fields", ())
         self.talkers, self.listeners, self.news, self.audiences = defaultdict(Counter), {}, {}, {}
         self.spots = [i * 0.618034 % 1.0 for i in range(self.nodes if tells and not self.blind else 0)]
         self.probe_trip, self.heard_at, self.due_seq, self.woken_for = 10.0, -SECOND, count(), 0
         self.backends, self.exchanges, self.usable, self.held, self.due, self.users = {}, {}, [], [], [], 1.0
-        self.groups, self.fleet, self.cancels, self.lossy = [], 0, get("policy_limits.cancel"), 0.0
+        self.available, self.cancels, self.lossy = AvailableBackends(), get("policy_limits.cancel"), 0.0
         self.mean_time, self.slot, self.welcome = self.objective / 3.0, self.objective / 4.0, 1.0  # surplus
         self.demand, self.arrivals, self.usual, self.sends, self.failing, self.total = (
             0.0,
@@ -206,18 +208,24 @@
         get, push = self.settings.get, 0.5 * self.settings.get("rules.fall_multiple", 1.0) / SECOND
         warm, start = max(get("rules.warm_within", 0), 1), get("rules.cold_from", 0.1)
         rate, before, self.usable = max(self.demand, self.arrivals), self.usable, []  # or too few exchanges
-        size = max(LEAST, rate * WINDOW_MOST / SECOND / SAMPLES / 3 ** bool(self.spots)) / max(self.fleet, 1)
+        size = max(LEAST, rate * WINDOW_MOST / SECOND / SAMPLES / 3 ** bool(self.spots)) / max(
+            len(self.available), 1
+        )
 
         def worth(b: Backend) -> float:
             return 1 - (1 - start) * max(b.warm_at - now, 0) / warm  # fmt: skip
 
-        for group in self.groups:
+        for group in self.available.groups():
             room, first = size * len(group), int(self.spots[self.me] * len(group)) if self.spots else 0
-            for backend in group[first:] + group[:first]:
-                if room > 0.0:
-                    self.usable.append(backend)
-                    room -= worth(backend)
-        self.users = max(self.nodes * len(self.usable) / max(self.fleet, 1), 1.0)  # nodes that use a backend
+            for step in range(len(group)):
+                if room <= 0.0:
+                    break
+                backend = group[(first + step) % len(group)]
+                self.usable.append(backend)
+                room -= worth(backend)
+        self.users = max(
+            self.nodes * len(self.usable) / max(len(self.available), 1), 1.0
+        )  # nodes that use a backend
         if self.telling:
             told = max((len(few) for few in self.listeners.values()), default=0) or self.users
             price = max(get("prices.peer", 0.0) * told * 16 / 256, 1e-6)  # of 16 bytes an exchange
@@ -238,7 +246,7 @@
     def on_exchange(self, now: int, ident: int, route_no, customer_no, grace, again: bool, spilled=False):
         route, self.welcome = self.routes[route_no], min(max(self.welcome, 0.0) + ROOM, 1.0)
         aim, self.arrivals = now + route.objective, self.arrivals + (not again)
-        if not self.demand and len(self.usable) < self.fleet:  # or it crowds a quiet node's few
+        if not self.demand and len(self.usable) < len(self.available):  # or it crowds a quiet node's few
             self.choose(now)
         route.usual_grace = max(route.usual_grace, 0 if again else min(grace, route.timeout))
         aim -= (route.timeout - grace) * (again and grace < route.usual_grace)  # spent by earlier tries
@@ -318,7 +326,8 @@
 
     def on_told(self, now: int, peer: int, words: list[tuple[Word, int, int]]) -> None:
         """Hearsay: it moves turns and pauses, never a profile, and one peer alone puts nothing out."""
-        known = [(word, self.keyed[key], figure) for word, key, figure in words if key in self.keyed]
+        named = [(word, self.keyed.get(key), figure) for word, key, figure in words]
+        known = [(word, backend, figure) for word, backend, figure in named if backend is not None]
         for word, backend, figure in known if self.telling else ():
             if word == Word.OUT:
                 backend.rumours[peer] = now
@@ -349,7 +358,7 @@
         if self.blind:
             return [i for i in range(self.nodes) if i != self.me]
         if backend not in self.audiences:
-            group = next((g for g in self.groups if backend in g), [])
+            group = next((g for g in self.available.groups() if backend in g), [])
             used, of = sum(b.location == backend.location for b in self.usable), len(group)
             near = [(group.index(backend) - int(spot * of)) % of < used for spot in self.spots if group]
             self.audiences[backend] = [i for i, holds in enumerate(near) if holds and i != self.me]
@@ -368,23 +377,29 @@
             if backend is None:
                 backend = self.backends[listed.name] = Backend(listed, now, self.chance)
                 backend.place = backend.key / 65536 if self.spots else backend.place
+                self.keyed.add(backend)
             elif listed.started is not None and listed.started != backend.started:
                 backend.forget(now, self.chance)
             backend.learn(listed, listed.state == "healthy" and listed.name not in self.banned)
+            self.available.update(backend)
             backend.warm_at = 0 if listed.started is None else listed.started + warm
             backend.cost = 2.0 * self.crossing * self.objective * (backend.location != self.location)  # time
         for name in [n for n in (self.backends if whole else named) if named.get(n, "gone") == "gone"]:
-            self.backends.pop(name).usable = False
-        self.keyed = {b.key: b for b in self.backends.values()}
-        fit = sorted((b for b in self.backends.values() if b.usable), key=lambda b: (b.location, b.place))
-        self.fleet, self.groups = len(fit), [list(g) for _, g in groupby(fit, lambda b: b.location)]
+            self.drop(self.backends.pop(name))
         self.choose(now)
 
+    def drop(self, backend: Backend) -> None:  # it is listed no more, or starts anew under its name
+        backend.usable = False
+        self.available.discard(backend)
+        self.keyed.discard(backend)
+
     def on_maintenance(self, now: int, name: str, banned: bool) -> None:  # called back: new and cold
         (self.banned.add if banned else self.banned.discard)(name)
         if (backend := self.backends.get(name)) is not None and not banned:
             fresh = self.backends[name] = Backend(backend.listed, now, self.chance)
             fresh.place, fresh.called_back, fresh.started = backend.place, now, now
+            self.drop(backend)
+            self.keyed.add(fresh)
         self.on_list(now, [backend.listed] if backend is not None else [], False)
 
     def on_limit(self, now, customer_no, limit):
--- /dev/null
+++ b/tests/test_available.py
@@ -0,0 +1,62 @@
+"""The backends that may be used, kept in order change by change: as if they were sorted anew each time."""
+
+from random import Random
+
+import pytest
+from helpers import NOW, listed, node
+
+from basalthoist.decisions.available import AvailableBackends, BackendsByKey
+from basalthoist.decisions.host import Word
+
+
+class Stand:
+    def __init__(self, name, location, place, key=0):
+        self.name, self.location, self.place, self.key = name, location, place, key
+        self.usable, self.available_in = True, None
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_after_any_changes_the_groups_are_those_of_a_sort(seed):
+    chance, available = Random(seed), AvailableBackends()
+    stands = [Stand(f"s-{n}", n % 3, chance.choice((0.1, 0.2, 0.3, chance.random()))) for n in range(40)]
+    for one in stands:
+        available.update(one)
+    for _ in range(400):
+        one = chance.choice(stands)
+        if chance.random() < 0.2:
+            available.discard(one)
+            one.usable = False
+        else:
+            one.usable, one.location = chance.random() < 0.7, chance.randrange(3)
+            available.update(one)
+        usable = sorted((s for s in stands if s.usable), key=lambda s: (s.location, s.place, s.name))
+        assert [s for group in available.groups() for s in group] == usable
+        assert len(available) == len(usable)
+        assert [group[0].location for group in available.groups()] == sorted({s.location for s in usable})
+
+
+def test_of_those_that_share_a_key_the_last_added_counts_and_then_the_one_before():
+    first, second, third = (Stand(name, 0, 0.5, key=7) for name in "abc")
+    by_key = BackendsByKey()
+    for one in (first, second, third):
+        by_key.add(one)
+    assert by_key.get(7) is third and by_key.get(8) is None
+    by_key.discard(second)
+    by_key.discard(third)
+    assert by_key.get(7) is first
+    by_key.discard(first)
+    assert by_key.get(7) is None and not by_key.last and not by_key.others
+
+
+def test_a_backend_that_was_called_back_is_the_one_that_peers_speak_of():
+    made, _ = node([listed("s-0"), listed("s-1")])
+    before = made.backends["s-0"]
+    made.on_maintenance(NOW, "s-0", True)
+    assert len(made.available) == 1
+    made.on_maintenance(NOW + 10, "s-0", False)
+    after = made.backends["s-0"]
+    assert after is not before and made.keyed.get(before.key) is after
+    assert [b for group in made.available.groups() for b in group if b.name == "s-0"] == [after]
+    made.on_told(NOW + 20, 1, [(Word.OUT, after.key, 0)])
+    made.on_list(NOW + 30, [listed("s-0", state="gone")], False)
+    assert made.keyed.get(before.key) is None and len(made.available) == 1
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -1,4 +1,4 @@
-"""What a node needs as its list of backends grows sixteenfold: the standing page's table, on a real process."""
+"""What a node needs as its list of backends grows sixteenfold, by the table of the standing page."""
 
 import os
 import threading
