A change of a backend that this node does not use waits for the next tick

Cause: each change of the list was followed by a solve over the backends in use, also where none of them had changed; in a long list a node uses a part only. What becomes of a backend in use counts at once, as before, and so does every change where all are in use; one that joins or leaves among the others is taken up by the next tick, which solves anyway. Nothing is sent to who is not in use, so no rule waits.

--- a/basalthoist/decisions/policy.py
+++ b/basalthoist/decisions/policy.py
@@ -370,6 +370,7 @@
 
     def on_list(self, now: int, entries: list[Listed], whole: bool) -> None:
         self.list_failures, warm = 0, self.settings.get("rules.warm_within", 0)
+        partly, changed = len(self.usable) < len(self.available), set()  # partly: some are not in use here
         named = {listed.name: listed.state for listed in entries}
         for listed in entries:
             if (backend := self.backends.get(listed.name)) is not None and backend.called_back:
@@ -382,11 +383,15 @@
                 backend.forget(now, self.chance)
             backend.learn(listed, listed.state == "healthy" and listed.name not in self.banned)
             self.available.update(backend)
+            changed.add(backend)
             backend.warm_at = 0 if listed.started is None else listed.started + warm
             backend.cost = 2.0 * self.crossing * self.objective * (backend.location != self.location)  # time
         for name in [n for n in (self.backends if whole else named) if named.get(n, "gone") == "gone"]:
             self.drop(self.backends.pop(name))
-        self.choose(now)
+        # Guards against solving for each change of a long list, most of which this node does not use: who
+        # joins is taken up by the next tick.
+        if whole or not partly or any(b in changed or not b.usable for b in self.usable):
+            self.choose(now)
 
     def drop(self, backend: Backend) -> None:  # it is listed no more, or starts anew under its name
         backend.usable = False
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -453,3 +453,27 @@
     assert (made.lossy > 0.8) is believed
     assert any("taken for lost: True" in c[1] for c in lines) is believed
     assert believed or made.lossy < 0.2
+
+
+def test_a_change_of_a_backend_that_is_not_used_here_waits_for_the_next_tick():
+    """In a long list a node uses some; what becomes of these counts at once."""
+    entries = [listed(f"s-{n:02}") for n in range(60)]
+    made, _ = node(entries, nodes=200)
+    used = [b.name for b in made.usable]
+    assert 0 < len(used) < 60
+    solved = []
+    made.choose = lambda now, choose=made.choose: (solved.append(now), choose(now))
+    other = next(entry for entry in entries if entry.name not in used)
+    made.on_list(NOW + 1, [other._replace(state="draining")], False)
+    made.on_list(NOW + 2, [other, listed("s-new")], False)
+    assert not solved and len(made.available) == 61
+    made.tick(NOW + SECOND)
+    assert len(solved) == 1
+    for number, change in enumerate(({"state": "draining"}, {"state": "gone"}, {"started": NOW + SECOND})):
+        name = made.usable[0].name
+        made.on_list(NOW + SECOND + 1 + number, [listed(name, **change)], False)
+        assert len(solved) == 2 + number
+        assert all(b.usable for b in made.usable)
+        assert number == 2 or name not in [b.name for b in made.usable]
+    made.on_maintenance(NOW + SECOND + 9, made.usable[0].name, True)
+    assert len(solved) == 5
