Both front ends end by one Shutdown

Readable code: Front.stop_listening, answer_all and check_drained repeated Shutdown line by line. It now goes by a protocol of its own (FrontEnd) instead of by the door, and JSON-RPC's front is one.

--- a/basalthoist/jsonrpc/front.py
+++ b/basalthoist/jsonrpc/front.py
@@ -10,7 +10,7 @@
 from basalthoist.net.framing import Arrivals
 from basalthoist.net.listener import Listener, listening_socket
 from basalthoist.net.log import Log
-from basalthoist.net.shutdown import CLOSING, STEP, times_of
+from basalthoist.net.shutdown import Shutdown
 from basalthoist.net.timers import SECOND, Timers, now
 
 from .messages import (
@@ -228,7 +228,7 @@
             return
         if self.ending:
             self.transport.close()
-        elif self.front.lingered and (self.front.over or self.rests()):
+        elif self.front.shutdown.lingered and (self.front.shutdown.over or self.rests()):
             self.end_here()
 
     def rests(self) -> bool:
@@ -278,10 +278,9 @@
         self.most_open, self.most_batch = told.most_open, told.most_batch
         self.conversations: dict[Conversation, None] = {}
         self.notifications, self.listener = 0, None
-        self.leaving = self.lingered = self.over = False
-        self.over_at = 0
         self.longest = int(configuration.longest_s * SECOND)
-        self.drained: asyncio.Future = loop.create_future()
+        self.shutdown = Shutdown(self)
+        self.drained, self.check_drained = self.shutdown.drained, self.shutdown.check
         exchanges.upstream.connection = JsonConnection
         exchanges.probe_parts = partial(Line, "probe", told.load_method, b"")
         timers.every(SECOND // 4, self.sweep)
@@ -315,36 +314,22 @@
         for conversation in list(self.conversations):
             conversation.check_time(at)
 
+    # The end.
+
+    @property
+    def connections(self) -> dict[Conversation, None]:
+        return self.conversations
+
     def leave(self) -> None:
         """As over HTTP: who comes for a while is taken in, and all is answered before the end."""
-        self.leaving = True
-        linger, left = times_of(self.limits, self.longest)
-        self.timers.after(linger, self.stop_listening)
-        self.timers.after(left, self.answer_all)
-
-    def stop_listening(self) -> None:
-        self.lingered = True
-        if self.listener is not None:
-            self.listener.close_when_empty(self.check_drained)
-        for conversation in list(self.conversations):
-            conversation.end_if_done()
-        self.check_drained()
+        self.shutdown.begin()
 
-    def answer_all(self) -> None:
-        if not self.over:
-            self.over, self.over_at = True, now()
-        last = now() >= self.over_at + CLOSING
+    def close_idle_connections(self) -> None:
         for conversation in list(self.conversations):
-            conversation.end_now(last)
-        self.check_drained()
-        if not self.drained.done():
-            self.timers.after(STEP, self.answer_all)
+            conversation.end_if_done()
 
-    def check_drained(self) -> None:
-        if not self.lingered or self.conversations or self.drained.done():
-            return
-        if self.listener is None or not (self.listener.listening or self.listener.tasks):
-            self.drained.set_result(None)
+    def shared(self) -> bool:
+        return False
 
 
 class Refused(asyncio.Protocol):
--- a/basalthoist/net/clients.py
+++ b/basalthoist/net/clients.py
@@ -572,6 +572,13 @@
     def shut_out(self, names: set[str]) -> None:
         self.shut = {name.encode() for name in names}
 
+    @property
+    def connections(self) -> dict[Client, None]:
+        return self.clients
+
+    def close_idle_connections(self) -> None:
+        self.close_idle(-1)
+
     def leave(self) -> None:
         """The end of the node."""
         self.stand_by()
--- a/basalthoist/net/shutdown.py
+++ b/basalthoist/net/shutdown.py
@@ -1,21 +1,50 @@
-"""The end of a node after SIGTERM: who still comes is taken in for a while, and all is answered in time.
+"""The end of a front end after SIGTERM: who still comes is taken in for a while, and all is answered in time.
 
 SIGKILL may come the longest deadline and `kill_after_s` after SIGTERM. Nothing is owed by then, with
 `kill_margin_s` to spare for a node that reads the signal late and for the exit of the process.
 """
 
 import asyncio
-from typing import TYPE_CHECKING
+from collections.abc import Collection
+from typing import Protocol
 
-from .timers import SECOND, now
-
-if TYPE_CHECKING:
-    from .clients import Door
+from .exchanges import Exchanges
+from .listener import Listener
+from .timers import SECOND, Timers, now
 
 STEP = SECOND // 100  # between two looks at what is left once the time is up
 CLOSING = SECOND // 10  # how long a client then has to close after its last answer
 
 
+class EndingConnection(Protocol):
+    """A client's connection, at the end of the process."""
+
+    def end_now(self, last: bool) -> None:
+        """What is owed is answered now. `last`: who has been answered has had the time to close."""
+
+
+class FrontEnd(Protocol):
+    """What takes clients' connections, by whichever protocol."""
+
+    loop: asyncio.AbstractEventLoop
+    timers: Timers
+    exchanges: Exchanges
+    longest: int  # deadline of any route, in tenths of a millisecond
+    listener: Listener | None
+
+    @property
+    def limits(self): ...
+
+    @property
+    def connections(self) -> Collection[EndingConnection]: ...
+
+    def close_idle_connections(self) -> None:
+        """Those on which nothing is under way, half-way here, or has come unread."""
+
+    def shared(self) -> bool:
+        """Whether another process may take connections from the same listening socket."""
+
+
 def times_of(limits, longest: int) -> tuple[int, int]:
     """Spans from SIGTERM: until no new connection is taken, and until everything is answered.
 
@@ -27,16 +56,16 @@
 
 
 class Shutdown:
-    """Of the HTTP front end. `drained` is done once nothing is owed there any more."""
+    """Of one front end. `drained` is done once nothing is owed there any more."""
 
-    def __init__(self, door: "Door") -> None:
-        self.door, self.timers = door, door.timers
+    def __init__(self, front: FrontEnd) -> None:
+        self.front, self.timers = front, front.timers
         self.lingered, self.over, self.over_at = False, False, 0
-        self.drained: asyncio.Future = door.loop.create_future()
+        self.drained: asyncio.Future = front.loop.create_future()
 
     def begin(self) -> None:
-        linger, left = times_of(self.door.limits, self.door.longest)
-        self.door.exchanges.ends_at = now() + left
+        linger, left = times_of(self.front.limits, self.front.longest)
+        self.front.exchanges.ends_at = now() + left
         self.timers.after(linger, self.stop_listening)
         # Guards against clients that never end a request or read an answer: nothing taken is open by then.
         self.timers.after(left, self.answer_all)
@@ -44,14 +73,14 @@
     def stop_listening(self) -> None:
         """From here on whoever connects is refused at once and goes to another node."""
         self.lingered = True
-        self.door.close_idle(-1)
-        if self.door.listener is not None:
-            self.door.listener.close_when_empty(self.check, self.door.shared())
+        self.front.close_idle_connections()
+        if self.front.listener is not None:
+            self.front.listener.close_when_empty(self.check, self.front.shared())
         self.check()
 
     def check(self) -> None:
-        listener = self.door.listener
-        if not self.lingered or self.door.clients or self.drained.done():
+        listener = self.front.listener
+        if not self.lingered or self.front.connections or self.drained.done():
             return
         if listener is None or not (listener.listening or listener.tasks):
             self.drained.set_result(None)
@@ -61,8 +90,8 @@
         if not self.over:
             self.over, self.over_at = True, now()
         last = now() >= self.over_at + CLOSING
-        for client in list(self.door.clients):
-            client.end_now(last)
+        for connection in list(self.front.connections):
+            connection.end_now(last)
         self.check()
         if not self.drained.done():
             self.timers.after(STEP, self.answer_all)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -39,7 +39,8 @@
 """
 OWN = {
     "basalthoist", "basalthoist.start", "basalthoist.configuration", "basalthoist.terms",
-    "basalthoist.hearsay", "basalthoist.decisions", "basalthoist.decisions.chance",
+    "basalthoist.hearsay", "basalthoist.decisions", "basalthoist.decisions.available",
+    "basalthoist.decisions.chance",
     "basalthoist.decisions.host", "basalthoist.decisions.policy", "basalthoist.net",
 } | {f"basalthoist.net.{name}" for name in (
     "bans", "beside", "clients", "descriptors", "discovery", "exchanges", "following", "framing",
