Failing test: sends to a cold backend that have waited for its connections go out together

Cause: Node.may_begin, which is asked in the turn in which a try is written, looks at windows of repeats only.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -31,6 +31,7 @@
     read_message,
     reply,
     request,
+    route,
     silent,
     wait_for,
 )
@@ -234,6 +235,21 @@
         return [words[0].decode() for words in asked if words]  # not the probes
 
 
+class LateAndTimed(Late):
+    """As `Late`; `came_at` has when each request came, also behind another on its connection."""
+
+    def __init__(self):
+        super().__init__()
+        self.came_at = []
+
+    def serve(self, sock):
+        with contextlib.suppress(OSError, EOFError, IndexError), sock.makefile("rb") as source:
+            while True:
+                read_message(source)
+                self.came_at.append(time.monotonic())
+                reply(200, b"late")(self, sock, None)
+
+
 def leave(sock, how="fin"):
     if how == "rst":
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -762,3 +778,28 @@
         assert read_message(source).status == "503"
     assert program.ask(request(ident="next")).status == "200"
     assert seen_of(backend) == ["next"]
+
+
+def test_what_waited_for_connections_to_a_cold_backend_does_not_go_out_together(start):
+    """Its connections come up late: by then the node has decided on sends for much longer than a window."""
+    late, warm = LateAndTimed(), StandIn(reply(200, b"warm"))
+    rules = {"warm_within": 20_000_000, "cold_from": 0.2, "fall_multiple": 2.0, "overload_for": 400_000,
+             "drain_grace": 1_000_000}  # fmt: skip
+    limits = limits_of(max_upstream_tries=2, connect_timeout=8_000_000)
+    routes = [route("read", timeout_s=8.0, latency_objective=8_000_000)]
+    now_ms = int(time.time() * 1000)
+    known = [member("s-0", late, started=now_ms), member("s-1", warm)]
+    more = limits | {"rules": rules, "routes": routes}
+    program, _, _ = start(late, warm, agent=DiscoveryStandIn(known), known=known, settings_more=more)
+    socks = []
+    for number in range(300):
+        socks.append(asks(program, request(timeout=8000, ident=f"r{number}"))[0])
+        time.sleep(0.01)
+    late.come_up()
+    time.sleep(4)
+    for sock in socks:
+        sock.close()
+    at = sorted(late.came_at)
+    print(len(at), [round(t - at[0], 2) for t in at])
+    most = max(sum(0 <= other - first < 0.4 for other in at) for first in at)
+    assert most <= 3, most
