--- a/basalthoist/configuration.py
+++ b/basalthoist/configuration.py
@@ -55,7 +55,7 @@
     watch_told_s: Positive = 6.0  # what a watch has missed for as long counts as known, however it was missed
     watch_moved_s: Positive = 4.0  # what a new address of discovery has counts as known so long after SIGHUP
     watch_retry_s: Positive = 0.4  # before discovery is tried again; it doubles, spread by half either way
-    watch_retry_most_s: Positive = 2.0
+    watch_retry_most_s: Positive = 2.0  # a quarter of it where lists are pushed
     watch_line_s: Annotated[float, msgspec.Meta(ge=0)] = 0.008  # of discovery for a line, where calls weigh
     linger_s: Positive = 0.55  # after SIGTERM new connections are still taken for this long
     kill_after_s: Positive = 0.7  # beyond the longest deadline, SIGKILL may come after SIGTERM
