--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,7 +24,7 @@
 
 
 def lets_it_show(name: str, plan: Plan) -> bool:
-    """Whether what is broken matters in this play at all."""
+    """Whether what is broken matters in this play at all: another play says nothing about the soak."""
     if name == "forgets_drains":
         return any(
             e.kind == "drain" and e.at_s < plan.load_s - 1 and e.for_s > plan.grace_s + 0.2
