The test beside a crowd asks for 5 s, and 95 of 100 answers have to be served

The crowd comes again in waves, and in a wave all are as new as who asks; thirty answers lie within one wave.

--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -11,7 +11,9 @@
 from test_succession import QUICK, at
 
 TIME = 5.5
-ASKS = 30  # answers at the least: of two or three, one refusal would be too many
+ASKED_S = (
+    5.0  # for which it is asked at the least: the crowd comes in waves, each of them a second or so long
+)
 
 
 class Down(Played):
@@ -83,10 +85,10 @@
 
 
 def heard_and_served(program, agent, number):
-    """From the return of discovery to the drain, by a fresh connection each time; then on to ASKS answers."""
+    """From the return of discovery to the drain, by a fresh connection each time, and on for ASKED_S."""
     agent.come_back()
     answers, ask, heard_after = [], 0, None
-    while time.monotonic() - agent.reachable < 12 and (heard_after is None or len(answers) < ASKS):
+    while time.monotonic() - agent.reachable < (ASKED_S if heard_after is not None else 12):
         ask += 1
         with contextlib.suppress(OSError, EOFError):
             got = program.ask(request(ident=f"{number}-{ask}"))
@@ -99,8 +101,8 @@
 
 def answered(statuses):
     """Each of them was: at the limit and in a burst of others as new a refusal counts, not as the rule."""
-    assert len(statuses) >= ASKS
-    return set(statuses) <= {"200", "503"} and statuses.count("200") >= 0.9 * len(statuses)
+    assert len(statuses) >= 30
+    return set(statuses) <= {"200", "503"} and statuses.count("200") >= 0.95 * len(statuses)
 
 
 # Those with 300 are controls; with 64 the process ran out of descriptors before its own were kept back.
