Review: the sites of case 2 name each other's real addresses; clients say when they send again

Cause: a gateway of site b named an address that answers nobody, and a truncated answer was sent again. Change: both sites name each other; a client sends again only where a kept connection was closed unanswered.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -95,10 +95,10 @@
                 common.reset(side)
 
 
-def document_of(name, discovery, members, siblings):
+def document_of(name, listen, discovery, members, siblings):
     return {
         "name": name,
-        "listen": f"{common.HOST}:{common.free_port()}",
+        "listen": listen,
         "discovery": discovery.address,
         "seed": f"8c1f30d27a5b{len(name):02x}{sum(name.encode()) % 256:02x}",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -124,7 +124,7 @@
     }  # fmt: skip
 
 
-async def start_site(temporary, nodes, site, node_names, backends, others):
+async def start_site(temporary, nodes, site, listen_at, backends, others):
     """Starts a site's discovery and nodes. `others`: the gateways' addresses of the other site."""
     members = [
         common.member(backend.name, backend.address, ZONES[i % 3], "mid-1c", cell)
@@ -136,8 +136,8 @@
     path = pathlib.Path(temporary) / f"gateway-{site}.toml"
     path.write_text(text)
     started = []
-    for name in node_names:
-        document = document_of(name, discovery, members, len(node_names))
+    for number, listen in enumerate(listen_at):
+        document = document_of(f"{site}{number}", listen, discovery, members, len(listen_at))
         node = common.Node(temporary, document, PROXY_GATEWAY=str(path))
         nodes.append(node)
         started.append(node)
@@ -155,12 +155,11 @@
     for number in range(6):
         cell = 1 + number % 2
         there.append((await Backend(f"b-{number}", bays[cell], ledger, record, rng).start(), cell))
-    # Nobody of site b has to reach site a here: its gateway's address answers nobody.
-    nobody = f"{common.HOST}:{common.free_port()}"
-    _, _, gateways = await start_site(temporary, nodes, "b", ["b0", "b1"], there, [nobody])
-    links = [await Link(gateway.address).start() for gateway in gateways]
+    own_at, *gateways_at = [f"{common.HOST}:{common.free_port()}" for _ in range(3)]
+    await start_site(temporary, nodes, "b", gateways_at, there, [own_at])
+    links = [await Link(gateway).start() for gateway in gateways_at]
     discovery, members, [node] = await start_site(
-        temporary, nodes, "a", ["a0"], own, [link.address for link in links]
+        temporary, nodes, "a", [own_at], own, [link.address for link in links]
     )
     client = common.Client(node.address, record)
     results = {}
--- a/review/common.py
+++ b/review/common.py
@@ -166,13 +166,13 @@
 
 
 class Client:
-    """Clients of one node: each asks one request at a time on a connection and opens more when all are busy."""
+    """Clients of one node: one request at a time on a connection, and a new one when all are busy."""
 
     def __init__(self, address, record):
         self.address, self.record, self.idle = address, record, []
 
     async def ask(self, method, route, path, ident, tenant, timeout_ms, patience_s, body=b""):
-        """Returns the answer, or None where none came within `patience_s`, and how long it took in seconds."""
+        """Returns the answer, or None where none came within `patience_s`, and the seconds that it took."""
         head = f"{method} /{route}{path} HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: {ident}\r\n"
         head += f"Request-Class: {route}\r\nTenant: {tenant}\r\nRequest-Timeout-Ms: {timeout_ms}\r\n"
         if method == "POST":
@@ -196,15 +196,14 @@
             try:
                 writer.write(data)
                 answer = await read_message(reader)
-            except (EOFError, ConnectionResetError):
+            except BaseException as error:
                 writer.close()
                 # The node may close a connection between requests: then the client sends on a new one.
-                if kept is None:
+                is_closed = isinstance(error, ConnectionResetError) or type(error) is EOFError
+                if kept is None or not is_closed:
                     raise
+                self.record("its connection was closed, it is sent once more on a new one")
                 continue
-            except BaseException:
-                writer.close()
-                raise
             if answer.headers.get("connection", "").lower() == "close":
                 writer.close()
             else:
