--- a/review/common.py
+++ b/review/common.py
@@ -295,6 +295,8 @@
     """Plays a case: `play(record, temporary_folder, nodes)` returns whether the rule held. Exits."""
     record = Record(folder)
     nodes, code = [], NOT_RUN
+    # All that was started ends with this process, also where that is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
 
     async def main(temporary):
         async with asyncio.timeout(115):
