Decode chunked bodies by their sizes, and forward what a read holds in one piece

Cause: work for each small part of a read, in the event loop. Reader.add_chunked cut the read at each empty line and copied the rest each time, and each part was written to the backend as a chunk of its own. Change: ChunkedDecoder finds the chunks by their sizes and returns the data of a read in one piece. Chunk headers and trailers are limited to head_bytes; they had no limit and counted towards none.

--- a/basalthoist/net/framing.py
+++ b/basalthoist/net/framing.py
@@ -8,6 +8,8 @@
 
 import httptools
 
+from basalthoist.net.chunked import ChunkedDecoder, ChunkError
+
 HOP_BY_HOP = frozenset(
     (
         b"connection",
@@ -142,10 +144,7 @@
         # A slice of the buffer if the body arrived in one read, a copy if it took several.
         self.body: memoryview | bytearray | None = None
         self.head_parser: Parser | None = None
-        self.chunk_parser: Parser | None = None
-        self.chunked_body_complete: bool = False
-        self.in_body: bool = False
-        self.chunk_tail: bytes = b""  # up to 3 bytes that the chunk parser was fed last
+        self.chunked_decoder: ChunkedDecoder | None = None
         self.ends_with_connection: bool = False
         self.expects_continue: bool = False
         self.body_sink: Callable[[bytes], None] | None = None
@@ -157,25 +156,13 @@
         self.message.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header; trailers are dropped."""
-        if not self.in_body:
-            # The parser leaves trailing white space in values.
-            self.message.headers.append((name.lower(), value.strip(b" \t")))
+        """Adds a header."""
+        # The parser leaves trailing white space in values.
+        self.message.headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
         """Records whether the head allows the connection to stay open."""
-        # The parser calls this again at the end of a message. If there is no body, its answer is then the
-        # default of the HTTP version instead of what the head says.
-        if not self.in_body:
-            self.message.keep_alive = self.head_parser.should_keep_alive()
-
-    def on_body(self, data: bytes) -> None:
-        """Takes the data of a chunk."""
-        self.take_body(data)
-
-    def on_message_complete(self) -> None:
-        """Records that the last chunk has arrived."""
-        self.chunked_body_complete = True
+        self.message.keep_alive = self.head_parser.should_keep_alive()
 
     # Called by connections.
 
@@ -209,8 +196,8 @@
                 return None
             if self.reads_responses and 100 <= self.message.status < 200:
                 self.restart()
-        if self.chunk_parser is not None:
-            return self.finish() if self.chunked_body_complete else None
+        if self.chunked_decoder is not None:
+            return self.finish() if self.chunked_decoder.complete else None
         is_incomplete = self.ends_with_connection or self.received_bytes < self.expected_body_bytes
         return None if is_incomplete else self.finish()
 
@@ -267,13 +254,11 @@
             self.message.status = parser.get_status_code()
         else:
             self.message.method = parser.get_method()
-        self.chunked_body_complete = False
-        self.in_body = True
-        self.set_framing(parser)
+        self.set_framing()
 
     def length(self) -> int | None:
         """Returns the length of the body in bytes, or None where the head does not give it."""
-        if self.ends_with_connection or self.chunk_parser is not None:
+        if self.ends_with_connection or self.chunked_decoder is not None:
             return None
         return self.expected_body_bytes
 
@@ -294,7 +279,7 @@
             buffered, self.body = self.body, None
             self.body_sink(buffered)
 
-    def set_framing(self, parser: Parser) -> None:
+    def set_framing(self) -> None:
         """Sets how the end of the body is found. Raises BadMessage where the head is ambiguous."""
         lengths = [v for k, v in self.message.headers if k == b"content-length"]
         codings = b",".join(v for k, v in self.message.headers if k == b"transfer-encoding").lower()
@@ -302,7 +287,7 @@
             # Guards against request smuggling: two framings in one head, or a coding other than chunked.
             if lengths or codings.strip() != b"chunked":
                 raise BadMessage(400, "expected Transfer-Encoding: chunked alone, without Content-Length")
-            self.chunk_parser = parser
+            self.chunked_decoder = ChunkedDecoder(self.head_bytes)
         elif lengths:
             if len(lengths) > 1 or not lengths[0].isdigit():
                 raise BadMessage(400, "expected one Content-Length of digits only")
@@ -324,7 +309,7 @@
 
     def add(self, data: bytes | memoryview) -> None:
         """Takes bytes after the head: the rest of the body, then bytes of the next message."""
-        if self.chunk_parser is not None:
+        if self.chunked_decoder is not None:
             self.add_chunked(bytes(data))
         elif self.ends_with_connection:
             self.take_body(data)
@@ -340,21 +325,20 @@
             self.start_streaming()
 
     def add_chunked(self, data: bytes) -> None:
-        """Feeds the chunk parser up to the end of the message."""
-        # The parser does not report at which byte a message ends, but every message ends with an empty line:
-        # the data is fed in parts that each end with an empty line.
-        while data and not self.chunked_body_complete:
-            end = (self.chunk_tail + data).find(b"\r\n\r\n")
-            cut = len(data) if end < 0 else end + 4 - len(self.chunk_tail)
-            part, data = data[:cut], data[cut:]
-            self.chunk_tail = b"" if end >= 0 else (self.chunk_tail + part)[-3:]
-            try:
-                self.chunk_parser.feed_data(part)
-            except httptools.HttpParserUpgrade:
-                pass
-            except httptools.HttpParserError as error:
-                raise BadMessage(400, f"invalid chunk: {error}") from None
-        self.pending += data
+        """Decodes chunks; the bytes after the last one belong to the next message."""
+        decoder = self.chunked_decoder
+        if decoder.complete:
+            self.pending += data
+            return
+        try:
+            body = decoder.feed(data)
+        except ChunkError as error:
+            raise BadMessage(400, f"invalid chunk: {error}") from None
+        # Guards against work for each chunk: however small they are, their data is passed on in one piece.
+        if body:
+            self.take_body(body)
+        if decoder.complete:
+            self.pending += decoder.rest
 
     def take_body(self, data: bytes | memoryview) -> None:
         """Streams or buffers the next bytes of the body."""
