Parse JSON-RPC lines without copying the rest of a read, at most 100 a turn

What callers saw: beside one client that sends many empty or short lines, calls of other clients waited for 1.5 to 1.9 s, with all backends idle. Cause: JsonRpcClientConnection.advance copied the rest of the read for each line, and parsed all lines of a read (256 kB) in one turn of the event loop. Change: LineBuffer takes lines out without copying the rest, for clients and backends alike; a connection parses at most 100 lines a turn and is not read until its lines are parsed.

--- a/basalthoist/jsonrpc/client_connection.py
+++ b/basalthoist/jsonrpc/client_connection.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from basalthoist.net.framing import Arrivals
+from basalthoist.net.line_buffer import LineBuffer, LineTooLongError
 from basalthoist.net.runtime.descriptors import descriptor_of, has_ended, is_ready, receive_buffer_delay
 from basalthoist.net.runtime.timers import SECOND, now
 
@@ -29,6 +30,7 @@
 
 # Tenths of a millisecond. A call that waited longer checks that its client is connected before an attempt.
 QUEUED_AFTER = 10
+MAX_LINES_PER_TURN = 100  # lines of one connection parsed in a turn of the event loop
 
 
 class Caller:
@@ -89,7 +91,8 @@
     def __init__(self, front_end: "JsonRpcFrontEnd") -> None:
         self.front_end: JsonRpcFrontEnd = front_end
         self.transport: asyncio.Transport | None = None
-        self.pending: bytes = b""  # bytes read and not yet parsed
+        self.pending: LineBuffer = LineBuffer(front_end.limits.body_bytes)  # read and not yet parsed
+        self.advance_scheduled: bool = False  # `advance` goes on in the next turn of the event loop
         self.last_progress_at: int = now()
         self.arrivals: Arrivals = Arrivals()
         self.arrived_at: int = self.last_progress_at  # arrival time of the line that is being parsed
@@ -124,7 +127,7 @@
             return
         self.last_progress_at = now()
         self.arrivals.add(len(data), self.last_progress_at - receive_buffer_delay(self.transport))
-        self.pending = self.pending + data if self.pending else data
+        self.pending.append(data)
         self.advance()
 
     def eof_received(self) -> bool:
@@ -178,28 +181,51 @@
         if self.reading_paused and self.is_broken():
             # Guards against calls started for a client that closed while reading was paused.
             return self.transport.abort()
-        while not self.write_buffer_full and len(self.callers) < self.front_end.max_open_calls:
-            end = self.pending.find(b"\n")
-            if (end if end >= 0 else len(self.pending)) > self.front_end.limits.body_bytes:
-                return self.refuse_long_line()
-            if end < 0:
-                break
-            line, self.pending = self.pending[:end].strip(), self.pending[end + 1 :]
+        try:
+            self.parse_lines()
+        except LineTooLongError:
+            return self.refuse_long_line()
+        self.update_reading()
+
+    def parse_lines(self) -> None:
+        """Parses at most MAX_LINES_PER_TURN lines; the next turns parse the rest. Raises LineTooLongError."""
+        for _ in range(MAX_LINES_PER_TURN):
+            if self.write_buffer_full or len(self.callers) >= self.front_end.max_open_calls:
+                return
+            line = self.pending.next_line()
+            if line is None:
+                return
             self.arrived_at = self.arrivals.arrival_of_last_byte(len(self.pending))
+            line = line.strip()
             if line:
                 self.handle_line(line)
-        self.update_reading()
+        # Guards against a read with many short lines that holds up every other connection.
+        self.schedule_advance()
+
+    def schedule_advance(self) -> None:
+        """Has `advance` called in the next turn of the event loop; reading is paused until then."""
+        if not self.advance_scheduled:
+            self.advance_scheduled = True
+            self.front_end.loop.call_soon(self.advance_as_scheduled)
+
+    def advance_as_scheduled(self) -> None:
+        """Goes on with the lines that are left, and ends the connection if nothing is left to do."""
+        self.advance_scheduled = False
+        if not self.transport.is_closing():
+            self.advance()
+            self.end_if_done()
 
     def refuse_long_line(self) -> None:
         """Answers a line that is too long with an error and ends the input, so that the buffer is bounded."""
         self.write_line(encode_response(b"null", encode_error_member(INVALID_REQUEST)))
-        self.pending = b""
+        self.pending.clear()
         self.input_ended = True
         self.end_if_done()
 
     def update_reading(self) -> None:
-        """Pauses or resumes reading, depending on the write buffer and the number of calls in progress."""
-        pause = self.write_buffer_full or len(self.callers) >= self.front_end.max_open_calls
+        """Pauses reading while responses or lines wait, or too many calls are in progress; else resumes."""
+        has_all_calls = len(self.callers) >= self.front_end.max_open_calls
+        pause = self.write_buffer_full or has_all_calls or self.advance_scheduled
         if pause != self.reading_paused and not self.transport.is_closing():
             self.reading_paused = pause
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
@@ -256,8 +282,9 @@
             self.write_line(response)
         self.end_if_done()
         # Called back from the event loop, since `end_call` may run within a decision of the balancer.
-        if (self.pending or self.reading_paused) and len(self.callers) < self.front_end.max_open_calls:
-            self.front_end.loop.call_soon(self.advance)
+        waits = self.pending or self.reading_paused
+        if waits and len(self.callers) < self.front_end.max_open_calls:
+            self.schedule_advance()
 
     def write_line(self, text: bytes) -> None:
         """Writes a line, unless the connection is closing."""
@@ -268,7 +295,7 @@
 
     def end_if_done(self) -> None:
         """Ends the connection if every call is answered and the client, or the shutdown, has ended it."""
-        if self.callers or b"\n" in self.pending or self.transport.is_closing():
+        if self.callers or self.pending.has_line() or self.transport.is_closing():
             return
         if self.input_ended:
             self.transport.close()
--- a/basalthoist/jsonrpc/upstream.py
+++ b/basalthoist/jsonrpc/upstream.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from basalthoist.net.framing import BadMessage, Message
+from basalthoist.net.line_buffer import LineBuffer
 from basalthoist.net.proxied_request import ProxiedRequest, RequestClient
 from basalthoist.net.upstream.call import Call
 from basalthoist.net.upstream.connection import Connection
@@ -26,8 +27,7 @@
     """Reads response lines. Has the methods of `Reader`, and returns the corresponding HTTP messages."""
 
     def __init__(self, max_line_bytes: int) -> None:
-        self.max_line_bytes: int = max_line_bytes
-        self.pending: bytes = b""
+        self.pending: LineBuffer = LineBuffer(max_line_bytes)
         self.expected_id: str = ""  # id of the call in progress
         self.on_head = None
         self.arrived_at: int = 0
@@ -38,18 +38,15 @@
 
     def feed(self, data: bytes, now: int) -> None:
         """Adds data that the connection has read at `now`."""
-        self.pending = self.pending + data if self.pending else data
+        self.pending.append(data)
         self.arrived_at = now
 
     def next(self) -> Message | None:
         """Returns the next response, or None until its line is complete. Raises BadMessage."""
-        end = self.pending.find(b"\n")
-        if (end if end >= 0 else len(self.pending)) > self.max_line_bytes:
-            raise BadMessage(502, "a line too long")
-        if end < 0:
-            return None
-        line, self.pending = self.pending[:end], self.pending[end + 1 :]
         try:
+            line = self.pending.next_line()
+            if line is None:
+                return None
             response = parse_response(line, self.expected_id)
         except ValueError as error:
             raise BadMessage(502, str(error)) from None
--- a/tests/test_jsonrpc.py
+++ b/tests/test_jsonrpc.py
@@ -288,6 +288,57 @@
     assert client.source.read() == b""
 
 
+TIMEOUT_S = 0.3
+# The users' bound: a final answer up to half a second after a request's time is not lost.
+LATEST_ANSWER_S = TIMEOUT_S + 0.5
+MANY_LINES = {
+    "empty": b"\n" * (1 << 20),
+    "white space": b"\r\n" * (1 << 20),
+    "not JSON": b"1\n" * (1 << 18),
+    "notifications of an unknown method": b'{"jsonrpc": "2.0", "method": "drop"}\n' * (1 << 14),
+}
+
+
+@pytest.mark.parametrize("lines", MANY_LINES.values(), ids=MANY_LINES.keys())
+def test_other_clients_answered_in_time_beside_one_that_sends_many_short_lines(front, lines):
+    """Guards against an event loop that is held up by all the lines of one read."""
+    routes = [route("read", timeout_s=TIMEOUT_S), route("pay", "at_most_once")]
+    program, _ = front(echo, settings={"routes": routes})
+    flood, done = program.connect(), threading.Event()
+    flood.settimeout(60)
+
+    def send_lines():
+        flood.sendall(lines + json.dumps(call(ident="last")).encode() + b"\n")
+
+    def read_responses():
+        tail = b""
+        while b'"last"' not in tail and (data := flood.recv(1 << 18)):
+            tail = tail[-1000:] + data
+        done.set()
+
+    threads = [threading.Thread(target=target) for target in (send_lines, read_responses)]
+    client, waited = ClientConnection(program), []
+    for thread in threads:
+        thread.start()
+    while not done.is_set():
+        asked_at = time.monotonic()
+        assert client.send(call(ident=len(waited))).receive()["id"] == len(waited)
+        waited.append(time.monotonic() - asked_at)
+        time.sleep(0.02)
+    for thread in threads:
+        thread.join()
+    assert max(waited) <= LATEST_ANSWER_S
+
+
+def test_all_calls_of_one_read_are_answered_and_the_input_may_end_with_them(front):
+    """Guards against lines that are forgotten where more came than are parsed in one turn."""
+    program, _ = front(echo, more="most_open = 1000\n")
+    client = ClientConnection(program)
+    client.send(*[call(ident=number) for number in range(350)], b"\n" * 250).sock.shutdown(socket.SHUT_WR)
+    assert sorted(client.receive()["id"] for _ in range(350)) == list(range(350))
+    assert client.receive() is None  # the connection ends, though empty lines were left
+
+
 def test_client_that_half_closes_gets_its_responses(front):
     program, _ = front(lambda backend, call: time.sleep(0.1) or echo(backend, call))
     client = ClientConnection(program).send(call(ident=1), call(ident=2))
