Join discovery's small chunks without copying what came before

What callers saw: while discovery sends a list of 3.9 MB in chunks of 16 bytes, no request is answered, for over 10 s. Cause: DiscoveryConnection.on_body joined all that had come with each chunk, and split it again on the watch: quadratic in the length of the list or line. Change: the text is a bytearray, and is split only where a chunk ends a line. Measured: test_requests_answered_in_time_while_a_long_list_comes_in_small_chunks failed before (a request timed out after 10 s) and passes.

--- a/basalthoist/net/discovery/connection.py
+++ b/basalthoist/net/discovery/connection.py
@@ -51,7 +51,7 @@
         self.watching: bool = False
         self.reading_head: bool = False
         self.answer_begun: bool = False  # a response with a status other than 429 and 5xx has begun
-        self.text: bytes = b""  # received part of the list, or of the last line of the watch
+        self.text: bytearray = bytearray()  # received part of the list, or of the last line of the watch
         self.lines: list[bytes] = []  # lines of an incomplete object
         self.nesting: int = 0  # open braces and brackets at the end of these lines
 
@@ -130,12 +130,13 @@
     def on_body(self, data: bytes) -> None:
         """Handles a part of the list or of the watch; complete lines of the watch are applied."""
         self.text += data
-        if not self.watching:
+        # Guards against a line that comes in many small chunks and would be searched and copied for each.
+        if not self.watching or b"\n" not in data:
             return
         *lines, self.text = self.text.split(b"\n")
         for line in lines:
             if line.strip():
-                self.take_line(line)
+                self.take_line(bytes(line))
             if not self.lines:
                 self.discovery.on_watch_line()
 
@@ -151,7 +152,7 @@
         """Applies the complete list. Raises UnexpectedAnswerError if the watch has ended."""
         if self.watching:
             raise UnexpectedAnswerError("expected an open watch, got its end")
-        text, self.text = self.text, b""
+        text, self.text = self.text, bytearray()
         self.discovery.on_full_list(DECODER.decode(text))
         if self.parser.should_keep_alive():
             self.request_watch()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -475,3 +475,42 @@
         thread.join()
     print("known after", known)
     assert not {name: after for name, after in known.items() if after is None or after > 5.5}
+
+
+class ListInSmallChunks(StandIn):
+    """Serves a long list, then a long change on the watch, both in small chunks."""
+
+    PADDING = b" " * 3_900_000  # below `list_bytes`
+
+    def __init__(self):
+        self.members, self.sent = [], threading.Event()
+        super().__init__(type(self).answer)
+
+    def answer(self, sock, request):
+        sock.sendall(WATCH)
+        for complete in (True, False) if "stream=1" in request.path else (True,):
+            update = {"revision": 1, "complete": complete, "members": self.members}
+            text = json.dumps(update).encode() + self.PADDING + b"\n"
+            sock.sendall(b"".join(chunk(text[at : at + 16]) for at in range(0, len(text), 16)))
+        if "stream=1" in request.path:
+            self.sent.set()
+            return
+        sock.sendall(chunk(b""))
+
+
+def test_requests_answered_in_time_while_a_long_list_comes_in_small_chunks(start):
+    """Guards against an event loop that is held up by the chunks of a list or of a change."""
+    agent = ListInSmallChunks()
+    backend = StandIn(reply())
+    agent.members = [member("s-0", backend)]
+    program, _, _ = start(agent=agent, known=agent.members)
+    waited = []
+    try:
+        while not agent.sent.is_set():
+            asked_at = time.monotonic()
+            assert program.ask(request(ident=str(len(waited)))).status == "200"
+            waited.append(time.monotonic() - asked_at)
+            time.sleep(0.02)
+    finally:
+        backend.close()
+    assert max(waited) <= 0.8 + 0.5  # the request's time and half a second, the users' bound
