Send no deduplicated request over a link if it may have run, nor again after one

Cause: all links to a site had one zone and one cell, so RetryPolicy.in_scope took two links for backends of one group, though behind each stand all backends of the site. The same for groups of a zone and `all`, after a first run at a backend here that has the links' zone or cell number, beside an open attempt, and for a 503 that calls trying again harmless. Change: Endpoint.is_link marks a link, which belongs to no group that recognises repeats. What never ran still goes on over another link. Why it works: an attempt that may have run and one over a link never belong to one request.

--- a/basalthoist/decisions/backend.py
+++ b/basalthoist/decisions/backend.py
@@ -35,6 +35,7 @@
         "zone",
         "kind",
         "cell",
+        "is_link",
         "weight",
         "started",
         "available",
@@ -75,6 +76,7 @@
         self.zone: int = endpoint.zone
         self.kind: int = endpoint.kind
         self.cell: int = endpoint.cell
+        self.is_link: bool = endpoint.is_link
         self.weight: float = endpoint.weight
         self.started: int | None = endpoint.started
         self.available: bool = available
--- a/basalthoist/decisions/interface.py
+++ b/basalthoist/decisions/interface.py
@@ -21,7 +21,10 @@
 
 
 class Endpoint(NamedTuple):
-    """One entry of the endpoint list."""
+    """One entry of the endpoint list, or a link to another site.
+
+    Behind a link stand all backends of its site, so it belongs to no zone or cell that recognises repeats.
+    """
 
     name: str
     zone: int
@@ -30,6 +33,7 @@
     state: str  # healthy, draining or gone
     weight: float
     started: int | None  # when it last started, on the monotonic clock; None if that was long ago
+    is_link: bool = False
 
 
 class LoadReport(NamedTuple):
--- a/basalthoist/decisions/retry.py
+++ b/basalthoist/decisions/retry.py
@@ -44,6 +44,9 @@
     @staticmethod
     def in_scope(request: Request, first: Backend, backend: Backend) -> bool:
         """Returns whether `backend` recognises a repeat of a request that was sent to `first`."""
+        # Guards against a repeat over a link: the other site may send it to any of its groups of backends.
+        if first.is_link or backend.is_link:
+            return False
         match request.route.dedup_scope:
             case "all":
                 return True
@@ -68,7 +71,9 @@
         executed = request.possibly_executed()
         if request.route.is_idempotent or not executed:
             return self.retry_after
-        time_left = self.dedup_time_left(request, executed, now) if request.route.dedup_scope == "all" else 0
+        # The client's retry may be sent to any backend of this site, but to none that a link led to.
+        recognised = request.route.dedup_scope == "all" and not any(a.backend.is_link for a in executed)
+        time_left = self.dedup_time_left(request, executed, now) if recognised else 0
         if time_left > 0:
             # Guards against a client that retries after the deduplication window.
             return min(self.retry_after, time_left)
--- a/basalthoist/gateway/links.py
+++ b/basalthoist/gateway/links.py
@@ -127,7 +127,7 @@
     def endpoint_of(self, link: str, state: str = "healthy") -> Endpoint:
         """Returns a link as an entry of an endpoint list."""
         site = link.split(":")[1]
-        return Endpoint(link, self.zone_of[site], -1, -1, state, 1.0, None)
+        return Endpoint(link, self.zone_of[site], -1, -1, state, 1.0, None, is_link=True)
 
     def endpoints(self) -> list[Endpoint]:
         """Returns the endpoints of all listed links."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -46,8 +46,8 @@
     return base | {k.replace("__", "."): v for k, v in more.items()}
 
 
-def listed(name, zone=0, kind=0, cell=0, state="healthy", weight=1.0, started=None):
-    return Endpoint(name, zone, kind, cell, state, weight, started)
+def listed(name, zone=0, kind=0, cell=0, state="healthy", weight=1.0, started=None, is_link=False):
+    return Endpoint(name, zone, kind, cell, state, weight, started, is_link)
 
 
 def node(entries, now=NOW, seed=7, **kw):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,7 +1,10 @@
 """Two sites on loopback: real nodes, cut links, lost backends. At-most-once requests run at most once."""
 
+import contextlib
 import json
 import signal
+import socket
+import struct
 import threading
 import time
 
@@ -37,10 +40,10 @@
         self.discovery = DiscoveryStandIn(self.members)
         self.program = None
 
-    def start(self, *others, more=SHORT_TIMES, settings=None):
+    def start(self, *others, more=SHORT_TIMES, settings=None, gateways=None):
         text = f"site = '{self.name}'\n{more}"
         for other in others:
-            text += f"[[sites]]\nname = '{other.name}'\ngateways = ['{other.listen}']\n"
+            text += f"[[sites]]\nname = '{other.name}'\ngateways = {gateways or [other.listen]}\n"
         path = self.folder / "gateway.toml"
         path.write_text(text)
         node_file = document(self.discovery.address, self.members, listen=self.listen, settings_more=settings)
@@ -162,6 +165,124 @@
     assert len(b.run_ids()) == len(set(b.run_ids())) == 1 and not a.run_ids()
 
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, 0 s
+
+
+class Link(StandIn):
+    """Passes bytes between a node and another site's gateway, until it is `reset` or `silent`."""
+
+    def __init__(self, gateway):
+        host, _, port = gateway.rpartition(":")
+        self.gateway, self.silent, self.far_ends = (host, int(port)), False, []
+        super().__init__(None)
+
+    def serve(self, sock):
+        with contextlib.suppress(OSError), sock, socket.create_connection(self.gateway) as far_end:
+            self.far_ends.append(far_end)
+            back = threading.Thread(target=self.copy, args=(far_end, sock), daemon=True)
+            back.start()
+            self.copy(sock, far_end)
+            back.join()
+
+    def copy(self, source, target):
+        with contextlib.suppress(OSError):
+            while data := source.recv(1 << 16):
+                if not self.silent:
+                    target.sendall(data)
+            target.shutdown(socket.SHUT_WR)
+
+    def reset(self):
+        for sock in [*self.open, *self.far_ends]:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                sock.shutdown(socket.SHUT_RDWR)
+
+
+def reset_links(links, gateways):
+    for link in links:
+        link.reset()
+
+
+def silence_links(links, gateways):
+    for link in links:
+        link.silent = True
+
+
+def kill_a_gateway(links, gateways):
+    gateways[0].program.process.kill()
+
+
+def hold_bookings(gate):
+    """Returns a behaviour that answers requests at once, those of route `book` once `gate` is not empty."""
+    held, at_once = reply_once_open(gate), reply(200, b"b")
+
+    def behave(stand_in, sock, message):
+        (held if message.path.startswith("/book") else at_once)(stand_in, sock, message)
+
+    return behave
+
+
+class BookingSites:
+    """Site a, whose backends are lost, and two gateways of site b with its backends, of two cells and zones.
+
+    The backends hold requests of the deduplicated route `book` until `gate` is not empty.
+    """
+
+    def __init__(self, folder, scope):
+        self.gate = []
+        book = route("book", "deduplicated", group=scope, dedup_window=5_000_000)
+        routes = [route(), route("pay", "at_most_once"), book]
+        settings = {"routes": routes, "zones": ["a", "a2"]}
+        self.a, self.b = Site(folder, "a", [reply()]), Site(folder, "b", [hold_bookings(self.gate)] * 4)
+        for number, entry in enumerate(self.b.members):
+            entry |= {"cell": number % 2, "locality": ["a", "a2"][number % 2]}
+        self.second = Site(folder, "b-second", [])
+        self.second.name, self.second.members = "b", self.b.members
+        self.second.discovery.members = self.b.members
+        self.gateways = [self.b, self.second]
+        for gateway in self.gateways:
+            gateway.start(self.a, settings=settings)
+        self.links = [Link(gateway.listen) for gateway in self.gateways]
+        self.a.start(self.b, settings=settings, gateways=[link.address for link in self.links])
+        wait_for(lambda: self.a.discovery.watches)
+        self.a.lose()
+        wait_for(lambda: pay(self.a, f"there-{time.monotonic()}").body == b"b")
+
+    def bookings(self):
+        """Returns the ids of the bookings at the backends of site b, in the order of their arrival there."""
+        seen = [message for backend in self.b.backends for message in backend.seen]
+        return [m.headers["request-id"] for m in seen if m.path.startswith("/book")]
+
+    def close(self):
+        for part in (self.a, *self.gateways, *self.links):
+            part.close()
+
+
+@pytest.mark.parametrize("disrupt", [reset_links, silence_links, kill_a_gateway])
+@pytest.mark.parametrize("scope", ["cell", "zone", "all"])
+def test_deduplicated_requests_out_over_a_link_that_fails_are_sent_once(tmp_path, scope, disrupt):
+    """Guards against a repeat over another link, at backends that do not know of the first run."""
+    sites = BookingSites(tmp_path, scope)
+    answers = {}
+
+    def book(ident):
+        answers[ident] = sites.a.program.ask(request("book", 900, ident=ident)).status
+
+    threads = [threading.Thread(target=book, args=(f"booking-{number}",)) for number in range(6)]
+    try:
+        for thread in threads:
+            thread.start()
+        wait_for(lambda: len(sites.bookings()) >= 4)  # the others may wait for a link
+        disrupt(sites.links, sites.gateways)
+        for thread in threads:
+            thread.join()
+        sites.gate.append(True)
+        assert len(answers) == len(threads)
+        assert len(sites.bookings()) == len(set(sites.bookings()))
+    finally:
+        sites.close()
+
+
 def test_silent_gateway_is_not_used_and_requests_are_shed_until_it_returns(sites):
     a, b = sites([reply()], [reply(200, b"b")] * 2)
     a.lose()
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -126,3 +126,54 @@
 def test_no_spill_before_first_endpoint_list_and_spill_throughout_a_long_outage():
     assert not TwoSites().run(10, usable=0, listed=0).links()
     assert TwoSites().run(10).run(200, usable=0, listed=0).links()
+
+
+LINKS = [listed(f"site:b:{number}", zone=1, cell=-1, is_link=True) for number in range(2)]
+# Backends of this site that have the zone or the cell of the links: a zone that the settings do not name.
+LOCAL = [listed(f"s-{number}", zone=1, cell=-1) for number in range(2)]
+
+
+def fate_of_request(entries, scope, outcome, semantics="deduplicated"):
+    """Adds links and ends the first attempt with the outcome.
+
+    Returns the names of the backends that were sent the request, and the final answers.
+    """
+    balancer, host = node(entries, semantics=semantics, zones=["a"], **{"routes.0.group": scope})
+    balancer.on_request(NOW, 1, 0, 0, 8000, False)
+    [first] = host.take("send")
+    balancer.on_endpoint_list(NOW, LINKS, False)
+    balancer.on_attempt_ended(NOW + 10, 1, 0, outcome, 10, False, None)
+    balancer.on_wake(NOW + 10, "due")
+    calls = host.take("send", "shed", "fail")
+    sent = [first, *(call for call in calls if call[0] == "send")]
+    return [call[2] for call in sent], [call[0] for call in calls if call[0] != "send"]
+
+
+@pytest.mark.parametrize("scope", ["cell", "zone", "all"])
+@pytest.mark.parametrize("entries", [LINKS, LOCAL[:1]], ids=["link, then link", "own backend, then link"])
+@pytest.mark.parametrize("outcome", [Outcome.RESET, Outcome.ERROR, Outcome.TIMED_OUT])
+def test_deduplicated_request_that_may_have_run_is_not_sent_over_a_link(entries, scope, outcome):
+    """Guards against a second run: behind a link stand backends of groups that do not know the first one."""
+    backends, answers = fate_of_request(entries, scope, outcome)
+    assert not any(name.startswith("site:") for name in backends[1:])
+    if entries is LINKS:
+        assert (len(backends), answers) == (1, ["fail"])  # nor is the client told that a retry is safe
+
+
+@pytest.mark.parametrize("scope", ["cell", "zone", "all"])
+def test_deduplicated_request_is_retried_over_links_if_it_never_ran_and_at_home_within_its_group(scope):
+    assert len(fate_of_request(LINKS, scope, Outcome.REJECTED)[0]) == 2
+    assert len(fate_of_request(LINKS, scope, Outcome.RESET, "idempotent")[0]) == 2
+    backends, _ = fate_of_request(LOCAL, scope, Outcome.RESET)
+    assert sorted(backends) == ["s-0", "s-1"]
+
+
+def test_attempt_beside_an_open_one_is_not_sent_over_a_link():
+    """Guards against two concurrent runs in two groups where parallel attempts are allowed."""
+    more = {"routes.0.group": "all", "policy_limits.parallel_tries": True, "zones": ["a"]}
+    balancer, host = node(LINKS, semantics="deduplicated", **more)
+    balancer.on_request(NOW, 1, 0, 0, 8000, False)
+    request, (first,) = balancer.requests[1], host.take("send")
+    assert not any(balancer.retry.may_attempt(request, b, NOW + 10) for b in balancer.subset.backends)
+    balancer.on_attempt_ended(NOW + 10, 1, 0, Outcome.CONNECT_FAILED, 10, False, None)
+    assert [call[2] for call in host.take("send")] not in ([], [first[2]])
