Count a long body's time from when its last byte came, whether or not it is forwarded

What callers saw: nothing; backends of bodies over 64 KiB whose first attempt got no connection were told 1,499 ms where some 1,100 were left, and 0.15 s of slack are allowed. Cause: the last byte lay unread while reading was paused, and the time was taken as it was read; and the decisions learned of the new deadline only once an attempt had taken the body. Evidence: with bodies of 70,000 to 1,000,000 bytes each retry told too much, with 1,000 none.

--- a/basalthoist/decisions/balancer.py
+++ b/basalthoist/decisions/balancer.py
@@ -150,6 +150,14 @@
         if ident in self.requests:
             self.finish(self.requests[ident])
 
+    def on_body_received(self, now: int, ident: int, timeout: int) -> None:
+        """Restarts the times of a request whose body, too long to buffer, is complete and not forwarded."""
+        request = self.requests.get(ident)
+        if request is None or request.body_consumed:
+            return
+        request.deadline, request.objective_at = now + timeout, now + request.route.objective
+        self.schedule.at(request.deadline - self.settings.tick, self.shed_or_fail, request)
+
     def on_body_forwarded(self, now: int, ident: int, timeout: int, complete: bool) -> None:
         """Restarts the times of a request whose body, too long to buffer, is being forwarded or complete."""
         request = self.requests.get(ident)
--- a/basalthoist/net/clients/http_connection.py
+++ b/basalthoist/net/clients/http_connection.py
@@ -94,8 +94,8 @@
             self.front_end.idle_clients.pop(self, None)
         try:
             self.reader.feed(data, now() - receive_buffer_delay(self.transport))
-            if self.upload is not None and self.reader.next() is not None:
-                self.end_upload()
+            if self.upload is not None and (message := self.reader.next()) is not None:
+                self.end_upload(message)
         except Exception as error:
             return self.reject_invalid(error)
         if self.request is not None or self.write_buffer_full:
@@ -170,11 +170,11 @@
             self.upload = None  # the request is answered already, and the rest of its body is dropped
         return upload.take
 
-    def end_upload(self) -> None:
-        """Completes the upload: the last byte of the streamed body has arrived."""
+    def end_upload(self, message: Message) -> None:
+        """Completes the upload: the last byte of the streamed body of this message has arrived."""
         self.pause_body(False)
         upload, self.upload = self.upload, None
-        upload.end()
+        upload.end(message.arrived_at)
 
     def pause_body(self, paused: bool) -> None:
         """Pauses or resumes reading the body, for backpressure from the backend."""
@@ -195,7 +195,7 @@
         if self.finished:
             return  # reading it started an upload that was answered at once
         if message is not None and self.upload is not None:
-            return self.end_upload()
+            return self.end_upload(message)
         self.limit_pipeline()
         if message is not None:
             return self.start_request(message)
@@ -383,6 +383,10 @@
         """Returns whether the kernel's receive buffer holds unread bytes."""
         return is_ready(descriptor_of(self.transport), select.POLLIN)
 
+    def unread_for(self) -> int:
+        """Returns for how long the last bytes from the client have waited unread, in 0.1 ms."""
+        return receive_buffer_delay(self.transport) if self.reading_paused else 0
+
     def has_partial_request(self) -> bool:
         """Returns whether part of a request has been read that is not started yet."""
         return self.request is None and not (self.finished or self.write_buffer_full or self.reader.idle())
--- a/basalthoist/net/dispatcher.py
+++ b/basalthoist/net/dispatcher.py
@@ -190,26 +190,26 @@
         """Reports the body to the balancer, after the decision that started the attempt has returned."""
         self.loop.call_soon(self.report_body, request)
 
-    def on_body_complete(self, request: ProxiedRequest) -> None:
-        """Sets the deadline, counted from the arrival of the body's last byte.
-
-        If the body is being forwarded, also reports the time left and the end of the body to the balancer.
-        """
-        request.deadline = self.cap_deadline(now() + request.upload.timeout)
+    def on_body_complete(self, request: ProxiedRequest, arrived_at: int) -> None:
+        """Sets the deadline, counted from the arrival of the body's last byte, and reports the time left."""
+        request.deadline = self.cap_deadline(arrived_at + request.upload.timeout)
         if request.open:
             request.timer.stop()
             left = max(request.deadline - now(), 1)
             request.timer = self.timers.after(
                 left + OVERDUE_ANSWER_DELAY, partial(self.answer_overdue, request)
             )
-        if request.upload.consumed:
-            self.loop.call_soon(self.report_body, request)
+        self.loop.call_soon(self.report_body, request)
 
     def report_body(self, request: ProxiedRequest) -> None:
-        """Reports to the balancer the time left and whether the body is complete."""
-        if request.open:
-            left = max(request.deadline - now(), 1)
+        """Reports to the balancer the time left, and what has become of the body."""
+        if not request.open:
+            return
+        left = max(request.deadline - now(), 1)
+        if request.upload.consumed:
             self.guard.call(self.balancer.on_body_forwarded, request.id, left, request.upload.complete)
+        else:
+            self.guard.call(self.balancer.on_body_received, request.id, left)
 
     # The end of a request.
 
@@ -363,7 +363,10 @@
             site_headers, backend_timeout = self.links.headers_for(backend, timeout)
         # Guards against a timeout sent to the backend that includes the time spent waiting for a connection.
         until = started_at + backend_timeout
-        request_chunks = partial(request.request_chunks, attempt_number, until, site_headers)
+        link_time = timeout - backend_timeout
+        request_chunks = partial(
+            self.chunks_of_attempt, request, attempt_number, until, link_time, site_headers
+        )
         call = None
         body_consumed = request.upload is not None and request.upload.consumed
         # Guards against a process that was suspended and would send by an outdated view.
@@ -382,6 +385,16 @@
             self.loop.call_soon(on_outcome, Outcome.NOT_SENT, None)
         request.calls.append(call)
 
+    @staticmethod
+    def chunks_of_attempt(
+        request: ProxiedRequest, attempt_number: int, until: int, link_time: int, site_headers: bytes
+    ) -> list[bytes]:
+        """Returns the buffers of an attempt as it is written now. `until`, `link_time`: see `send`."""
+        # Guards against a timeout from before the body was complete, while the attempt waited to be written.
+        if request.upload is not None and request.upload.complete:
+            until = min(until, request.deadline - link_time)
+        return request.request_chunks(attempt_number, until, site_headers)
+
     def shed(self, number: int, retry_after: int) -> None:
         """Answers 503, with a Retry-After header unless `retry_after` is 0."""
         if (request := self.find_open(number)) is not None:
--- a/basalthoist/net/proxied_request.py
+++ b/basalthoist/net/proxied_request.py
@@ -110,6 +110,6 @@
         left -= min(MAX_TIMEOUT_MARGIN, left // TIMEOUT_MARGIN_DIVISOR)
         if self.upload is not None:
             # The backend, too, counts the timeout from the last byte of the body.
-            left = min(left, self.upload.timeout)
+            left = min(left, self.upload.timeout_for_backend())
         head = self.head + extra_headers + b"Request-Timeout-Ms: %d\r\n\r\n" % max(left // 10, 1)
         return [head, self.body] if len(self.body) else [head]
--- a/basalthoist/net/uploads.py
+++ b/basalthoist/net/uploads.py
@@ -15,7 +15,7 @@
 
     Until there is an attempt the body is buffered; above `max_buffered_bytes` reading from the client pauses.
     `on_forwarding_started` is called when the body is attached to a backend connection, after which it cannot
-    be sent again. `on_complete` is called when the last byte has arrived.
+    be sent again. `on_complete` is called with the time at which the last byte arrived.
     """
 
     def __init__(self, client: "HttpClientConnection", length: int | None, max_buffered_bytes: int) -> None:
@@ -29,7 +29,7 @@
         # The request's timeout, counted from the last byte of its body, in tenths of a millisecond.
         self.timeout: int = 0
         self.on_forwarding_started: Callable[[], None] = lambda: None
-        self.on_complete: Callable[[], None] = lambda: None
+        self.on_complete: Callable[[int], None] = lambda arrived_at: None
 
     def take(self, data: bytes | memoryview | bytearray) -> None:
         """Forwards or buffers bytes of the body that the client's connection has read."""
@@ -39,12 +39,19 @@
         if len(self.buffer) > self.max_buffered_bytes:
             self.client.pause_body(True)
 
-    def end(self) -> None:
+    def timeout_for_backend(self) -> int:
+        """Returns the request's timeout as a backend counts it, from when it gets the last byte of the body.
+
+        While reading is paused, the client may have sent its last byte, and its time may have begun.
+        """
+        return self.timeout - self.client.unread_for()
+
+    def end(self, arrived_at: int) -> None:
         """Records that the last byte of the body has arrived."""
         self.complete = True
         if self.connection is not None:
             self.finish()
-        self.on_complete()
+        self.on_complete(arrived_at)
 
     def framed(self, data: bytes | memoryview | bytearray) -> list:
         """Returns bytes of the body with their framing, as written to the backend."""
--- a/tests/test_hold_up.py
+++ b/tests/test_hold_up.py
@@ -7,6 +7,7 @@
 
 import pytest
 from helpers import StandIn, read_message, reply, request, route
+from test_endings import Late
 
 SLACK_S = 0.05  # by the protocol page each time limit is extended by 50 ms
 
@@ -101,3 +102,28 @@
         assert read_message(source).status in ("200", "503")
         assert time.monotonic() - began < 2.0 + 0.5
     assert all(at + timeout_ms / 1000 <= began + 2.0 + 0.15 for at, timeout_ms in received)
+
+
+@pytest.mark.parametrize("body_bytes", [1000, 70_000, 200_000, 1_000_000])
+def test_backend_gets_no_more_than_remaining_time_after_an_attempt_that_did_not_connect(start, body_bytes):
+    """Guards against a body over the buffer's limit whose time counts from when an attempt reads it."""
+    received = []
+
+    def record(stand_in, sock, asked):
+        received.append((time.monotonic(), request_timeout_ms(asked)))
+        reply()(stand_in, sock, asked)
+
+    routes = [route("pay", "at_most_once", timeout_s=1.5, latency_objective=1_200_000)]
+    more = {"routes": routes, "policy_limits": {"connect_timeout": 400_000, "max_upstream_tries": 3}}
+    program, _, _ = start(Late(), record, settings_more=more)
+    told_after_retry = []
+    for ident in range(20):
+        began = time.monotonic()
+        with program.connect() as sock, sock.makefile("rb") as source:
+            sock.sendall(request("pay", timeout=1500, body=b"x" * body_bytes, ident=str(ident)))
+            assert read_message(source).status == "200"
+        at, timeout_ms = received[-1]
+        assert at + timeout_ms / 1000 <= began + 1.5 + 0.15
+        if at > began + 0.4:
+            told_after_retry.append(timeout_ms)
+    assert told_after_retry
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -444,6 +444,17 @@
     return [call[2] for call in host.take("send")]
 
 
+def test_request_whose_body_is_complete_but_not_forwarded_ends_at_its_new_deadline():
+    """Guards against a request that waits for as long as its body might have taken to arrive."""
+    balancer, host = node([listed("a")])
+    assert send(balancer, host, timeout=30_000) == ["a"]
+    balancer.on_body_received(NOW + 10, 1, 3000)
+    balancer.on_wake(NOW + 2999, "due")
+    assert not host.take("shed", "fail")
+    balancer.on_wake(NOW + 3000, "due")
+    assert [call[:2] for call in host.take("shed", "fail")] == [("shed", 1)]
+
+
 def test_no_retry_after_body_is_forwarded():
     balancer, host = node([listed("a"), listed("b")])
     assert send(balancer, host)
