An attempt that waited for a connection is not sent once the node's view is stale

What callers saw: nothing known; found by reading in the review, without a case. In a strict fleet a node with a stale view forwards nothing, yet an attempt that waited for a connection was written up to the connect timeout later. Cause: RequestDispatcher.send asks may_forward_requests, is_wanted did not. Change: is_wanted asks in the turn in which the attempt is written; it ends as not sent. Measured: test_attempt_that_waited_for_a_connection_is_not_sent_by_a_stale_view failed before (200, one run) and passes (503, none).

--- a/basalthoist/net/dispatcher.py
+++ b/basalthoist/net/dispatcher.py
@@ -255,6 +255,9 @@
         if request.open and request.client.has_disconnected():
             self.loop.call_soon(request.client.abort)
             return False
+        # Guards against an attempt that waited for a connection until the node's view was outdated.
+        if not self.may_forward_requests():
+            return False
         # Guards against a retry that waited for a connection until its deduplication window had passed.
         return request.open and self.balancer.may_start_attempt(now(), request.id, attempt_number)
 
--- a/tests/test_node_units.py
+++ b/tests/test_node_units.py
@@ -9,8 +9,9 @@
 
 import pytest
 import uvloop
-from helpers import document, member
+from helpers import StandIn, document, listed, member, reply
 
+from basalthoist.addresses import address_of
 from basalthoist.configuration import ConfigurationError, decode
 from basalthoist.decisions.interface import LoadReport, Outcome
 from basalthoist.endpoint_list import ListedEndpoint
@@ -226,6 +227,9 @@
     def __init__(self):
         self.request, self.statuses = None, []
 
+    def has_disconnected(self):
+        return False
+
     def answer(self, status, headers=(), body=b""):
         self.statuses.append(status)
 
@@ -273,6 +277,27 @@
     assert uvloop.run(run()) == ([500], [503])
 
 
+@pytest.mark.parametrize("may_forward", [True, False])
+def test_attempt_that_waited_for_a_connection_is_not_sent_by_a_stale_view(may_forward):
+    """Guards against an attempt by an outdated view of the fleet, up to the connect timeout too late."""
+    backend = StandIn(reply())
+
+    async def run():
+        dispatcher = dispatcher_on(asyncio.get_running_loop())
+        dispatcher.upstream.add_or_update_backend("s-0", address_of(backend.address), None)
+        dispatcher.on_endpoint_list([listed("s-0")], True)
+        client, request = start(dispatcher, 500)
+        assert dispatcher.upstream.pools["s-0"].waiting  # the attempt waits for a connection
+        dispatcher.may_forward_requests = lambda: may_forward
+        while not client.statuses:
+            await asyncio.sleep(0.001)
+        return client.statuses
+
+    assert uvloop.run(run()) == ([200] if may_forward else [503])
+    assert len(backend.seen) == may_forward
+    backend.close()
+
+
 def test_request_lost_by_balancer_answered_500_at_deadline():
     async def run():
         dispatcher = dispatcher_on(asyncio.get_running_loop())
