Links are told by their mark alone, no longer by the number of their zone

What callers saw: nothing known. A backend of this site whose zone is not in the settings has the number of the first link's zone: it got no spilled request and no health check and did not count as usable, so a site with such backends alone offered spill. Change: Endpoint.is_link everywhere; the setting first_remote_zone is gone (it was derived, no key of a file).

--- a/basalthoist/decisions/balancer.py
+++ b/basalthoist/decisions/balancer.py
@@ -342,7 +342,7 @@
         for backend in candidates[: self.settings.health_checks]:
             stale = now - backend.reported_at > REPORT_LIFETIME
             # Guards against slow health checks over a link to another site.
-            if not backend.health_check_at and stale and backend.zone < self.settings.first_remote_zone:
+            if not backend.health_check_at and stale and not backend.is_link:
                 backend.health_check_at = now
                 self.host.health_check(backend.name)
 
--- a/basalthoist/decisions/retry.py
+++ b/basalthoist/decisions/retry.py
@@ -21,7 +21,7 @@
         """Returns whether an attempt at this backend, the first or a retry, may be sent now."""
         if request.finished or request.streaming or now >= request.deadline or not backend.available:
             return False
-        if request.spilled and backend.zone >= self.settings.first_remote_zone:
+        if request.spilled and backend.is_link:
             return False
         attempts = request.attempts
         if not attempts:
--- a/basalthoist/decisions/rotation.py
+++ b/basalthoist/decisions/rotation.py
@@ -94,7 +94,7 @@
             stale = now - backend.reported_at > max_report_age
             if len(backend.open_attempts) > max_open:
                 continue
-            if stale and backend.zone < self.settings.first_remote_zone:
+            if stale and not backend.is_link:
                 continue
             time, cost = self.loads.expected_time(backend, now), backend.zone_cost
             loaded = backend.open_attempts or backend.profile.reported_rate
--- a/basalthoist/decisions/settings.py
+++ b/basalthoist/decisions/settings.py
@@ -1,7 +1,6 @@
 """The typed settings of the decisions, read once at the start from the flat map of `settings_codec`."""
 
 from collections.abc import Mapping
-from math import inf
 from typing import Any
 
 import msgspec
@@ -83,7 +82,6 @@
     nodes: int
     own_number: int
     zone: int
-    first_remote_zone: float  # zones with this number or a higher one belong to other sites
     quotas: list[float]  # requests per second over the fleet, by tenant number
     crossing_price: float  # cost of sending a request to another zone, in the unit of `Route.value`
     peer_price: float  # cost of one datagram of gossip to a peer
@@ -109,7 +107,6 @@
         """Reads the settings from the flat map, with the defaults given here for absent keys."""
         read = flat.get
         nodes = max(read("nodes", 1), 1)
-        zones = read("zones")
         reports_in_flight = "inflight" in read("feedback.fields", ())
         health_checks = 0
         if read("policy_limits.probes", False) and reports_in_flight:
@@ -120,7 +117,6 @@
             nodes=nodes,
             own_number=read("me", 0) % nodes,
             zone=read("zone", 0),
-            first_remote_zone=len(zones) if isinstance(zones, list) else inf,
             quotas=[read(f"tenants.{i}.quota_per_s", 0.0) for i in range(read("tenants.count", 0))],
             crossing_price=read("prices.cross_zone", 0.0),
             peer_price=read("prices.peer", 0.0),
--- a/basalthoist/gateway/sites.py
+++ b/basalthoist/gateway/sites.py
@@ -189,7 +189,6 @@
 
 def local_state(balancer: "Balancer", now: int) -> LocalState:
     """Returns the state of the balancer's own site."""
-    first_remote_zone = balancer.settings.first_remote_zone
-    local = [b for b in balancer.backends.values() if b.available and b.zone < first_remote_zone]
+    local = [b for b in balancer.backends.values() if b.available and not b.is_link]
     usable = sum(not b.is_ejected(now) for b in local)
     return LocalState(usable, len(local), balancer.demand, balancer.shed_log.in_quota)
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -100,7 +100,7 @@
 
 
 def test_spilled_request_is_not_forwarded_to_another_site():
-    balancer, host = node([listed("s-0"), listed("site:b:0", zone=1)], **{"zones": ["a"]})
+    balancer, host = node([listed("s-0"), listed("site:b:0", zone=1, is_link=True)], zones=["a"])
     balancer.on_request(NOW, 1, 0, 0, 8000, False, True)
     [sent] = host.take("send")
     assert sent[2] == "s-0"
@@ -109,7 +109,7 @@
 
 
 def test_with_links_alone_spilled_request_is_shed_and_local_request_is_spilled():
-    balancer, host = node([listed("site:b:0", zone=1)], **{"zones": ["a"]})
+    balancer, host = node([listed("site:b:0", zone=1, is_link=True)], zones=["a"])
     balancer.on_request(NOW, 1, 0, 0, 8000, False, True)
     balancer.on_request(NOW, 2, 0, 0, 8000, False)
     assert [call[1] for call in host.take("send")] == [2]
@@ -118,11 +118,19 @@
 
 
 def test_local_state_does_not_count_links():
-    balancer, _ = node([listed("s-0"), listed("s-1"), listed("site:b:0", zone=1)], **{"zones": ["a"]})
+    balancer, _ = node([listed("s-0"), listed("s-1"), listed("site:b:0", zone=1, is_link=True)], zones=["a"])
     balancer.backends["s-1"].outlier.ejected_until = NOW + SECOND
     assert local_state(balancer, NOW)[:2] == (1, 2)
 
 
+def test_backend_of_a_zone_that_is_not_in_the_settings_is_no_link():
+    """Guards against a site that takes its own backends for links, and offers spill for want of any."""
+    balancer, host = node([listed("s-0", zone=1)], zones=["a"])
+    assert local_state(balancer, NOW)[:2] == (1, 1)
+    balancer.on_request(NOW, 1, 0, 0, 8000, False, True)
+    assert [call[2] for call in host.take("send")] == ["s-0"]
+
+
 def test_no_spill_before_first_endpoint_list_and_spill_throughout_a_long_outage():
     assert not TwoSites().run(10, usable=0, listed=0).links()
     assert TwoSites().run(10).run(200, usable=0, listed=0).links()
