After a large read a connection is read again in the next turn, behind all others

What callers saw: with a body or an answer of 32 MB in chunks of 1 or 4 bytes beside them, other clients still waited for up to 2.9 s. Cause: the event loop reads a connection that has more data up to 32 times in a row, 256 kB each, and a read of the smallest chunks takes 20 ms. Change: ReadTurns pauses a connection, of a client or a backend, for the rest of the turn after a read of 128 KiB or more.

--- a/basalthoist/net/clients/http_connection.py
+++ b/basalthoist/net/clients/http_connection.py
@@ -10,6 +10,7 @@
 from basalthoist.net.framing import BadMessage, Message, Reader
 from basalthoist.net.proxied_request import ProxiedRequest
 from basalthoist.net.runtime.descriptors import descriptor_of, has_ended, is_ready, receive_buffer_delay
+from basalthoist.net.runtime.read_turns import ReadTurns
 from basalthoist.net.runtime.timers import now
 from basalthoist.net.uploads import Upload
 
@@ -26,6 +27,7 @@
         # False if the descriptor budget is exhausted: each request is then answered 503.
         self.admitted: bool = admitted
         self.transport: asyncio.Transport | None = None
+        self.read_turns: ReadTurns | None = None
         self.reader: Reader = Reader(False, limits.head_bytes, limits.body_bytes, limits.long_bytes)
         self.reader.on_long_body = self.start_upload
         self.request: ProxiedRequest | None = None  # in progress
@@ -72,6 +74,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Registers the connection with the front end."""
         self.transport = transport
+        self.read_turns = ReadTurns(self.front_end.loop, transport)
         # With any byte unwritten, no further request starts: responses are written one at a time.
         transport.set_write_buffer_limits(high=0)
         self.front_end.clients[self] = None
@@ -87,6 +90,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feeds the reader and starts the next request if none is in progress."""
+        self.read_turns.on_read(len(data))
         if self.finished:
             return self.discard(data)
         if self.reader.idle() and self.request is None:
@@ -128,7 +132,7 @@
         self.discarded_bytes += len(data)
         self.record_progress()
         if self.discarded_bytes > self.front_end.limits.long_bytes:
-            self.transport.pause_reading()
+            self.read_turns.pause()
 
     def limit_pipeline(self) -> None:
         """Pauses reading if too much is buffered behind the request in progress.
@@ -146,10 +150,10 @@
             return
         self.reading_paused = pause
         if pause:
-            self.transport.pause_reading()
+            self.read_turns.pause()
             self.front_end.disconnect_monitor.watch(self)
         else:
-            self.transport.resume_reading()
+            self.read_turns.resume()
             self.front_end.disconnect_monitor.unwatch(self)
 
     def record_progress(self) -> None:
@@ -338,7 +342,7 @@
         # A close with unread bytes would send a reset, which may overtake the last response.
         self.finished = True
         self.record_progress()
-        self.transport.resume_reading()
+        self.read_turns.resume()
         self.transport.write_eof()
 
     def close(self) -> None:
--- a/basalthoist/net/upstream/connection.py
+++ b/basalthoist/net/upstream/connection.py
@@ -10,6 +10,7 @@
 from basalthoist.decisions.interface import Outcome
 from basalthoist.net.framing import BadMessage, Message, Reader
 from basalthoist.net.runtime.descriptors import is_ready
+from basalthoist.net.runtime.read_turns import ReadTurns
 from basalthoist.net.runtime.timers import SECOND, now
 from basalthoist.net.upstream.call import BodySink, Call
 from basalthoist.net.upstream.load_report import outcome_of
@@ -30,6 +31,7 @@
         self.sock: socket.socket = sock
         self.reader: Reader = Reader(True, limits.head_bytes, limits.body_bytes, limits.long_bytes)
         self.transport: asyncio.Transport | None = None
+        self.read_turns: ReadTurns | None = None
         self.call: Call | None = None
         self.reader.on_head = self.on_response_head
         self.reader.on_long_body = self.on_long_response
@@ -46,6 +48,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Makes the event loop report whenever bytes are unwritten."""
         self.transport = transport
+        self.read_turns = ReadTurns(self.pool.upstream.loop, transport)
         transport.set_write_buffer_limits(high=0)  # `pause_writing` is called as soon as bytes are unwritten
 
     def pause_writing(self) -> None:
@@ -65,6 +68,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feeds the reader and ends the call once its response is complete."""
+        self.read_turns.on_read(len(data))
         if self.aborted:
             return
         self.pool.last_received_at = self.last_received_at = now()
@@ -131,7 +135,7 @@
         if not self.aborted and active != self.reading_paused:
             self.reading_paused = active
             self.last_received_at = now()
-            (self.transport.pause_reading if active else self.transport.resume_reading)()
+            (self.read_turns.pause if active else self.read_turns.resume)()
 
     def is_healthy(self) -> bool:
         """Returns whether an idle connection is still open."""
--- a/tests/test_chunked.py
+++ b/tests/test_chunked.py
@@ -136,6 +136,7 @@
     "only empty lines": chunk(b"\r\n" * (1 << 19)),
     "text like a last chunk": chunk(b"0\r\n\r\n" * 200_000),
     "chunks of 4 bytes": chunk(b"text") * 100_000,
+    "chunks of 1 byte": chunk(b"x") * 100_000,
 }
 each_text = pytest.mark.parametrize("text", TEXTS.values(), ids=TEXTS.keys())
 
@@ -179,7 +180,7 @@
 TIMEOUT_MS = 800
 # The users' bound: a final answer up to half a second after its request's time is not lost.
 LATEST_ANSWER_S = TIMEOUT_MS / 1000 + 0.5
-LONG_BODY_BYTES = 16_000_000
+LONG_BODY_BYTES = 32_000_000  # with its framing
 
 
 class LongBackend(StandIn):
