--- a/basalthoist/net/chunked.py
+++ b/basalthoist/net/chunked.py
@@ -28,7 +28,7 @@
     The time that `feed` takes is proportional to the bytes that it is given, whatever the chunks hold.
     """
 
-    __slots__ = ("max_framing_bytes", "missing_bytes", "incomplete", "trailer_bytes", "in_trailers", "rest")
+    __slots__ = ("max_framing_bytes", "missing_bytes", "incomplete", "trailer_bytes", "in_trailers", "excess")
 
     def __init__(self, max_framing_bytes: int) -> None:
         self.max_framing_bytes: int = max_framing_bytes
@@ -37,30 +37,30 @@
         self.incomplete: bytes = LINE_END
         self.trailer_bytes: int = 0
         self.in_trailers: bool = False
-        self.rest: bytes | None = None  # the bytes after the body, once it is complete
+        self.excess: bytes | None = None  # the bytes after the body, once it is complete
 
     @property
     def complete(self) -> bool:
         """Whether the whole body, with its trailers, has arrived."""
-        return self.rest is not None
+        return self.excess is not None
 
     def feed(self, data: bytes) -> bytes:
         """Takes the next bytes; returns the decoded data in them, in one piece. Raises ChunkError."""
         if self.missing_bytes >= len(data):
             self.missing_bytes -= len(data)
             return data
-        parts = [data[: self.missing_bytes]] if self.missing_bytes else []
+        pieces = [data[: self.missing_bytes]] if self.missing_bytes else []
         position, self.missing_bytes = self.missing_bytes, 0
         if self.incomplete:
             data, self.incomplete = self.incomplete + data, b""
         if not self.in_trailers:
-            position = self.read_chunks(data, position, parts)
+            position = self.read_chunks(data, position, pieces)
         if self.in_trailers:
             self.read_trailers(data, position)
-        return parts[0] if len(parts) == 1 else b"".join(parts)
+        return pieces[0] if len(pieces) == 1 else b"".join(pieces)
 
-    def read_chunks(self, data: bytes, position: int, parts: list[bytes]) -> int:
-        """Adds the data of the chunks from `position` on to `parts`; returns where the framing goes on."""
+    def read_chunks(self, data: bytes, position: int, pieces: list[bytes]) -> int:
+        """Adds the data of the chunks from `position` on to `pieces`; returns where the framing goes on."""
         while (header := CHUNK_HEADER.match(data, position)) is not None:
             if header.end() - position > self.max_framing_bytes:
                 raise ChunkError(f"chunk header over the limit of {self.max_framing_bytes} bytes")
@@ -70,7 +70,7 @@
                 self.in_trailers = True
                 return position
             end = position + size
-            parts.append(data[position:end])
+            pieces.append(data[position:end])
             if end >= len(data):
                 self.missing_bytes = end - len(data)
                 return len(data)
@@ -84,12 +84,12 @@
             self.trailer_bytes += trailer.end() - position
             position = trailer.end()
         if data.startswith(LINE_END, position):
-            self.rest = data[position + len(LINE_END) :]
+            self.excess = data[position + len(LINE_END) :]
             position = len(data)
         self.keep_incomplete(data[position:], INCOMPLETE_TRAILER, self.max_framing_bytes - self.trailer_bytes)
 
     def keep_incomplete(self, framing: bytes, pattern: re.Pattern[bytes], max_bytes: int) -> None:
-        """Keeps the received part of a line until the rest arrives. Raises ChunkError if it cannot be one."""
+        """Keeps the received part of a line for the next feed. Raises ChunkError if it cannot be one."""
         if pattern.fullmatch(framing) is None:
             raise ChunkError("malformed chunk header or trailer")
         if len(framing) > max_bytes:
--- a/basalthoist/net/framing.py
+++ b/basalthoist/net/framing.py
@@ -338,7 +338,7 @@
         if body:
             self.take_body(body)
         if decoder.complete:
-            self.pending += decoder.rest
+            self.pending += decoder.excess
 
     def take_body(self, data: bytes | memoryview) -> None:
         """Streams or buffers the next bytes of the body."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -93,13 +93,18 @@
                 sock.shutdown(socket.SHUT_RDWR)
 
 
+def reset_on_close(sock):
+    """Has the socket's close reset the connection."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))  # struct linger: on, 0 s
+
+
 class ResettingBackend(StandIn):
     """Accepts connections and resets each as soon as a byte has arrived on it."""
 
     def serve(self, sock):
         with sock:
             sock.recv(1)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            reset_on_close(sock)
 
 
 class Message:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -8,7 +8,6 @@
 import os
 import signal
 import socket
-import struct
 import subprocess
 import sys
 import threading
@@ -34,6 +33,7 @@
     reply,
     reply_once_open,
     request,
+    reset_on_close,
     route,
     silent,
     wait_for,
@@ -256,7 +256,7 @@
 
 def leave(sock, how="fin"):
     if how == "rst":
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        reset_on_close(sock)
     sock.close()
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,7 +4,6 @@
 import json
 import signal
 import socket
-import struct
 import threading
 import time
 
@@ -20,6 +19,7 @@
     reply,
     reply_once_open,
     request,
+    reset_on_close,
     route,
     silent,
     wait_for,
@@ -165,9 +165,6 @@
     assert len(b.run_ids()) == len(set(b.run_ids())) == 1 and not a.run_ids()
 
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, 0 s
-
-
 class Link(StandIn):
     """Passes bytes between a node and another site's gateway, until it is `reset` or `silent`."""
 
@@ -194,7 +191,7 @@
     def reset(self):
         for sock in [*self.open, *self.far_ends]:
             with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                reset_on_close(sock)
                 sock.shutdown(socket.SHUT_RDWR)
 
 
--- a/tests/test_jsonrpc.py
+++ b/tests/test_jsonrpc.py
@@ -3,7 +3,6 @@
 import contextlib
 import json
 import socket
-import struct
 import threading
 import time
 
@@ -16,6 +15,7 @@
     ended,
     member,
     own_address,
+    reset_on_close,
     route,
     wait_for,
 )
@@ -365,7 +365,7 @@
     )
     client = ClientConnection(program).send(call("save", 1), call("save", 2), call("save", 3))
     wait_for(lambda: len(backends[0].runs) == 2)
-    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    reset_on_close(client.sock)
     client.source.close()
     client.sock.close()
     wait_for(lambda: all(ended(sock) for sock in backends[0].open))  # Both attempts are cancelled.
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -3,7 +3,6 @@
 import contextlib
 import os
 import socket
-import struct
 import time
 
 import pytest
@@ -18,6 +17,7 @@
     read_message,
     reply,
     request,
+    reset_on_close,
     wait_for,
 )
 
@@ -124,7 +124,7 @@
     def serve(self, sock):
         with sock:
             sock.recv(30_000)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            reset_on_close(sock)
 
 
 @pytest.mark.parametrize("kind", [RejectsUnread, Resets])
