--- a/review/5/play.py
+++ b/review/5/play.py
@@ -269,7 +269,8 @@
         broken += bool(counts and late)
         lines.append(
             f"{yes_at - begins_at:.3f} s maint-on {banned}: {answer}; "
-            f"put back at {back_at - begins_at:.3f} s; {len(late)} requests later than {GRACE_S + SLACK_S:.2f} s after the yes"
+            f"put back at {back_at - begins_at:.3f} s; {len(late)} requests later than "
+            f"{GRACE_S + SLACK_S:.2f} s after the yes"
         )
         lines += [f"    {at - yes_at:.3f} s after the yes: {ident}" for at, ident in late]
     head = [
