Tests: a test of JSON-RPC floods fails where it waited for ever

Now the loop fails when the reader has ended without the last response, and each wait has an end of 60 s at which it fails. No bound is changed.

--- a/tests/test_jsonrpc.py
+++ b/tests/test_jsonrpc.py
@@ -291,6 +291,7 @@
 TIMEOUT_S = 0.3
 # The users' bound: a final answer up to half a second after a request's time is not lost.
 LATEST_ANSWER_S = TIMEOUT_S + 0.5
+FLOOD_END_S = 60  # by when a client's lines are all answered
 MANY_LINES = {
     "empty": b"\n" * (1 << 20),
     "white space": b"\r\n" * (1 << 20),
@@ -305,7 +306,7 @@
     routes = [route("read", timeout_s=TIMEOUT_S), route("pay", "at_most_once")]
     program, _ = front(echo, settings={"routes": routes})
     flood, done = program.connect(), threading.Event()
-    flood.settimeout(60)
+    flood.settimeout(FLOOD_END_S)
 
     def send_lines():
         flood.sendall(lines + json.dumps(call(ident="last")).encode() + b"\n")
@@ -316,17 +317,21 @@
             tail = tail[-1000:] + data
         done.set()
 
-    threads = [threading.Thread(target=target) for target in (send_lines, read_responses)]
+    threads = [threading.Thread(target=target, daemon=True) for target in (send_lines, read_responses)]
     client, waited = ClientConnection(program), []
     for thread in threads:
         thread.start()
+    end = time.monotonic() + FLOOD_END_S
     while not done.is_set():
+        assert threads[1].is_alive() or done.is_set(), "the flooding client was cut off from its responses"
+        assert time.monotonic() < end, f"not answered within {FLOOD_END_S} s"
         asked_at = time.monotonic()
         assert client.send(call(ident=len(waited))).receive()["id"] == len(waited)
         waited.append(time.monotonic() - asked_at)
         time.sleep(0.02)
     for thread in threads:
-        thread.join()
+        thread.join(FLOOD_END_S)
+        assert not thread.is_alive()
     assert max(waited) <= LATEST_ANSWER_S
 
 
