Bodies: an answer that has begun has no deadline when the body ends

Seen by callers: a backend that begins its answer before the body's end, and ends it later than the request's time: the node wrote a 500 into the answer. Its first bytes became the last of a 200 with a length (in the test an 'H' in place of the last byte), so the client took a wrong body for whole.

Change: no timer where a response is streamed.

--- a/basalthoist/net/dispatcher.py
+++ b/basalthoist/net/dispatcher.py
@@ -193,7 +193,8 @@
     def on_body_arrived(self, request: ProxiedRequest, arrived_at: int) -> None:
         """Sets the deadline, counted from the arrival of the body's last byte, and reports the time left."""
         request.deadline = self.cap_deadline(arrived_at + request.upload.timeout)
-        if request.open:
+        # Guards against an error that is written into a response: one that has started has no deadline.
+        if request.open and request.stream is None:
             request.timer.stop()
             left = max(request.deadline - now(), 1)
             request.timer = self.timers.after(
--- a/tests/test_unread_bodies.py
+++ b/tests/test_unread_bodies.py
@@ -9,7 +9,7 @@
 import time
 
 import pytest
-from helpers import NOW, StandIn, chunk, listed, node, read_message, reply, request, wait_for
+from helpers import NOW, StandIn, chunk, listed, node, read_head, read_message, reply, request, wait_for
 
 TIMEOUT_MS = 600
 # The users' bound: a final answer up to half a second after a request's time is not lost.
@@ -223,3 +223,36 @@
     backend.last_response_at = NOW + 20_001
     balancer.on_wake(NOW + 20_000 + balancer.routes[0].objective, "due")
     assert backend.outlier.failure_rate == 0.0
+
+
+# Backends that answer before a body's end.
+
+
+class AnswersEarly(StandIn):
+    """Begins a long answer at a request's head and ends it when the request's time is over."""
+
+    answer = bytes(300_000)
+
+    def serve(self, sock):
+        with contextlib.suppress(OSError):
+            received = sock.recv(1000)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(self.answer))
+            sock.sendall(self.answer[:-1])
+            while not received.endswith(b"end"):
+                received = received[-3:] + sock.recv(1 << 17)
+            time.sleep(TIMEOUT_MS / 1000 + 0.3)
+            sock.sendall(self.answer[-1:])
+            time.sleep(30)
+
+
+@pytest.mark.parametrize("route", ["pay", "feed"])
+def test_answer_that_began_before_the_body_ended_is_passed_on_whole(start, route):
+    """Guards against a second answer, written into the first when the request's time is over."""
+    program, _, _ = start(AnswersEarly(reply()))
+    data = long_request(route=route, size=300_000)[:-3] + b"end"
+    with program.connect() as sock, sock.makefile("rb") as source:
+        sock.sendall(data[:-1000])
+        response_head = read_head(source)
+        sock.sendall(data[-1000:])
+        assert response_head.startswith(b"HTTP/1.1 200") and source.read() == AnswersEarly.answer
+    assert "answering 500" not in program.log()
