Bodies: an attempt's timeout counts from the body's last byte as well

Seen from outside: where the settings don't allow cancelling, a backend that hangs with a long body keeps its connection, and the node a descriptor, for as long as the body might have taken to come (5 MB: 85 s, 300 kB: 6.6 s, by the code) after the client has its 504.

Change: at the arrival the timeouts of the open attempts are set to the time left (Call.end_within). The guard's timer is set in one place (set_guard_timer).

--- a/basalthoist/net/dispatcher.py
+++ b/basalthoist/net/dispatcher.py
@@ -123,14 +123,19 @@
         """Registers a request of any protocol and reports it to the balancer. It is answered in any case."""
         timeout = max(request.deadline - now(), 1)
         self.in_progress[request.id] = self.by_request_id[request.request_id] = request
-        # Answers the request even if the balancer lost it through an exception.
-        request.timer = self.timers.after(
-            timeout + OVERDUE_ANSWER_DELAY, partial(self.answer_overdue, request)
-        )
+        self.set_guard_timer(request, timeout)
         handler = self.balancer.on_request
         if not self.guard.call(handler, request.id, route, tenant, timeout, is_client_retry, request.spilled):
             self.end_failed(request)
 
+    def set_guard_timer(self, request: ProxiedRequest, timeout: int) -> None:
+        """Has the request answered after `timeout` even if the balancer lost it through an exception."""
+        if request.timer is not None:
+            request.timer.stop()
+        request.timer = self.timers.after(
+            timeout + OVERDUE_ANSWER_DELAY, partial(self.answer_overdue, request)
+        )
+
     def client_disconnected(self, request: ProxiedRequest) -> None:
         """Cancels a request whose client has disconnected."""
         self.close(request)
@@ -195,11 +200,11 @@
         request.deadline = self.cap_deadline(arrived_at + request.upload.timeout)
         # Guards against an error that is written into a response: one that has started has no deadline.
         if request.open and request.stream is None:
-            request.timer.stop()
             left = max(request.deadline - now(), 1)
-            request.timer = self.timers.after(
-                left + OVERDUE_ANSWER_DELAY, partial(self.answer_overdue, request)
-            )
+            self.set_guard_timer(request, left)
+            for call in request.calls:
+                if call is not None and not call.finished:
+                    call.end_within(left)
         self.loop.call_soon(self.report_body, request)
 
     def report_body(self, request: ProxiedRequest) -> None:
--- a/basalthoist/net/upstream/call.py
+++ b/basalthoist/net/upstream/call.py
@@ -1,6 +1,7 @@
 """A call to a backend: one attempt of a request, or one health check."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING
 
 from basalthoist.decisions.interface import Outcome
@@ -67,6 +68,12 @@
         self.started_at: int = now()
         self.first_byte_at: int = 0  # when writing of the request began, in tenths of a millisecond
 
+    def end_within(self, timeout: int) -> None:
+        """Has the call time out after `timeout` tenths of a millisecond, in place of an earlier timeout."""
+        if self.timer is not None:
+            self.timer.stop()
+        self.timer = self.pool.upstream.timers.after(timeout, partial(self.abandon, Outcome.TIMED_OUT))
+
     def finish(self, outcome: Outcome) -> None:
         """Ends the call without a response."""
         if not self.finished:
--- a/basalthoist/net/upstream/upstream.py
+++ b/basalthoist/net/upstream/upstream.py
@@ -103,7 +103,7 @@
             upload,
             is_wanted,
         )
-        call.timer = self.timers.after(timeout, lambda: call.abandon(Outcome.TIMED_OUT))
+        call.end_within(timeout)
         pool.submit(call)
         return call
 
--- a/tests/test_unread_bodies.py
+++ b/tests/test_unread_bodies.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import fcntl
+import os
 import socket
 import struct
 import termios
@@ -256,3 +257,22 @@
         sock.sendall(data[-1000:])
         assert response_head.startswith(b"HTTP/1.1 200") and source.read() == AnswersEarly.answer
     assert "answering 500" not in program.log()
+
+
+def open_sockets(program):
+    folder = f"/proc/{program.process.pid}/fd"
+    links = [f"{folder}/{name}" for name in os.listdir(folder)]
+    return sum(os.readlink(link).startswith("socket:") for link in links if os.path.lexists(link))
+
+
+@pytest.mark.parametrize("size", [BODY_BYTES, 300_000])
+@pytest.mark.parametrize("cancel", [True, False])
+def test_attempt_of_a_long_request_ends_at_the_end_of_its_time(start, cancel, size):
+    """Guards against a connection that stays for as long as the body might have taken, for nobody."""
+    limits = {"connect_timeout": 200000, "keepalive": 10000000, "max_upstream_tries": 3, "cancel": cancel}
+    program, _, _ = start(ReadsNothing(reply()), settings_more={"policy_limits": limits})
+    wait_for(lambda: "listening" in program.log())
+    time.sleep(0.2)
+    before = open_sockets(program)
+    assert send_and_wait(program, long_request(size=size))[0] == "504"
+    wait_for(lambda: open_sockets(program) <= before, 0.5)
