Bodies: a long request whose body is unread is failed by the balancer first

Cause: since an attempt times out when its request does, so the two raced; where the attempt was first its outcome was 'not written whole', and the request was shed (503) in place of failed (504).

--- a/basalthoist/net/dispatcher.py
+++ b/basalthoist/net/dispatcher.py
@@ -204,7 +204,8 @@
             self.set_guard_timer(request, left)
             for call in request.calls:
                 if call is not None and not call.finished:
-                    call.end_within(left)
+                    # The balancer, which may have less than a tick left, ends the request first.
+                    call.end_within(left + OVERDUE_ANSWER_DELAY)
         self.loop.call_soon(self.report_body, request)
 
     def report_body(self, request: ProxiedRequest) -> None:
