JSON-RPC: lines that wait to be parsed are no silence of their client

Cause: check_time takes bytes without a call in progress, 2.6 s after the last read, for half a line. While the lines of one read are parsed, a hundred a turn, nothing is read. Traced in the hanging test: reads_too_slowly false, sends_too_slowly true, waited 2.79 s, 40,400 bytes to parse, write buffer empty, a turn scheduled. The same silence goes on counting after a pause: a client whose line was left unread behind open calls had no time for the rest.

--- a/basalthoist/jsonrpc/client_connection.py
+++ b/basalthoist/jsonrpc/client_connection.py
@@ -228,6 +228,7 @@
         pause = self.write_buffer_full or has_all_calls or self.advance_scheduled
         if pause != self.reading_paused and not self.transport.is_closing():
             self.reading_paused = pause
+            self.last_progress_at = now()
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
 
     def handle_line(self, line: bytes) -> None:
@@ -338,7 +339,9 @@
         limits, waited = self.front_end.limits, at - self.last_progress_at
         has_left = (self.reading_paused or self.input_ended) and self.is_broken()
         reads_too_slowly = self.write_buffer_full and waited > limits.client_read_s * SECOND
-        sends_too_slowly = not self.callers and self.pending and waited > limits.client_read_s * SECOND
+        # Guards against blame for lines that wait to be parsed, or lie unread as reading is paused.
+        is_within_line = self.pending and not self.callers and not self.reading_paused
+        sends_too_slowly = is_within_line and waited > limits.client_read_s * SECOND
         if has_left or reads_too_slowly or sends_too_slowly:
             self.transport.abort()
         elif not self.callers and waited > limits.client_idle_s * SECOND:
--- a/tests/test_jsonrpc.py
+++ b/tests/test_jsonrpc.py
@@ -344,6 +344,41 @@
     assert client.receive() is None  # the connection ends, though empty lines were left
 
 
+@pytest.mark.parametrize("count", [1 << 16, 1 << 18])
+def test_client_is_not_cut_off_while_its_lines_wait_to_be_parsed(front, count):
+    """Guards against lines that have come whole and are taken for a client that sends too slowly."""
+    program, _ = front(echo, client_read_s=0.1)
+    client = ClientConnection(program)
+    threading.Thread(target=client.send, args=(b"1\n" * count, call(ident="last")), daemon=True).start()
+    while client.receive()["id"] != "last":
+        pass
+
+
+def test_time_of_a_line_does_not_count_while_its_connection_is_not_read(front):
+    """Guards against a client that is cut off for a line that this node has left unread."""
+    program, _ = front(
+        lambda _, call: time.sleep(1.0) or echo(_, call), more="most_open = 1\n", client_read_s=0.5
+    )
+    client = ClientConnection(program)
+    line = json.dumps(call(ident=2)).encode() + b"\n"
+    client.sock.sendall(json.dumps(call(ident=1)).encode() + b"\n" + line[:20])
+    assert client.receive()["id"] == 1
+    time.sleep(0.4)
+    client.sock.sendall(line[20:])
+    assert client.receive()["id"] == 2
+
+
+def test_client_that_does_not_end_its_line_is_cut_off(front):
+    """Guards against a connection that stays open for half a line."""
+    program, _ = front(echo, client_read_s=0.3)
+    client = ClientConnection(program)
+    client.sock.sendall(b'{"jsonrpc"')
+    began = time.monotonic()
+    with contextlib.suppress(ConnectionResetError):
+        assert client.source.read() == b""
+    assert 0.3 <= time.monotonic() - began < 1.5
+
+
 def test_client_that_half_closes_gets_its_responses(front):
     program, _ = front(lambda backend, call: time.sleep(0.1) or echo(backend, call))
     client = ClientConnection(program).send(call(ident=1), call(ident=2))
