HTTP: a connection is read again after a long request behind a short one

The connection never ends either: not at its client's close, and the node not after SIGTERM.

Change: the pause is looked at as soon as the next request is taken out.

--- a/basalthoist/net/clients/http_connection.py
+++ b/basalthoist/net/clients/http_connection.py
@@ -224,9 +224,10 @@
             return self.reject_invalid(error)
         if self.finished:
             return  # reading it started an upload that was answered at once
+        # Guards against a connection that is never read again, as all that was buffered is taken now.
+        self.limit_pipeline()
         if message is not None and self.upload is not None:
             return self.end_upload(message)
-        self.limit_pipeline()
         if message is not None:
             return self.start_request(message)
         if self.reader.expects_continue:
