Upstream: a connection is read again after an answer that its client reads late

Seen by callers: an answer of some 4 MB whose last piece finds its client's buffer full; the next request that the same connection to the backend carries is run and not answered in its time (503 or 504 after the whole of it).

The connection goes back to the pool with its reading paused, and by then no request leads from the client's connection to it.

Change: the pause ends with the response that it was for.

--- a/basalthoist/net/upstream/connection.py
+++ b/basalthoist/net/upstream/connection.py
@@ -191,6 +191,8 @@
         """Ends the call, and returns the connection to the pool if it is reusable."""
         call = self.call
         is_unwritten = self.has_unwritten_bytes()
+        # Guards against a next response that is not read, as the client of this one reads slowly.
+        self.apply_backpressure(False)
         call.release()
         if response.keep_alive and self.reader.idle() and not is_unwritten:
             self.pool.release(self)
--- a/tests/test_reading_pauses.py
+++ b/tests/test_reading_pauses.py
@@ -1,11 +1,15 @@
 """Pauses in reading a connection, of a client or a backend, end when their reason has ended."""
 
+import contextlib
+import time
+
 import pytest
-from helpers import read_message, reply, request
+from helpers import StandIn, read_message, reply, request
 
 TIMEOUT_MS = 800
 # The users' bound: a final answer up to half a second after a request's time is not lost.
 LATEST_ANSWER_S = TIMEOUT_MS / 1000 + 0.5
+STEP_BYTES = 200_000  # less than one read has
 
 
 def send_and_wait(sock, source, data):
@@ -32,3 +36,26 @@
     if ends_with == "close":
         program.process.terminate()
         assert program.process.wait(TIMEOUT_MS / 1000 + 0.7) == 0
+
+
+class AnswersBySize(StandIn):
+    """Answers each request with as many bytes as its id says, all on one connection."""
+
+    def serve(self, sock):
+        with contextlib.suppress(OSError, EOFError), sock, sock.makefile("rb") as source:
+            while True:
+                size = int(read_message(source).headers["request-id"])
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + bytes(size))
+
+
+def test_backend_connection_is_read_again_after_an_answer_that_was_read_late(start):
+    """Guards against a connection to a backend that is used again while its reading is paused."""
+    program, _, _ = start(AnswersBySize(reply()))
+    for number in range(1, 31):
+        size = number * STEP_BYTES
+        with program.connect() as slow, slow.makefile("rb") as slow_source:
+            slow.sendall(request(timeout=TIMEOUT_MS, ident=str(size)))
+            time.sleep(0.1)
+            assert len(read_message(slow_source).body) == size
+        with program.connect() as sock, sock.makefile("rb") as source:
+            assert send_and_wait(sock, source, request(timeout=TIMEOUT_MS, ident=str(number))) == "200", size
