JSON-RPC: a call behind the maximum of open calls has its time too

No timer covers a line that has come whole and is not.

Change: jsonrpc/waiting_calls.py: lines are parsed on, calls beyond the maximum wait with a timer each and are shed (-32000, nothing has run) at their time. Reading pauses when those take 64 KiB (body_bytes); calls behind that are as before: open. A batch no longer starts more calls than the maximum.

--- a/basalthoist/configuration/jsonrpc.py
+++ b/basalthoist/configuration/jsonrpc.py
@@ -19,7 +19,7 @@
     methods: Annotated[dict[str, str], msgspec.Meta(min_length=1)]  # route of each method
     customer: str = ""  # the tenant of all calls; if empty, the first of `settings.accounts`
     load_method: str = "rpc.load"  # method called as health check, if the settings allow them
-    most_open: Count = 128  # Reading pauses at this many calls in progress on a connection.
+    most_open: Count = 128  # Calls of a connection wait while this many of its calls are in progress.
     most_batch: Count = 64  # maximum number of calls in a batch
 
     def address(self) -> Address:
--- a/basalthoist/jsonrpc/client_connection.py
+++ b/basalthoist/jsonrpc/client_connection.py
@@ -18,12 +18,14 @@
     TIMED_OUT,
     TOO_MANY,
     InvalidCallError,
+    JsonRpcCall,
     encode_error_member,
     encode_response,
     parse_call,
     split_batch,
 )
 from .upstream import JsonProxiedRequest
+from .waiting_calls import WaitingCalls
 
 if TYPE_CHECKING:
     from .front_end import JsonRpcFrontEnd
@@ -36,13 +38,14 @@
 class Caller:
     """One call, which acts as the client of its request. The response to a notification is dropped."""
 
-    __slots__ = ("connection", "call_id", "batch", "request")
+    __slots__ = ("connection", "call_id", "batch", "request", "arrived_at")
 
     def __init__(self, connection: "JsonRpcClientConnection", call_id: bytes, batch: "Batch | None") -> None:
         self.connection: JsonRpcClientConnection = connection
         self.call_id: bytes = call_id  # empty: a notification
         self.batch: Batch | None = batch
         self.request: JsonProxiedRequest | None = None
+        self.arrived_at: int = connection.arrived_at  # when the last byte of the call's line arrived
 
     def has_disconnected(self) -> bool:
         """Whether the client has disconnected.
@@ -96,7 +99,10 @@
         self.last_progress_at: int = now()
         self.arrivals: Arrivals = Arrivals()
         self.arrived_at: int = self.last_progress_at  # arrival time of the line that is being parsed
-        self.callers: dict[Caller, None] = {}
+        self.callers: dict[Caller, None] = {}  # of the calls in progress and of those that wait
+        self.waiting: WaitingCalls = WaitingCalls(
+            front_end.timers, front_end.limits.body_bytes, self.shed_waiting_call
+        )
         self.call_ids: set[bytes] = set()  # ids of the calls in progress
         self.write_buffer_full: bool = False
         self.reading_paused: bool = False
@@ -119,6 +125,7 @@
             if caller.request is not None:
                 self.front_end.dispatcher.client_disconnected(caller.request)
         self.callers.clear()
+        self.waiting.clear()
         self.front_end.check_drained()
 
     def data_received(self, data: bytes) -> None:
@@ -177,10 +184,11 @@
     # Lines and calls.
 
     def advance(self) -> None:
-        """Parses complete lines until the maximum number of calls is in progress."""
+        """Starts waiting calls and parses complete lines, as far as the limits allow."""
         if self.reading_paused and self.is_broken():
             # Guards against calls started for a client that closed while reading was paused.
             return self.transport.abort()
+        self.start_waiting_calls()
         try:
             self.parse_lines()
         except LineTooLongError:
@@ -190,7 +198,7 @@
     def parse_lines(self) -> None:
         """Parses at most MAX_LINES_PER_TURN lines; the next turns parse the rest. Raises LineTooLongError."""
         for _ in range(MAX_LINES_PER_TURN):
-            if self.write_buffer_full or len(self.callers) >= self.front_end.max_open_calls:
+            if self.write_buffer_full or self.waiting.is_full():
                 return
             line = self.pending.next_line()
             if line is None:
@@ -223,9 +231,8 @@
         self.end_if_done()
 
     def update_reading(self) -> None:
-        """Pauses reading while responses or lines wait, or too many calls are in progress; else resumes."""
-        has_all_calls = len(self.callers) >= self.front_end.max_open_calls
-        pause = self.write_buffer_full or has_all_calls or self.advance_scheduled
+        """Pauses reading while responses or lines wait, or too many calls do; else resumes."""
+        pause = self.write_buffer_full or self.waiting.is_full() or self.advance_scheduled
         if pause != self.reading_paused and not self.transport.is_closing():
             self.reading_paused = pause
             self.last_progress_at = now()
@@ -263,7 +270,33 @@
                 caller.call_id = error.call_id
             holds_id = error.code == METHOD_NOT_FOUND
             return self.end_call(caller, encode_error_member(error.code), holds_id)
-        self.front_end.start(caller, call)
+        self.start_or_queue(caller, call)
+
+    def start_or_queue(self, caller: Caller, call: JsonRpcCall) -> None:
+        """Starts a call, or has it wait while the maximum number of calls is in progress."""
+        if self.waiting or self.calls_in_progress() > self.front_end.max_open_calls:
+            # Guards against a call whose time passes in a line that is not read.
+            self.waiting.add(caller, call, self.front_end.time_left(caller, call))
+        else:
+            self.front_end.start(caller, call)
+
+    def calls_in_progress(self) -> int:
+        """Returns the number of calls that are started, or about to be."""
+        return len(self.callers) - len(self.waiting)
+
+    def start_waiting_calls(self) -> None:
+        """Starts waiting calls until the maximum number of calls is in progress."""
+        while (
+            self.waiting
+            and not self.write_buffer_full
+            and self.calls_in_progress() < self.front_end.max_open_calls
+        ):
+            self.front_end.start(*self.waiting.take_first())
+
+    @staticmethod
+    def shed_waiting_call(caller: Caller) -> None:
+        """Answers a call that was never started."""
+        caller.answer(503)
 
     def end_call(self, caller: Caller, member: bytes, holds_id: bool = True) -> None:
         """Writes the response to a call, or adds it to its batch. `holds_id`: the call's id is released."""
@@ -283,8 +316,7 @@
             self.write_line(response)
         self.end_if_done()
         # Called back from the event loop, since `end_call` may run within a decision of the balancer.
-        waits = self.pending or self.reading_paused
-        if waits and len(self.callers) < self.front_end.max_open_calls:
+        if self.waiting or self.pending or self.reading_paused:
             self.schedule_advance()
 
     def write_line(self, text: bytes) -> None:
@@ -329,6 +361,8 @@
         for caller in list(self.callers):
             if caller.request is not None:
                 self.front_end.dispatcher.end_unanswered(caller.request)
+            elif caller in self.waiting.calls:
+                self.waiting.time_out(caller)
         self.advance()
         self.end_if_done()
         if close_grace_over and self.output_ended and not self.transport.get_write_buffer_size():
--- a/basalthoist/jsonrpc/front_end.py
+++ b/basalthoist/jsonrpc/front_end.py
@@ -75,16 +75,23 @@
             return RejectedConnection(self)
         return JsonRpcClientConnection(self)
 
+    def deadline_of(self, caller: Caller, call: JsonRpcCall) -> int:
+        """Returns by when a call has to be answered."""
+        _, route = self.methods[call.method]
+        timeout = route.overall_timeout // 100 or SECOND
+        # Counts from arrival: the client also waits while the call is behind others.
+        return self.dispatcher.cap_deadline(caller.arrived_at + timeout)
+
+    def time_left(self, caller: Caller, call: JsonRpcCall) -> int:
+        """Returns how many tenths of a millisecond are left to answer a call, 0 if none are."""
+        return max(self.deadline_of(caller, call) - now(), 0)
+
     def start(self, caller: Caller, call: JsonRpcCall) -> None:
         """Starts the request of a call."""
-        route_number, route = self.methods[call.method]
-        timeout = route.overall_timeout // 100 or SECOND
+        route_number, _ = self.methods[call.method]
         number, params = self.dispatcher.next_number(), bytes(call.params)
-        arrived_at = caller.connection.arrived_at
-        # The deadline counts from arrival: the client also waits while the call is behind others.
-        deadline = self.dispatcher.cap_deadline(arrived_at + timeout)
-        request = JsonProxiedRequest(number, caller, call.method, params, deadline)
-        request.arrived_at = arrived_at
+        request = JsonProxiedRequest(number, caller, call.method, params, self.deadline_of(caller, call))
+        request.arrived_at = caller.arrived_at
         caller.request = request
         self.dispatcher.begin(request, route_number, self.tenant, False)
 
