Dispatcher: the times of streamed bodies have a module of their own

Change: net/upload_times.py, UploadTimes; moved, behaviour as before. The exact list of modules in test_start.py has it.

--- a/basalthoist/net/dispatcher.py
+++ b/basalthoist/net/dispatcher.py
@@ -13,6 +13,7 @@
 from basalthoist.net.proxied_request import ProxiedRequest, RequestClient, forwarded_head
 from basalthoist.net.runtime.log import Log
 from basalthoist.net.runtime.timers import SECOND, Timers, now
+from basalthoist.net.upload_times import UploadTimes
 from basalthoist.net.uploads import Upload
 from basalthoist.net.upstream.call import BodySink, RequestChunks
 from basalthoist.net.upstream.load_report import parse_load_report
@@ -66,6 +67,7 @@
         self.send_gossip: Callable[[list[GossipMessage], list[int]], None] = lambda messages, peers: None
         self.may_forward_requests: Callable[[], bool] = lambda: True
         self.guard: DecisionGuard = DecisionGuard(timers, log)
+        self.upload_times: UploadTimes = UploadTimes(self)
         created_at = now()
         self.balancer: Balancer = Balancer(self, configuration.seed, configuration.settings, created_at)
         if configuration.shadow_settings is not None:
@@ -103,7 +105,7 @@
         request.spilled = spilled
         request.arrived_at = message.arrived_at
         if upload is not None:
-            self.stream_body(request, upload, timeout_ms)
+            self.upload_times.start(request, upload, timeout_ms * 10 - self.client_transit)
         if spilled:
             self.links.sites.in_progress += 1
         client.request = request
@@ -176,51 +178,6 @@
         """Returns the load report for another site: requests in progress per usable backend."""
         return b"inflight=%.2f" % (len(self.in_progress) / max(self.links.usable(), 1))
 
-    # Streamed request bodies.
-
-    def stream_body(self, request: ProxiedRequest, upload: Upload, timeout_ms: int) -> None:
-        """Has the timeout count from the last byte of the body.
-
-        Until then the deadline allows for the minimum rate at which a client has to send.
-        """
-        request.upload = upload
-        timeout = timeout_ms * 10 - self.client_transit
-        remaining_bytes = (upload.length or self.limits.long_bytes) - len(upload.buffer)
-        request.deadline += int(remaining_bytes / self.limits.client_bytes_per_s * SECOND) + SECOND
-        upload.timeout = max(timeout, 1)
-        upload.on_forwarding_started = partial(self.on_forwarding_started, request)
-        upload.on_arrived = partial(self.on_body_arrived, request)
-
-    def on_forwarding_started(self, request: ProxiedRequest) -> None:
-        """Reports the body to the balancer, after the decision that started the attempt has returned."""
-        self.loop.call_soon(self.report_body, request)
-
-    def on_body_arrived(self, request: ProxiedRequest, arrived_at: int) -> None:
-        """Sets the deadline, counted from the arrival of the body's last byte, and reports the time left."""
-        request.deadline = self.cap_deadline(arrived_at + request.upload.timeout)
-        # Guards against an error that is written into a response: one that has started has no deadline.
-        if request.open and request.stream is None:
-            left = max(request.deadline - now(), 1)
-            self.set_guard_timer(request, left)
-            for call in request.calls:
-                if call is not None and not call.finished:
-                    # The balancer, which may have less than a tick left, ends the request first.
-                    call.end_within(left + OVERDUE_ANSWER_DELAY)
-        self.loop.call_soon(self.report_body, request)
-
-    def report_body(self, request: ProxiedRequest) -> None:
-        """Reports to the balancer the time left, and what has become of the body."""
-        if not request.open:
-            return
-        left = max(request.deadline - now(), 1)
-        arrived_at = request.upload.arrived_at
-        if request.upload.consumed:
-            has_arrived = arrived_at is not None
-            age = now() - arrived_at if has_arrived else 0
-            self.guard.call(self.balancer.on_body_forwarded, request.id, left, has_arrived, age)
-        else:
-            self.guard.call(self.balancer.on_body_received, request.id, left)
-
     # The end of a request.
 
     def answer_overdue(self, request: ProxiedRequest) -> None:
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -110,6 +110,7 @@
         "runtime.read_turns",
         "runtime.timers",
         "service",
+        "upload_times",
         "uploads",
         "upstream",
         "upstream.call",
