--- a/basalthoist/net/clients/front_end.py
+++ b/basalthoist/net/clients/front_end.py
@@ -7,7 +7,7 @@
 
 from basalthoist.configuration import Configuration, Limits, Route
 from basalthoist.net.clients.connection_limits import ConnectionLimits
-from basalthoist.net.clients.disconnects import DisconnectMonitor
+from basalthoist.net.clients.paused_clients import PausedClientMonitor
 from basalthoist.net.clients.http_connection import HttpClientConnection
 from basalthoist.net.clients.responses import RETRY_AFTER
 from basalthoist.net.clients.timeouts import SWEEP_INTERVAL
@@ -69,7 +69,7 @@
         self.idle_clients: dict[HttpClientConnection, None] = self.connection_limits.idle_clients
         self.add_idle: Callable[[HttpClientConnection], None] = self.connection_limits.add_idle
         self.memory_budget: MemoryBudget = self.connection_limits.memory_budget
-        self.disconnect_monitor: DisconnectMonitor = DisconnectMonitor(timers)
+        self.paused_client_monitor: PausedClientMonitor = PausedClientMonitor(timers)
         self.listener: Listener | None = None
         # Returns whether another process may accept connections from the same listening socket.
         self.listener_shared: Callable[[], bool] = lambda: False
--- a/basalthoist/net/clients/http_connection.py
+++ b/basalthoist/net/clients/http_connection.py
@@ -58,7 +58,7 @@
         self.http_version: str = "1.1"
         self.stream: ResponseStream | None = None  # the response in progress, if it is streamed
 
-    # Called by the dispatcher; `abort` also by `DisconnectMonitor` while reading is paused.
+    # Called by the dispatcher; `abort` also by `PausedClientMonitor` while reading is paused.
 
     def has_disconnected(self) -> bool:
         """Returns whether the client has closed its connection, even if the end of file is still unread."""
@@ -90,7 +90,7 @@
         """Unregisters the connection, releases its descriptor and cancels its request."""
         self.front_end.clients.pop(self, None)
         self.front_end.idle_clients.pop(self, None)
-        self.front_end.disconnect_monitor.unwatch(self)
+        self.front_end.paused_client_monitor.unwatch(self)
         self.front_end.descriptors.release()
         self.connection_ended()
         self.front_end.check_drained()
@@ -160,11 +160,11 @@
         self.reading_paused = pause
         if pause:
             self.read_turns.pause()
-            self.front_end.disconnect_monitor.watch(self)
+            self.front_end.paused_client_monitor.watch(self)
             self.check_unread_body()
         else:
             self.read_turns.resume()
-            self.front_end.disconnect_monitor.unwatch(self)
+            self.front_end.paused_client_monitor.unwatch(self)
 
     def record_progress(self) -> None:
         """Sets `last_progress_at` and keeps `FrontEnd.clients` in its order, the oldest first."""
--- a/basalthoist/net/clients/disconnects.py
+++ b/basalthoist/net/clients/paused_clients.py
@@ -13,7 +13,7 @@
 POLL_INTERVAL = SECOND // 40
 
 
-class DisconnectMonitor:
+class PausedClientMonitor:
     """Polls, with one system call, all clients from which reading is paused.
 
     Without such clients no timer runs. Of a paused connection the event loop reports neither end nor bytes.
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -206,7 +206,7 @@
         leave(sock)
         await node.attempt_delay_over()
         assert client not in node.node.front_end.clients
-        assert not node.node.front_end.disconnect_monitor.clients
+        assert not node.node.front_end.paused_client_monitor.clients
         late.come_up()
         await node.until(late.connected)
         assert (await node.answer(request(timeout=8000, ident="next"))).body == b"late"
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -79,7 +79,7 @@
         "control.bans",
         "clients",
         "clients.connection_limits",
-        "clients.disconnects",
+        "clients.paused_clients",
         "clients.front_end",
         "clients.http_connection",
         "clients.response_stream",
