--- a/basalthoist/jsonrpc/client_connection.py
+++ b/basalthoist/jsonrpc/client_connection.py
@@ -10,12 +10,10 @@
 from basalthoist.net.runtime.descriptors import descriptor_of, has_ended, is_ready, receive_buffer_delay
 from basalthoist.net.runtime.timers import SECOND, now
 
+from .caller import Batch, Caller
 from .messages import (
-    FAILED,
     INVALID_REQUEST,
     METHOD_NOT_FOUND,
-    SHED,
-    TIMED_OUT,
     TOO_MANY,
     InvalidCallError,
     JsonRpcCall,
@@ -24,70 +22,14 @@
     parse_call,
     split_batch,
 )
-from .upstream import JsonProxiedRequest
 from .waiting_calls import WaitingCalls
 
 if TYPE_CHECKING:
     from .front_end import JsonRpcFrontEnd
 
-# Tenths of a millisecond. A call that waited longer checks that its client is connected before an attempt.
-QUEUED_AFTER = 10
 MAX_LINES_PER_TURN = 100  # lines of one connection parsed in a turn of the event loop
 
 
-class Caller:
-    """One call, which acts as the client of its request. The response to a notification is dropped."""
-
-    __slots__ = ("connection", "call_id", "batch", "request", "arrived_at")
-
-    def __init__(self, connection: "JsonRpcClientConnection", call_id: bytes, batch: "Batch | None") -> None:
-        self.connection: JsonRpcClientConnection = connection
-        self.call_id: bytes = call_id  # empty: a notification
-        self.batch: Batch | None = batch
-        self.request: JsonProxiedRequest | None = None
-        self.arrived_at: int = connection.arrived_at  # when the last byte of the call's line arrived
-
-    def has_disconnected(self) -> bool:
-        """Whether the client has disconnected.
-
-        A queued or attempted call checks that its client still waits. A client that sent a notification may
-        close without having disconnected, since it waits for no response.
-        """
-        was_queued = self.request.calls or now() - self.request.arrived_at > QUEUED_AFTER
-        return (
-            self.connection.has_disconnected() if self.call_id and was_queued else self.connection.is_broken()
-        )
-
-    def abort(self) -> None:
-        """Aborts the connection of a client that has disconnected."""
-        self.connection.transport.abort()
-
-    def answer(
-        self, status: int, headers: list[tuple[bytes, bytes]] | tuple = (), body: bytes | memoryview = b""
-    ) -> None:
-        """Ends the call with the JSON-RPC response that corresponds to an HTTP response."""
-        self.request = None
-        if status == 200:
-            member = bytes(body)
-        elif status == 503:
-            retry_after = dict(headers).get(b"retry-after")
-            data = {"retry_after": float(retry_after)} if retry_after else None
-            member = encode_error_member(SHED, data)
-        else:
-            member = encode_error_member(TIMED_OUT if status == 504 else FAILED)
-        self.connection.end_call(self, member)
-
-
-class Batch:
-    """Collects the responses of a batch, which are written as one array when all its calls have ended."""
-
-    __slots__ = ("calls_left", "responses")
-
-    def __init__(self, count: int) -> None:
-        self.calls_left: int = count
-        self.responses: list[bytes] = []
-
-
 class JsonRpcClientConnection(asyncio.Protocol):
     """One connection of a JSON-RPC client."""
 
@@ -332,9 +274,7 @@
             return
         if self.input_ended:
             self.transport.close()
-        elif self.front_end.shutdown.drain_grace_over and (
-            self.front_end.shutdown.answer_time_over or self.is_idle()
-        ):
+        elif self.may_end():
             self.end_output()
 
     def is_idle(self) -> bool:
--- a/basalthoist/jsonrpc/front_end.py
+++ b/basalthoist/jsonrpc/front_end.py
@@ -13,7 +13,8 @@
 from basalthoist.net.runtime.log import Log
 from basalthoist.net.runtime.timers import SECOND, Timers, now
 
-from .client_connection import Caller, JsonRpcClientConnection
+from .caller import Caller
+from .client_connection import JsonRpcClientConnection
 from .messages import SHED, JsonRpcCall, encode_error_member, encode_response
 from .upstream import CallLine, JsonConnection, JsonProxiedRequest
 
--- a/basalthoist/jsonrpc/waiting_calls.py
+++ b/basalthoist/jsonrpc/waiting_calls.py
@@ -2,15 +2,13 @@
 
 from collections.abc import Callable
 from functools import partial
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 from basalthoist.net.runtime.timers import Timer, Timers
 
+from .caller import Caller
 from .messages import JsonRpcCall
 
-if TYPE_CHECKING:
-    from .client_connection import Caller
-
 CALL_BYTES = 200  # of memory for a call, beside its parameters
 
 
@@ -32,7 +30,7 @@
     called with the caller of each call that has waited for its whole timeout.
     """
 
-    def __init__(self, timers: Timers, max_bytes: int, on_timeout: "Callable[[Caller], None]") -> None:
+    def __init__(self, timers: Timers, max_bytes: int, on_timeout: Callable[[Caller], None]) -> None:
         self.timers: Timers = timers
         self.max_bytes: int = max_bytes
         self.on_timeout: Callable[[Caller], None] = on_timeout
@@ -46,25 +44,25 @@
         """Returns whether the calls take as much memory as they may."""
         return self.bytes >= self.max_bytes
 
-    def add(self, caller: "Caller", call: JsonRpcCall, timeout: int) -> None:
+    def add(self, caller: Caller, call: JsonRpcCall, timeout: int) -> None:
         """Adds a call that may wait for `timeout` tenths of a millisecond."""
         waiting = WaitingCall(call, self.timers.after(timeout, partial(self.time_out, caller)))
         self.calls[caller] = waiting
         self.bytes += waiting.size()
 
-    def take_first(self) -> "tuple[Caller, JsonRpcCall]":
+    def take_first(self) -> tuple[Caller, JsonRpcCall]:
         """Removes and returns the call that came first, with its caller."""
         caller = next(iter(self.calls))
         return caller, self.remove(caller)
 
-    def remove(self, caller: "Caller") -> JsonRpcCall:
+    def remove(self, caller: Caller) -> JsonRpcCall:
         """Removes and returns the call of a caller."""
         waiting = self.calls.pop(caller)
         waiting.timer.stop()
         self.bytes -= waiting.size()
         return waiting.call
 
-    def time_out(self, caller: "Caller") -> None:
+    def time_out(self, caller: Caller) -> None:
         """Removes a call whose time is over."""
         self.remove(caller)
         self.on_timeout(caller)
--- a/basalthoist/net/clients/front_end.py
+++ b/basalthoist/net/clients/front_end.py
@@ -7,8 +7,8 @@
 
 from basalthoist.configuration import Configuration, Limits, Route
 from basalthoist.net.clients.connection_limits import ConnectionLimits
-from basalthoist.net.clients.paused_clients import PausedClientMonitor
 from basalthoist.net.clients.http_connection import HttpClientConnection
+from basalthoist.net.clients.paused_clients import PausedClientMonitor
 from basalthoist.net.clients.responses import RETRY_AFTER
 from basalthoist.net.clients.timeouts import SWEEP_INTERVAL
 from basalthoist.net.dispatcher import RequestDispatcher
