Balancer: a backend's silence counts from when a body was sent to it

Since a body's time counts from its arrival at this node, read or not, so did the silence of its backend. A body that had arrived long before its attempt was written, as it waited in the queue or behind a connection that failed, left its backend little or none of the latency objective before a failure was counted.

An attempt's time now begins with the later of the two: the forwarding and the body's last byte. The client's time counts from the last byte as before.

--- a/basalthoist/decisions/balancer.py
+++ b/basalthoist/decisions/balancer.py
@@ -167,13 +167,15 @@
         if request is None or not request.attempts:
             return
         last = request.attempts[-1]
+        # Guards against blame for the time that an arrived body waited until it was sent to this backend.
+        last.sent_at = max(now - age, last.sent_at) if request.body_consumed else now
         request.body_consumed = True
-        last.sent_at = now - age
-        request.deadline, request.objective_at = now + timeout, last.sent_at + request.route.objective
+        request.deadline, request.objective_at = now + timeout, now - age + request.route.objective
         last.backend.open_attempts = [other for other in last.backend.open_attempts if other is not last]
         if complete and last.outcome is None:
             last.backend.open_attempts.append(last)
-            self.schedule.at(max(request.objective_at, now), self.record_silence, last)
+            answered_by = last.sent_at + request.route.objective
+            self.schedule.at(max(answered_by, now), self.record_silence, last)
         self.schedule.at(request.deadline - self.settings.tick, self.shed_or_fail, request)
         self.schedule.request_wake(now)
 
--- a/tests/test_unread_bodies.py
+++ b/tests/test_unread_bodies.py
@@ -227,6 +227,19 @@
     assert backend.profile.count == 1 and backend.outlier.failure_rate > 0.0
 
 
+def test_silence_of_a_backend_counts_from_when_a_body_is_sent_to_it():
+    """Guards against blame for a backend that gets a body late, which had arrived here long before."""
+    balancer, _ = node([listed("a")])
+    backend = balancer.backends["a"]
+    balancer.on_request(NOW, 1, 0, 0, 60_000, False)
+    balancer.on_body_forwarded(NOW + 20_000, 1, 6000, True, 2000)
+    answered_by = NOW + 20_000 + balancer.routes[0].objective
+    balancer.on_wake(answered_by - 1, "due")
+    assert backend.outlier.failure_rate == 0.0
+    balancer.on_wake(answered_by, "due")
+    assert backend.outlier.failure_rate > 0.0
+
+
 def test_backend_that_answers_others_is_not_blamed_for_a_body():
     """Guards against blame for a backend that works, while it has not answered a long request yet."""
     balancer, backend = forward_body()
