--- a/basalthoist/jsonrpc/client_connection.py
+++ b/basalthoist/jsonrpc/client_connection.py
@@ -5,7 +5,7 @@
 import select
 from typing import TYPE_CHECKING
 
-from basalthoist.net.framing import Arrivals
+from basalthoist.net.arrivals import Arrivals
 from basalthoist.net.line_buffer import LineBuffer, LineTooLongError
 from basalthoist.net.runtime.descriptors import descriptor_of, has_ended, is_ready, receive_buffer_delay
 from basalthoist.net.runtime.timers import SECOND, now
--- a/basalthoist/net/framing.py
+++ b/basalthoist/net/framing.py
@@ -3,11 +3,11 @@
 Heads are parsed by httptools. A body that arrives in one read is not copied.
 """
 
-from collections import deque
 from collections.abc import Callable, Iterable
 
 import httptools
 
+from basalthoist.net.arrivals import Arrivals
 from basalthoist.net.chunked import ChunkedDecoder, ChunkError
 
 HOP_BY_HOP = frozenset(
@@ -26,7 +26,6 @@
     )
 )
 LAST_CHUNK = b"0\r\n\r\n"
-ARRIVAL_MERGE_WINDOW = 10  # tenths of a millisecond; bytes received within it share one arrival time
 
 Parser = httptools.HttpRequestParser | httptools.HttpResponseParser
 
@@ -86,32 +85,6 @@
     return [b"%x\r\n" % len(data), data, b"\r\n"]
 
 
-class Arrivals:
-    """Arrival times of the bytes of a stream, so that a message's timeout starts at its own last byte."""
-
-    __slots__ = ("received", "pieces")
-
-    def __init__(self) -> None:
-        self.received: int = 0
-        # For each read: the total of bytes received by then, and its time.
-        self.pieces: deque[tuple[int, int]] = deque()
-
-    def add(self, length: int, now: int) -> None:
-        """Records that `length` bytes arrived at `now`."""
-        self.received += length
-        # Guards against a stream of single bytes, each of which would become a piece of its own.
-        if self.pieces and now - self.pieces[-1][1] < ARRIVAL_MERGE_WINDOW:
-            now = self.pieces.pop()[1]
-        self.pieces.append((self.received, now))
-
-    def arrival_of_last_byte(self, unread: int) -> int:
-        """Returns when the last byte before the final `unread` bytes arrived; drops earlier pieces."""
-        end = self.received - unread
-        while len(self.pieces) > 1 and self.pieces[0][0] < end:
-            self.pieces.popleft()
-        return self.pieces[0][1] if self.pieces else 0
-
-
 class Reader:
     """Splits the bytes of a connection into messages; `next` returns them one by one, or None.
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -85,6 +85,7 @@
         "clients.response_stream",
         "clients.responses",
         "clients.timeouts",
+        "arrivals",
         "body_arrival",
         "discovery",
         "discovery.client",
