HTTP: requests that lie unread count from their own last byte

What callers saw: a client sends requests ahead of its answers until over 80 KiB wait, then further ones while reading is paused. Those lie unread in the machine, and when reading goes on all of them counted from when the last byte came, which the kernel tells. In the test a request of 0.8 s, sent 0.1 s after the first, was answered 1.80 s after it was sent, where 1.3 s are allowed; its backend would have been told 1.0 s too much.

Change: while reading is paused, every 25 ms what lies unread is recorded with the time of its last byte (PausedClientMonitor, Arrivals.observe_unread). Bytes that are read later keep that time.

Tests: test_request_that_lies_unread_has_its_time_from_its_own_last_byte failed before (1.80 of 1.3 s); test_bytes_have_the_time_at_which_they_were_observed_unread.

--- a/basalthoist/net/arrivals.py
+++ b/basalthoist/net/arrivals.py
@@ -1,4 +1,4 @@
-"""Arrival times of the bytes of a stream."""
+"""Arrival times of the bytes of a stream, of which some may be unread in the kernel's receive buffer."""
 
 from collections import deque
 
@@ -6,26 +6,45 @@
 
 
 class Arrivals:
-    """Arrival times of the bytes of a stream, so that a message's timeout starts at its own last byte."""
+    """Arrival times of the bytes of a stream, so that a message's timeout starts at its own last byte.
+
+    Times are in tenths of a millisecond.
+    """
 
     __slots__ = ("received", "pieces")
 
     def __init__(self) -> None:
         self.received: int = 0  # bytes that have been read
-        # For each read: the total of bytes received by then, and its time.
+        # Of each read or observation: the total of bytes that had arrived by then, and its time.
         self.pieces: deque[tuple[int, int]] = deque()
 
     def add(self, length: int, at: int) -> None:
-        """Records that `length` bytes arrived at `at`."""
+        """Records that `length` bytes have been read, which arrived at `at` unless observed before."""
         self.received += length
+        self.record(self.received, at)
+
+    def observe_unread(self, length: int, at: int) -> None:
+        """Records that `length` bytes lie unread, the last of which arrived at `at`."""
+        # Guards against bytes that count from when later ones came, as reading was paused meanwhile.
+        self.record(self.received + length, at)
+
+    def record(self, total: int, at: int) -> None:
+        """Records that `total` bytes of the stream had arrived by `at`."""
+        if self.pieces and total <= self.pieces[-1][0]:
+            return
         # Guards against a stream of single bytes, each of which would become a piece of its own.
         if self.pieces and at - self.pieces[-1][1] < MERGE_WINDOW:
             at = self.pieces.pop()[1]
-        self.pieces.append((self.received, at))
+        self.pieces.append((total, at))
+
+    def drop_received(self) -> None:
+        """Drops the times of bytes that have been read."""
+        while self.pieces and self.pieces[0][0] <= self.received:
+            self.pieces.popleft()
 
-    def arrival_of_last_byte(self, unread: int) -> int:
-        """Returns when the last byte before the final `unread` bytes arrived; drops earlier pieces."""
-        end = self.received - unread
+    def arrival_of_last_byte(self, unparsed: int) -> int:
+        """Returns when the last byte before the final `unparsed` read ones arrived; drops earlier times."""
+        end = self.received - unparsed
         while len(self.pieces) > 1 and self.pieces[0][0] < end:
             self.pieces.popleft()
         return self.pieces[0][1] if self.pieces else 0
--- a/basalthoist/net/clients/http_connection.py
+++ b/basalthoist/net/clients/http_connection.py
@@ -110,7 +110,7 @@
         except Exception as error:
             return self.reject_invalid(error)
         if self.upload is not None and self.upload.arrival.possible_since is not None:
-            self.check_unread_body()
+            self.observe_unread()
         if self.request is not None or self.write_buffer_full:
             return self.limit_pipeline()
         self.start_next_request()
@@ -161,7 +161,7 @@
         if pause:
             self.read_turns.pause()
             self.front_end.paused_client_monitor.watch(self)
-            self.check_unread_body()
+            self.observe_unread()
         else:
             self.read_turns.resume()
             self.front_end.paused_client_monitor.unwatch(self)
@@ -190,19 +190,22 @@
         upload, self.upload = self.upload, None
         upload.end(message.arrived_at)
 
-    def check_unread_body(self) -> None:
-        """Has the request's time begin once the rest of its body is sent, though reading is paused."""
+    def observe_unread(self) -> None:
+        """Records when the bytes arrived that lie unread, as reading is paused."""
+        unread, waited = unread_bytes(self.transport), time_since_received(self.transport)
+        if unread:
+            self.reader.arrivals.observe_unread(unread, now() - waited)
+        if self.upload is not None and self.upload.arrived_at is None:
+            self.check_unread_body(self.upload, unread, waited)
+
+    def check_unread_body(self, upload: Upload, unread: int, waited: int) -> None:
+        """Has the request's time begin once the rest of its body is sent, though it is unread.
+
+        `unread`: bytes in the receive buffer, the last of which arrived `waited` ago.
+        """
         # Guards against a request without an answer, as its backend hangs and its last byte is never read.
-        upload = self.upload
-        if upload is None or upload.arrived_at is not None:
-            return
-        arrived_at = upload.arrival.observe(
-            now(),
-            unread_bytes(self.transport),
-            time_since_received(self.transport),
-            self.reader.missing_bytes(),
-            upload.timeout,
-        )
+        missing = self.reader.missing_bytes()
+        arrived_at = upload.arrival.observe(now(), unread, waited, missing, upload.timeout)
         if arrived_at is not None:
             upload.arrive(arrived_at)
 
--- a/basalthoist/net/clients/paused_clients.py
+++ b/basalthoist/net/clients/paused_clients.py
@@ -1,4 +1,4 @@
-"""Detects disconnects and complete bodies of clients from which reading is paused."""
+"""Detects disconnects of clients from which reading is paused, and observes what they send."""
 
 import select
 from typing import TYPE_CHECKING
@@ -49,7 +49,7 @@
             self.poller.unregister(descriptor)
 
     def poll(self) -> None:
-        """Aborts the connections of clients that have disconnected, and checks the bodies of the others."""
+        """Aborts the connections of clients that have disconnected, and observes what the others sent."""
         self.timer_running = bool(self.clients)
         if not self.timer_running:
             return
@@ -59,4 +59,4 @@
             if client.request is not None:
                 client.abort()
         for client in list(self.descriptors):
-            client.check_unread_body()
+            client.observe_unread()
--- a/basalthoist/net/framing.py
+++ b/basalthoist/net/framing.py
@@ -155,7 +155,7 @@
         """Takes bytes that the connection has received at `now`. Raises BadMessage."""
         if self.message is not None and not self.pending:
             # All earlier bytes are part of the message that continues.
-            self.arrivals.pieces.clear()
+            self.arrivals.drop_received()
         self.arrivals.add(len(data), now)
         if self.message is not None:
             self.add(data)
--- a/tests/test_reading_pauses.py
+++ b/tests/test_reading_pauses.py
@@ -4,7 +4,9 @@
 import time
 
 import pytest
-from helpers import StandIn, read_message, reply, request
+from helpers import StandIn, read_message, reply, request, silent
+
+from basalthoist.net.arrivals import Arrivals
 
 TIMEOUT_MS = 800
 # The users' bound: a final answer up to half a second after a request's time is not lost.
@@ -59,3 +61,35 @@
             assert len(read_message(slow_source).body) == size
         with program.connect() as sock, sock.makefile("rb") as source:
             assert send_and_wait(sock, source, request(timeout=TIMEOUT_MS, ident=str(number))) == "200", size
+
+
+def test_request_that_lies_unread_has_its_time_from_its_own_last_byte(start):
+    """Guards against time that counts from a later request's last byte, while a connection is not read."""
+    program, _, _ = start(silent)
+    ahead = request(timeout=1200, ident="1")
+    ahead += b"".join(request("pay", TIMEOUT_MS, bytes(60_000), ident=ident) for ident in "23")
+    with program.connect() as sock, sock.makefile("rb") as source:
+        sock.sendall(ahead)
+        time.sleep(0.1)
+        sent_at = time.monotonic()
+        sock.sendall(request(timeout=TIMEOUT_MS, ident="4"))  # not read until the first is answered
+        time.sleep(1.0)
+        sock.sendall(request(timeout=TIMEOUT_MS, ident="5"))
+        for _ in range(4):
+            assert read_message(source).status in ("503", "504")
+        assert time.monotonic() - sent_at <= LATEST_ANSWER_S
+        assert read_message(source).status == "503"
+
+
+def test_bytes_have_the_time_at_which_they_were_observed_unread():
+    """Guards against bytes that count from when they are read, or from when later ones came."""
+    arrivals = Arrivals()
+    arrivals.add(100, 1000)
+    arrivals.observe_unread(50, 2000)
+    arrivals.observe_unread(50, 3000)  # nothing has come since
+    arrivals.observe_unread(70, 4000)
+    arrivals.add(60, 5000)
+    assert [arrivals.arrival_of_last_byte(unparsed) for unparsed in (60, 10, 0)] == [1000, 2000, 4000]
+    arrivals.drop_received()
+    arrivals.add(20, 6000)
+    assert [arrivals.arrival_of_last_byte(unparsed) for unparsed in (10, 0)] == [4000, 6000]
