Bodies: the time told to a backend counts from when a body may have been sent

Cause, by a trace: while the body waited for a connection, 125 KB of it waited in the client's machine and came in 0.14 s before the attempt was written (unread 747,089 of 872,166 missing bytes; last byte 0.144 s ago, unread ones for 0.402 s). The told time counted from these, not from when the client may have written its last byte.

--- a/basalthoist/net/uploads.py
+++ b/basalthoist/net/uploads.py
@@ -5,6 +5,7 @@
 
 from basalthoist.net.body_arrival import BodyArrival
 from basalthoist.net.framing import LAST_CHUNK, chunk_of
+from basalthoist.net.runtime.timers import now
 
 if TYPE_CHECKING:
     from basalthoist.net.clients.http_connection import HttpClientConnection
@@ -49,6 +50,9 @@
 
         While reading is paused, the client may have sent its last byte, and its time may have begun.
         """
+        if self.arrival.possible_since is not None:
+            # Guards against time that counts from bytes which came late, as they had waited at the client.
+            return self.timeout - (now() - self.arrival.possible_since)
         return self.timeout - self.client.unread_for()
 
     def arrive(self, at: int) -> None:
