JSON-RPC: calls that lie unread count from their own last byte

As over HTTP: while a connection is not read, as its waiting calls take all the memory that they may, calls behind them counted from when the last byte came. In the test a call of 1.5 s was answered 2.4 s after it was sent, where 2.0 s are allowed.

Test: test_call_that_lies_unread_has_its_time_from_its_own_last_byte; it failed before (2.40 of 2.0 s).

--- a/basalthoist/jsonrpc/client_connection.py
+++ b/basalthoist/jsonrpc/client_connection.py
@@ -7,7 +7,14 @@
 
 from basalthoist.net.arrivals import Arrivals
 from basalthoist.net.line_buffer import LineBuffer, LineTooLongError
-from basalthoist.net.runtime.descriptors import descriptor_of, has_ended, is_ready, receive_buffer_delay
+from basalthoist.net.runtime.descriptors import (
+    descriptor_of,
+    has_ended,
+    is_ready,
+    receive_buffer_delay,
+    time_since_received,
+    unread_bytes,
+)
 from basalthoist.net.runtime.timers import SECOND, now
 
 from .caller import Batch, Caller
@@ -180,6 +187,11 @@
             self.last_progress_at = now()
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
 
+    def observe_unread(self) -> None:
+        """Records when the bytes arrived that lie unread, as reading is paused."""
+        if unread := unread_bytes(self.transport):
+            self.arrivals.observe_unread(unread, now() - time_since_received(self.transport))
+
     def handle_line(self, line: bytes) -> None:
         """Starts the call or the batch of calls in a line."""
         try:
@@ -310,6 +322,8 @@
 
     def check_time(self, at: int) -> None:
         """Closes the connection if it exceeds one of its timeouts."""
+        if self.reading_paused:
+            self.observe_unread()
         limits, waited = self.front_end.limits, at - self.last_progress_at
         has_left = (self.reading_paused or self.input_ended) and self.is_broken()
         reads_too_slowly = self.write_buffer_full and waited > limits.client_read_s * SECOND
--- a/tests/test_jsonrpc.py
+++ b/tests/test_jsonrpc.py
@@ -626,3 +626,23 @@
     while missing:
         missing.discard(client.receive()["id"])
     assert time.monotonic() - began <= LATEST_ANSWER_S
+
+
+def test_call_that_lies_unread_has_its_time_from_its_own_last_byte(front):
+    """Guards against time that counts from a later call's last byte, while a connection is not read."""
+    timeout_s = 1.5
+    routes = [route("read", timeout_s=timeout_s), route("pay", "at_most_once", timeout_s=1.2)]
+    program, _ = front(
+        lambda backend, call: None, settings={"routes": routes}, more="most_open = 1\n", body_bytes=300
+    )
+    client = ClientConnection(program)
+    client.send(*[call("save", number) for number in range(3)])  # two wait, and take more than they may
+    time.sleep(0.1)
+    sent_at = time.monotonic()
+    client.send(call("load", 3))  # not read until the first is answered
+    time.sleep(0.9)
+    client.send(call("load", 4))
+    while client.receive()["id"] != 3:
+        pass
+    assert time.monotonic() - sent_at <= timeout_s + 0.5
+    assert client.receive()["id"] == 4
