HTTP: a client that reads slowly is not taken for one that reads nothing

What callers saw: an answer too long for the buffers is cut off though its client reads all the time.

Cause: the silence of a client counted from when the write buffer here last changed. It changes only once a third of the machine's send buffer, up to 4 MB, is free.

A client that reads nothing is cut off as before.

Test: test_client_that_reads_slowly_for_longer_than_the_stall_timeout_gets_complete_response; it failed before. Control: test_unread_response_aborted_after_stall_timeout.

--- a/basalthoist/net/clients/http_connection.py
+++ b/basalthoist/net/clients/http_connection.py
@@ -7,6 +7,7 @@
 
 from basalthoist.net.clients.response_stream import ResponseStream
 from basalthoist.net.clients.responses import CONTINUE, RETRY_AFTER, Header, response_head
+from basalthoist.net.delivery import DeliveryProgress
 from basalthoist.net.framing import BadMessage, Message, Reader
 from basalthoist.net.proxied_request import ProxiedRequest
 from basalthoist.net.runtime.descriptors import (
@@ -53,8 +54,7 @@
         self.body_paused: bool = False  # the backend takes no more of the request body for now
         # State of writing.
         self.write_buffer_full: bool = False
-        self.unread_bytes: int = 0  # in the write buffer at the last sweep
-        self.last_read_at: int = now()  # when a sweep last found that the client had read some of them
+        self.delivery: DeliveryProgress = DeliveryProgress()
         self.http_version: str = "1.1"
         self.stream: ResponseStream | None = None  # the response in progress, if it is streamed
 
--- a/basalthoist/net/clients/timeouts.py
+++ b/basalthoist/net/clients/timeouts.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 from basalthoist.configuration import Limits
+from basalthoist.net.runtime.descriptors import undelivered_bytes
 from basalthoist.net.runtime.timers import SECOND
 
 if TYPE_CHECKING:
@@ -15,14 +16,12 @@
     """Closes the connection if it exceeds one of the timeouts. `at`: the time of the sweep."""
     if client.transport.is_closing():
         return
-    unread_bytes = client.transport.get_write_buffer_size()
-    if unread_bytes != client.unread_bytes or not unread_bytes:
-        client.unread_bytes = unread_bytes
-        client.last_read_at = at
-    if unread_bytes:
-        # Guards against responses that are never read. A client that reads slowly is not cut off.
-        if at - client.last_read_at > limits.client_stall_s * SECOND:
-            client.transport.abort()
+    has_unwritten = client.transport.get_write_buffer_size() > 0
+    undelivered = undelivered_bytes(client.transport) if has_unwritten else 0
+    # Guards against responses that are never read. A client that reads slowly is not cut off.
+    if client.delivery.time_stalled(undelivered, at) > limits.client_stall_s * SECOND:
+        return client.transport.abort()
+    if has_unwritten:
         return
     # The bytes of a body that have arrived extend the time for the rest of it.
     body_allowance = int(client.reader.received_bytes / limits.client_bytes_per_s * SECOND)
--- a/basalthoist/net/runtime/descriptors.py
+++ b/basalthoist/net/runtime/descriptors.py
@@ -11,7 +11,7 @@
 TCP_INFO_BYTES = 56  # of struct tcp_info on Linux, up to the end of tcpi_last_data_recv
 LAST_RECEIVED = struct.Struct("I")  # tcpi_last_data_recv, in milliseconds
 LAST_RECEIVED_OFFSET = 52
-UNREAD_BYTES = struct.Struct("i")  # what FIONREAD returns
+BYTE_COUNT = struct.Struct("i")  # what FIONREAD and TIOCOUTQ return
 # In tenths of a millisecond.
 MIN_DELAY = 100  # the kernel's clock has the resolution of its ticks
 MAX_DELAY = 600_000
@@ -38,11 +38,21 @@
 
 def unread_bytes(transport: asyncio.Transport) -> int:
     """Returns how many bytes wait in the kernel's receive buffer of a connection."""
+    return queued_bytes(transport, termios.FIONREAD)
+
+
+def undelivered_bytes(transport: asyncio.Transport) -> int:
+    """Returns how many written bytes of a connection its peer has not received yet, as far as is known."""
+    return transport.get_write_buffer_size() + queued_bytes(transport, termios.TIOCOUTQ)
+
+
+def queued_bytes(transport: asyncio.Transport, request: int) -> int:
+    """Returns the size of one of the kernel's buffers of a connection, 0 if that is closed."""
     try:
-        answer = fcntl.ioctl(descriptor_of(transport), termios.FIONREAD, bytes(UNREAD_BYTES.size))
+        answer = fcntl.ioctl(descriptor_of(transport), request, bytes(BYTE_COUNT.size))
     except (OSError, ValueError):
         return 0  # the socket is already closed
-    return UNREAD_BYTES.unpack(answer)[0]
+    return BYTE_COUNT.unpack(answer)[0]
 
 
 def time_since_received(transport: asyncio.Transport) -> int:
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -318,6 +318,26 @@
         assert got < 40 * len(LONG)
 
 
+def test_client_that_reads_slowly_for_longer_than_the_stall_timeout_gets_complete_response(start):
+    """Guards against a client that reads all the time, and of which the write buffer here shows nothing."""
+    body = 20 * LONG
+    program, _, _ = start(
+        raw(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body),
+        limits={"client_stall_s": 0.6},
+    )
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        sock.connect(program.address)
+        sock.settimeout(10)
+        sock.sendall(request(extra="Connection: close\r\n"))
+        slow_until, received = time.monotonic() + 3, bytearray()
+        while part := sock.recv(20_000):
+            received += part
+            if time.monotonic() < slow_until:
+                time.sleep(0.1)
+    assert received.endswith(body) and len(received) > len(body)
+
+
 def test_long_response_completes_during_graceful_shutdown(start):
     program, _, _ = start(long_response(0.15), limits={"linger_s": 0.2})
     with program.connect() as sock, sock.makefile("rb") as source:
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -87,6 +87,7 @@
         "clients.timeouts",
         "arrivals",
         "body_arrival",
+        "delivery",
         "discovery",
         "discovery.client",
         "discovery.connection",
