JSON-RPC: a client that reads slowly is not taken for one that reads nothing

Cause: while the write buffer is full reading is paused, and the client's silence counted from the pause, not from when it last read. docs/jsonrpc.md says that one that does not read is cut.

Change: as over HTTP, DeliveryProgress. A connection whose reading is paused is not idle either.

Tests: test_client_that_reads_slowly_gets_all_its_responses failed before (reset); control, passed before as well: test_client_that_reads_nothing_is_cut_off.

--- a/basalthoist/jsonrpc/client_connection.py
+++ b/basalthoist/jsonrpc/client_connection.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from basalthoist.net.arrivals import Arrivals
+from basalthoist.net.delivery import DeliveryProgress
 from basalthoist.net.line_buffer import LineBuffer, LineTooLongError
 from basalthoist.net.runtime.descriptors import (
     descriptor_of,
@@ -13,6 +14,7 @@
     is_ready,
     receive_buffer_delay,
     time_since_received,
+    undelivered_bytes,
     unread_bytes,
 )
 from basalthoist.net.runtime.timers import SECOND, now
@@ -54,6 +56,7 @@
         )
         self.call_ids: set[bytes] = set()  # ids of the calls in progress
         self.write_buffer_full: bool = False
+        self.delivery: DeliveryProgress = DeliveryProgress()
         self.reading_paused: bool = False
         self.input_ended: bool = False  # The client sends nothing more.
         self.output_ended: bool = False  # All is answered and the end is written; further input is dropped.
@@ -326,11 +329,13 @@
             self.observe_unread()
         limits, waited = self.front_end.limits, at - self.last_progress_at
         has_left = (self.reading_paused or self.input_ended) and self.is_broken()
-        reads_too_slowly = self.write_buffer_full and waited > limits.client_read_s * SECOND
+        undelivered = undelivered_bytes(self.transport) if self.write_buffer_full else 0
+        # A client that reads slowly is not cut off.
+        reads_nothing = self.delivery.time_stalled(undelivered, at) > limits.client_read_s * SECOND
         # Guards against blame for lines that wait to be parsed, or lie unread as reading is paused.
         is_within_line = self.pending and not self.callers and not self.reading_paused
         sends_too_slowly = is_within_line and waited > limits.client_read_s * SECOND
-        if has_left or reads_too_slowly or sends_too_slowly:
+        if has_left or reads_nothing or sends_too_slowly:
             self.transport.abort()
-        elif not self.callers and waited > limits.client_idle_s * SECOND:
+        elif not self.callers and not self.reading_paused and waited > limits.client_idle_s * SECOND:
             self.transport.close()
--- a/tests/test_jsonrpc.py
+++ b/tests/test_jsonrpc.py
@@ -378,6 +378,39 @@
     assert 0.3 <= time.monotonic() - began < 1.5
 
 
+def test_client_that_reads_slowly_gets_all_its_responses(front):
+    """Guards against a client that reads all the time, and is cut off as its responses wait for long."""
+    program, _ = front(echo, client_read_s=0.6)
+    count, text = 400, "x" * 30_000
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        sock.connect((program.address[0], int(program.address[1])))
+        sock.settimeout(10)
+        lines = b"".join(
+            json.dumps(call("load", number, text=text)).encode() + b"\n" for number in range(count)
+        )
+        threading.Thread(target=sock.sendall, args=(lines,), daemon=True).start()
+        slow_until, received = time.monotonic() + 3, bytearray()
+        while received.count(b"\n") < count and (part := sock.recv(20_000)):
+            received += part
+            if time.monotonic() < slow_until:
+                time.sleep(0.1)
+    assert sorted(json.loads(line)["id"] for line in received.splitlines()) == list(range(count))
+
+
+def test_client_that_reads_nothing_is_cut_off(front):
+    """Guards against responses that nobody reads, and that stay for good."""
+    program, _ = front(echo, client_read_s=0.6)
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        sock.connect((program.address[0], int(program.address[1])))
+        lines = json.dumps(call("load", 1, text="x" * 30_000)).encode() + b"\n"
+        sock.settimeout(5)
+        with pytest.raises(ConnectionError):
+            while True:
+                sock.sendall(lines)
+
+
 def test_client_that_half_closes_gets_its_responses(front):
     program, _ = front(lambda backend, call: time.sleep(0.1) or echo(backend, call))
     client = ClientConnection(program).send(call(ident=1), call(ident=2))
