--- a/basalthoist/net/clients/front_end.py
+++ b/basalthoist/net/clients/front_end.py
@@ -118,7 +118,7 @@
             return client.answer(503, [(b"not-started", b"1")])
         timeout_ms = timeout_of(message, route)
         self.dispatcher.start(
-            client, message, route_number, tenant_number, timeout_ms, is_retry, spilled, client.upload
+            client, message, route_number, tenant_number, timeout_ms, is_retry, spilled, client.reading.upload
         )
 
     def answer_own_path(self, client: HttpClientConnection, path: bytes) -> bool:
--- a/basalthoist/net/clients/http_connection.py
+++ b/basalthoist/net/clients/http_connection.py
@@ -5,22 +5,14 @@
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
+from basalthoist.net.clients.request_reading import RequestReading
 from basalthoist.net.clients.response_stream import ResponseStream
 from basalthoist.net.clients.responses import CONTINUE, RETRY_AFTER, Header, response_head
 from basalthoist.net.delivery import DeliveryProgress
 from basalthoist.net.framing import BadMessage, Message, Reader
 from basalthoist.net.proxied_request import ProxiedRequest
-from basalthoist.net.runtime.descriptors import (
-    descriptor_of,
-    has_ended,
-    is_ready,
-    receive_buffer_delay,
-    time_since_received,
-    unread_bytes,
-)
-from basalthoist.net.runtime.read_turns import ReadTurns
+from basalthoist.net.runtime.descriptors import descriptor_of, has_ended, is_ready
 from basalthoist.net.runtime.timers import now
-from basalthoist.net.uploads import Upload
 
 if TYPE_CHECKING:
     from basalthoist.net.clients.front_end import FrontEnd
@@ -35,12 +27,10 @@
         # False if the descriptor budget is exhausted: each request is then answered 503.
         self.admitted: bool = admitted
         self.transport: asyncio.Transport | None = None
-        self.read_turns: ReadTurns | None = None
+        self.reading: RequestReading | None = None
         self.reader: Reader = Reader(False, limits.head_bytes, limits.body_bytes, limits.long_bytes)
         self.reader.on_long_body = self.start_upload
         self.request: ProxiedRequest | None = None  # in progress
-        # A request body that is streamed to a backend, until its last byte has arrived.
-        self.upload: Upload | None = None
         self.has_sent_request: bool = False  # whether a request has ever been received and started
         self.invalid_requests: int = 0
         self.discarded_bytes: int = 0  # received after the last response
@@ -48,10 +38,6 @@
         self.finished: bool = False  # no further request is served
         self.connected_at: int = now()
         self.last_progress_at: int = self.connected_at  # set by `record_progress`
-        # State of reading.
-        self.reading_paused: bool = False
-        self.pipeline_full: bool = False  # too many bytes are buffered behind the request in progress
-        self.body_paused: bool = False  # the backend takes no more of the request body for now
         # State of writing.
         self.write_buffer_full: bool = False
         self.delivery: DeliveryProgress = DeliveryProgress()
@@ -81,7 +67,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Registers the connection with the front end."""
         self.transport = transport
-        self.read_turns = ReadTurns(self.front_end.loop, transport)
+        self.reading = RequestReading(self, transport)
         # With any byte unwritten, no further request starts: responses are written one at a time.
         transport.set_write_buffer_limits(high=0)
         self.front_end.clients[self] = None
@@ -97,22 +83,21 @@
 
     def data_received(self, data: bytes) -> None:
         """Feeds the reader and starts the next request if none is in progress."""
-        self.read_turns.on_read(len(data))
+        self.reading.turns.on_read(len(data))
         if self.finished:
             return self.discard(data)
         if self.reader.idle() and self.request is None:
             self.record_progress()
             self.front_end.idle_clients.pop(self, None)
         try:
-            self.reader.feed(data, now() - receive_buffer_delay(self.transport))
-            if self.upload is not None and (message := self.reader.next()) is not None:
-                self.end_upload(message)
+            self.reader.feed(data, self.reading.arrival_time())
+            if self.reading.upload is not None and (message := self.reader.next()) is not None:
+                self.reading.end_upload(message.arrived_at)
         except Exception as error:
             return self.reject_invalid(error)
-        if self.upload is not None and self.upload.arrival.possible_since is not None:
-            self.observe_unread()
+        self.reading.observe_late_body()
         if self.request is not None or self.write_buffer_full:
-            return self.limit_pipeline()
+            return self.reading.limit_pipeline()
         self.start_next_request()
         if not self.finished and self.has_partial_request():
             budget = self.front_end.memory_budget
@@ -141,30 +126,7 @@
         self.discarded_bytes += len(data)
         self.record_progress()
         if self.discarded_bytes > self.front_end.limits.long_bytes:
-            self.read_turns.pause()
-
-    def limit_pipeline(self) -> None:
-        """Pauses reading if too much is buffered behind the request in progress.
-
-        Up to the limit reading continues, so that a disconnect is detected.
-        """
-        # Guards against a client that sends without limit while its response is awaited.
-        self.pipeline_full = len(self.reader.pending) > self.reader.head_bytes + self.reader.body_bytes
-        self.update_reading()
-
-    def update_reading(self) -> None:
-        """Pauses or resumes reading, for backpressure on the body or on pipelined requests."""
-        pause = self.pipeline_full or self.upload is not None and self.body_paused
-        if pause == self.reading_paused or self.finished:
-            return
-        self.reading_paused = pause
-        if pause:
-            self.read_turns.pause()
-            self.front_end.paused_client_monitor.watch(self)
-            self.observe_unread()
-        else:
-            self.read_turns.resume()
-            self.front_end.paused_client_monitor.unwatch(self)
+            self.reading.turns.pause()
 
     def record_progress(self) -> None:
         """Sets `last_progress_at` and keeps `FrontEnd.clients` in its order, the oldest first."""
@@ -177,44 +139,12 @@
 
         Returns the callback for the parts of the body.
         """
-        self.upload = upload = Upload(self, length, self.front_end.limits.body_bytes)
-        self.body_paused = False
+        upload = self.reading.start_upload(length)
         self.start_request(message)
         if self.request is None:
-            self.upload = None  # the request is answered already, and the rest of its body is dropped
+            self.reading.abandon_upload()  # the request is answered already; the rest of its body is dropped
         return upload.take
 
-    def end_upload(self, message: Message) -> None:
-        """Completes the upload: the last byte of the streamed body of this message has arrived."""
-        self.pause_body(False)
-        upload, self.upload = self.upload, None
-        upload.end(message.arrived_at)
-
-    def observe_unread(self) -> None:
-        """Records when the bytes arrived that lie unread, as reading is paused."""
-        unread, waited = unread_bytes(self.transport), time_since_received(self.transport)
-        if unread:
-            self.reader.arrivals.observe_unread(unread, now() - waited)
-        if self.upload is not None and self.upload.arrived_at is None:
-            self.check_unread_body(self.upload, unread, waited)
-
-    def check_unread_body(self, upload: Upload, unread: int, waited: int) -> None:
-        """Has the request's time begin once the rest of its body is sent, though it is unread.
-
-        `unread`: bytes in the receive buffer, the last of which arrived `waited` ago.
-        """
-        # Guards against a request without an answer, as its backend hangs and its last byte is never read.
-        missing = self.reader.missing_bytes()
-        arrived_at = upload.arrival.observe(now(), unread, waited, missing, upload.timeout)
-        if arrived_at is not None:
-            upload.arrive(arrived_at)
-
-    def pause_body(self, paused: bool) -> None:
-        """Pauses or resumes reading the body, for backpressure from the backend."""
-        if self.upload is not None:
-            self.body_paused = paused
-            self.update_reading()
-
     # Starting and rejecting requests.
 
     def start_next_request(self) -> None:
@@ -228,9 +158,9 @@
         if self.finished:
             return  # reading it started an upload that was answered at once
         # Guards against a connection that is never read again, as all that was buffered is taken now.
-        self.limit_pipeline()
-        if message is not None and self.upload is not None:
-            return self.end_upload(message)
+        self.reading.limit_pipeline()
+        if message is not None and self.reading.upload is not None:
+            return self.reading.end_upload(message.arrived_at)
         if message is not None:
             return self.start_request(message)
         if self.reader.expects_continue:
@@ -266,7 +196,7 @@
 
     def reject(self, status: int, headers: Iterable[Header] = ()) -> None:
         """Answers with the status and closes: as the end of the message is unknown, no other can follow."""
-        if self.upload is not None and self.request is not None:
+        if self.reading.upload is not None and self.request is not None:
             request, self.request = self.request, None
             # Its body will never be complete.
             self.front_end.dispatcher.client_disconnected(request)
@@ -306,10 +236,9 @@
 
     def abandon_upload(self) -> None:
         """Has the connection close after a response that precedes the end of the request body."""
-        if self.upload is not None or self.reader.message is not None:
-            self.pause_body(False)
+        if self.reading.upload is not None or self.reader.message is not None:
+            self.reading.abandon_upload()
             self.keep_alive = False
-            self.upload = None
 
     def write(self, status: int, headers: Iterable[Header], body: bytes) -> None:
         """Writes head and body in one call."""
@@ -339,7 +268,7 @@
 
     def start_stream(self, headers: Iterable[Header], length: int | None) -> Callable:
         """Writes the head of a streamed response. Returns the callback for the parts of its body."""
-        if self.upload is not None:
+        if self.reading.upload is not None:
             self.keep_alive = False  # the response may end before the request body does
         self.stream = stream = ResponseStream(self, length, self.http_version)
         self.keep_alive = self.keep_alive and not self.is_last_response() and stream.framed
@@ -372,7 +301,7 @@
         # A close with unread bytes would send a reset, which may overtake the last response.
         self.finished = True
         self.record_progress()
-        self.read_turns.resume()
+        self.reading.turns.resume()
         self.transport.write_eof()
 
     def close(self) -> None:
@@ -417,10 +346,6 @@
         """Returns whether the kernel's receive buffer holds unread bytes."""
         return is_ready(descriptor_of(self.transport), select.POLLIN)
 
-    def unread_for(self) -> int:
-        """Returns for how long the last bytes from the client have waited unread, in 0.1 ms."""
-        return receive_buffer_delay(self.transport) if self.reading_paused else 0
-
     def has_partial_request(self) -> bool:
         """Returns whether part of a request has been read that is not started yet."""
         return self.request is None and not (self.finished or self.write_buffer_full or self.reader.idle())
@@ -437,8 +362,8 @@
         if self.transport.is_closing():
             return 0
         total = self.reader.buffered_bytes() + self.transport.get_write_buffer_size()
-        if self.upload is not None:
-            total += len(self.upload.buffer)
+        if self.reading.upload is not None:
+            total += len(self.reading.upload.buffer)
         if self.request is not None:
             total += len(self.request.body)
             for call in self.request.calls:
--- a/basalthoist/net/clients/paused_clients.py
+++ b/basalthoist/net/clients/paused_clients.py
@@ -59,4 +59,4 @@
             if client.request is not None:
                 client.abort()
         for client in list(self.descriptors):
-            client.observe_unread()
+            client.reading.observe_unread()
--- a/basalthoist/net/clients/timeouts.py
+++ b/basalthoist/net/clients/timeouts.py
@@ -35,9 +35,9 @@
     client: "HttpClientConnection", limits: Limits, at: int, body_allowance: int
 ) -> None:
     """Handles a connection with a request in progress, whose body may still be incomplete."""
-    if client.upload is None:
+    if client.reading.upload is None:
         return
-    if client.body_paused:
+    if client.reading.body_paused:
         # The backend delays the body, not the client.
         client.last_progress_at += SWEEP_INTERVAL
     elif at - client.last_progress_at > limits.client_read_s * SECOND + body_allowance:
--- a/basalthoist/net/uploads.py
+++ b/basalthoist/net/uploads.py
@@ -8,7 +8,7 @@
 from basalthoist.net.runtime.timers import now
 
 if TYPE_CHECKING:
-    from basalthoist.net.clients.http_connection import HttpClientConnection
+    from basalthoist.net.clients.request_reading import RequestReading
     from basalthoist.net.upstream.connection import Connection
 
 
@@ -21,8 +21,8 @@
     its last byte, which may not be read yet.
     """
 
-    def __init__(self, client: "HttpClientConnection", length: int | None, max_buffered_bytes: int) -> None:
-        self.client: HttpClientConnection = client
+    def __init__(self, reading: "RequestReading", length: int | None, max_buffered_bytes: int) -> None:
+        self.reading: RequestReading = reading
         self.length: int | None = length  # in bytes; None: unknown, so the body is sent in chunks
         self.max_buffered_bytes: int = max_buffered_bytes
         self.buffer: bytearray = bytearray()
@@ -43,7 +43,7 @@
             return self.connection.forward(self.framed(data))
         self.buffer += data
         if len(self.buffer) > self.max_buffered_bytes:
-            self.client.pause_body(True)
+            self.reading.pause_body(True)
 
     def timeout_for_backend(self) -> int:
         """Returns the request's timeout as a backend counts it, from when it gets the last byte of the body.
@@ -53,7 +53,7 @@
         if self.arrival.possible_since is not None:
             # Guards against time that counts from bytes which came late, as they had waited at the client.
             return self.timeout - (now() - self.arrival.possible_since)
-        return self.timeout - self.client.unread_for()
+        return self.timeout - self.reading.unread_for()
 
     def arrive(self, at: int) -> None:
         """Records that the last byte of the body, read or not, arrived or counts as sent at `at`."""
@@ -88,7 +88,7 @@
             self.finish()
         self.on_forwarding_started()
         if not connection.writing:
-            self.client.pause_body(False)
+            self.reading.pause_body(False)
 
     def detach(self) -> None:
         """Stops forwarding, as the attempt has ended."""
@@ -96,4 +96,4 @@
 
     def apply_backpressure(self, active: bool) -> None:
         """Pauses reading the body from the client while the backend takes no more of it; resumes after."""
-        self.client.pause_body(active)
+        self.reading.pause_body(active)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -200,7 +200,7 @@
             data = [head, b"x" * 200_000]
         sock = await node.client_sending(*data)
         [client] = await node.until(
-            lambda: [c for c in node.node.front_end.clients if c.reading_paused and c.request]
+            lambda: [c for c in node.node.front_end.clients if c.reading.is_paused and c.request]
         )
         await node.until(lambda: connecting_to(late))
         leave(sock)
@@ -246,7 +246,7 @@
             sock = await node.client_sending(request(timeout=8000, ident="left"), PIPELINED_REQUESTS)
             await node.until(lambda: spilled_connection)
             await node.until(
-                lambda: [c for c in node.node.front_end.clients if c.reading_paused and c.request]
+                lambda: [c for c in node.node.front_end.clients if c.reading.is_paused and c.request]
             )
             leave(sock)
             await node.attempt_delay_over()
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -82,6 +82,7 @@
         "clients.paused_clients",
         "clients.front_end",
         "clients.http_connection",
+        "clients.request_reading",
         "clients.response_stream",
         "clients.responses",
         "clients.timeouts",
--- a/tests/test_unread_bodies.py
+++ b/tests/test_unread_bodies.py
@@ -280,8 +280,8 @@
     assert found == [None] * (len(found) - 1) + [sent_at]
 
 
-class PausedClient:
-    """A client from which reading is paused, and of which bytes have come late."""
+class PausedReading:
+    """The reading of a client that is paused, and of which bytes have come late."""
 
     def unread_for(self):
         return 1440
@@ -290,7 +290,7 @@
 def test_backend_is_not_told_time_that_passed_since_a_body_may_have_been_sent():
     """Guards against told time that counts from bytes which waited in their client's machine."""
     timeout, waited = 15_000, 4000
-    upload = Upload(PausedClient(), MB, 65_536)
+    upload = Upload(PausedReading(), MB, 65_536)
     upload.timeout = timeout
     assert upload.arrival.observe(now() - waited, 95_232, 0, 872_166, timeout) is None
     assert upload.timeout_for_backend() <= timeout - waited
