--- a/basalthoist/experiments/soak/broken.py
+++ b/basalthoist/experiments/soak/broken.py
@@ -144,7 +144,7 @@
     from basalthoist.net.dispatcher import RequestDispatcher
 
     replace_method(RequestDispatcher, "client_disconnected", lambda self, request: None)
-    replace_method(RequestDispatcher, "is_wanted", lambda self, request, attempt_number: True)
+    replace_method(RequestDispatcher, "is_still_needed", lambda self, request, attempt_number: True)
 
 
 def answers_late() -> None:
--- a/basalthoist/net/dispatcher.py
+++ b/basalthoist/net/dispatcher.py
@@ -215,7 +215,7 @@
 
     # Called by attempts and health checks.
 
-    def is_wanted(self, request: ProxiedRequest, attempt_number: int) -> bool:
+    def is_still_needed(self, request: ProxiedRequest, attempt_number: int) -> bool:
         """Returns whether an attempt may still be written: its client waits, and its time has not passed."""
         # Guards against sending for a client that has disconnected unnoticed: the node was suspended, or
         # reading from this client is paused.
@@ -349,7 +349,7 @@
                 on_response_start,
                 is_streaming=request.is_streaming,
                 upload=request.upload,
-                is_wanted=partial(self.is_wanted, request, attempt_number),
+                is_still_needed=partial(self.is_still_needed, request, attempt_number),
             )
         if call is None:
             self.loop.call_soon(on_outcome, Outcome.NOT_SENT, None)
--- a/basalthoist/net/upstream/call.py
+++ b/basalthoist/net/upstream/call.py
@@ -34,7 +34,7 @@
         "is_streaming",
         "is_health_check",
         "upload",
-        "is_wanted",
+        "is_still_needed",
         "connection",
         "timer",
         "finished",
@@ -51,13 +51,13 @@
         is_health_check: bool = False,
         is_streaming: bool = False,
         upload: Upload | None = None,
-        is_wanted: Callable[[], bool] = lambda: True,
+        is_still_needed: Callable[[], bool] = lambda: True,
     ) -> None:
         self.pool: ConnectionPool = pool
         self.request_chunks: RequestChunks = request_chunks
         self.on_outcome: OutcomeCallback = on_outcome
         # Whether the response is still needed; called in the turn of the event loop that writes the request.
-        self.is_wanted: Callable[[], bool] = is_wanted
+        self.is_still_needed: Callable[[], bool] = is_still_needed
         self.is_health_check: bool = is_health_check  # no client waits for it, and it may be lost
         self.on_response_start: ResponseStartCallback | None = on_response_start  # for a streamed response
         self.is_streaming: bool = is_streaming  # stream the response whatever its length
--- a/basalthoist/net/upstream/pool.py
+++ b/basalthoist/net/upstream/pool.py
@@ -35,7 +35,7 @@
 class ConnectionPool:
     """All connections to one backend. A new or idle connection takes the oldest waiting call.
 
-    A call is sent only if `is_wanted` was true in the same turn of the event loop.
+    A call is sent only if `is_still_needed` was true in the same turn of the event loop.
     """
 
     def __init__(
@@ -53,7 +53,7 @@
 
     def submit(self, call: Call) -> None:
         """Sends a call on an idle connection, or queues it for a new one."""
-        if not call.is_wanted():
+        if not call.is_still_needed():
             return call.finish_soon(Outcome.NOT_SENT)
         connection = self.take_idle(self.upstream.settle_time)
         if connection is None and call.is_health_check:
@@ -140,10 +140,10 @@
             self.upstream.timers.after(self.upstream.settle_time, self.serve)
 
     def next_call(self) -> Call | None:
-        """Removes the oldest waiting call that is still wanted."""
+        """Removes the oldest waiting call that is still needed."""
         while self.waiting:
             call = self.waiting.popleft()
-            if call.is_wanted():
+            if call.is_still_needed():
                 return call
             call.finish_soon(Outcome.NOT_SENT)
         return None
--- a/basalthoist/net/upstream/upstream.py
+++ b/basalthoist/net/upstream/upstream.py
@@ -87,7 +87,7 @@
         is_health_check: bool = False,
         is_streaming: bool = False,
         upload: Upload | None = None,
-        is_wanted: Callable[[], bool] = lambda: True,
+        is_still_needed: Callable[[], bool] = lambda: True,
     ) -> Call | None:
         """Starts a call that ends within `timeout`; returns None if the backend is unknown."""
         pool = self.pools.get(name)
@@ -101,7 +101,7 @@
             is_health_check,
             is_streaming,
             upload,
-            is_wanted,
+            is_still_needed,
         )
         call.end_within(timeout)
         pool.submit(call)
