--- a/basalthoist/jsonrpc/client_connection.py
+++ b/basalthoist/jsonrpc/client_connection.py
@@ -327,15 +327,31 @@
         """Closes the connection if it exceeds one of its timeouts."""
         if self.reading_paused:
             self.observe_unread()
-        limits, waited = self.front_end.limits, at - self.last_progress_at
-        has_left = (self.reading_paused or self.input_ended) and self.is_broken()
-        undelivered = undelivered_bytes(self.transport) if self.write_buffer_full else 0
-        # A client that reads slowly is not cut off.
-        reads_nothing = self.delivery.time_stalled(undelivered, at) > limits.client_read_s * SECOND
-        # Guards against blame for lines that wait to be parsed, or lie unread as reading is paused.
-        is_within_line = self.pending and not self.callers and not self.reading_paused
-        sends_too_slowly = is_within_line and waited > limits.client_read_s * SECOND
-        if has_left or reads_nothing or sends_too_slowly:
+        if self.has_left() or self.reads_nothing(at) or self.sends_too_slowly(at):
             self.transport.abort()
-        elif not self.callers and not self.reading_paused and waited > limits.client_idle_s * SECOND:
+        elif self.is_unused(at):
             self.transport.close()
+
+    def has_left(self) -> bool:
+        """Whether the client has closed the connection, which no read reports."""
+        return (self.reading_paused or self.input_ended) and self.is_broken()
+
+    def reads_nothing(self, at: int) -> bool:
+        """Whether the client has read nothing of its responses for too long. It may read slowly."""
+        undelivered = undelivered_bytes(self.transport) if self.write_buffer_full else 0
+        return self.delivery.time_stalled(undelivered, at) > self.front_end.limits.client_read_s * SECOND
+
+    def sends_too_slowly(self, at: int) -> bool:
+        """Whether the client takes too long to end a line."""
+        # Guards against blame for lines that wait to be parsed, or lie unread as reading is paused.
+        is_within_line = bool(self.pending) and not self.callers and not self.reading_paused
+        return is_within_line and self.has_waited(at, self.front_end.limits.client_read_s)
+
+    def is_unused(self, at: int) -> bool:
+        """Whether the client has made no call for too long."""
+        is_idle = not self.callers and not self.reading_paused
+        return is_idle and self.has_waited(at, self.front_end.limits.client_idle_s)
+
+    def has_waited(self, at: int, seconds: float) -> bool:
+        """Whether nothing was read, and reading neither paused nor resumed, for longer than `seconds`."""
+        return at - self.last_progress_at > seconds * SECOND
